--- /dev/null
+++ b/src/sorrelhoist/decisions/configuration_parsing.py
@@ -0,0 +1,271 @@
+"""Parse configuration documents from text or plain data, collecting all problems."""
+
+import math
+from collections.abc import Hashable, Iterable, Iterator, Mapping
+from typing import Any, Literal, get_args, get_origin
+
+import attrs
+import cattrs
+import yaml
+from cattrs.errors import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+from returns.result import Failure, Result, Success
+
+from . import configuration_problems as problems
+from .configuration_checks import check_set, check_values
+from .configuration_problems import Place, Problem, Problems
+from .configuration_set import Configuration
+from .documents import DOCUMENT_CLASSES, Document
+
+MAX_INTEGER = 2**53 - 1
+TYPE_NAMES = {
+    str: "a text, in quotes where it looks like a number",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+}
+
+
+@attrs.frozen
+class SourceText:
+    """The text of one file.
+
+    Parameters
+    ----------
+    file : str
+        Name for messages.
+    text : str
+        YAML, with any number of documents.
+    """
+
+    file: str
+    text: str
+
+
+@attrs.frozen
+class SourceDocument:
+    """One document as it was read.
+
+    Parameters
+    ----------
+    place : Place
+        Where it came from.
+    data : object
+        Plain data; anything but a mapping is reported as a problem.
+    """
+
+    place: Place
+    data: object
+
+
+@attrs.frozen
+class Parsed:
+    """A document that could be read on its own."""
+
+    place: Place
+    document: Document
+
+
+class _StrictLoader(yaml.SafeLoader):
+    """A loader that refuses repeated keys."""
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[Hashable, Any]:
+        seen: set[object] = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=True)
+            if isinstance(key, Hashable) and key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"the key {key!r} is there twice", key_node.start_mark
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
+
+def _structure_number(value: object, target: type) -> object:
+    if isinstance(value, bool) or not isinstance(value, (int, target)):
+        raise TypeError(f"{value!r} is not {TYPE_NAMES[target]}.")
+    if isinstance(value, float) and not math.isfinite(value):
+        raise ValueError(f"{value!r} is not a finite number.")
+    if abs(value) > MAX_INTEGER:  # type: ignore[arg-type]
+        raise ValueError(f"{value!r} is too large.")
+    return target(value)
+
+
+def _structure_exact(value: object, target: type) -> object:
+    if type(value) is not target:
+        raise TypeError(f"{value!r} is not {TYPE_NAMES[target]}.")
+    return value
+
+
+def _structure_choice(value: object, target: Any) -> object:
+    choices = get_args(target)
+    if value not in choices:
+        raise TypeError(f"{value!r} is not one of {', '.join(choices)}.")
+    return value
+
+
+def _make_converter(forbid_extra_keys: bool) -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=forbid_extra_keys)
+    for number in (int, float):
+        converter.register_structure_hook(number, _structure_number)
+    for exact in (str, bool):
+        converter.register_structure_hook(exact, _structure_exact)
+    converter.register_structure_hook_func(
+        lambda target: get_origin(target) is Literal, _structure_choice
+    )
+
+    def structure_list(value: object, target: Any) -> object:
+        if not isinstance(value, list):
+            raise TypeError(f"{value!r} is not a list.")
+        item_type = get_args(target)[0]
+        items: list[object] = converter.structure(value, list[item_type])  # type: ignore[valid-type]
+        return tuple(items)
+
+    converter.register_structure_hook_func(
+        lambda target: get_origin(target) is tuple, structure_list
+    )
+    return converter
+
+
+_STRICT = _make_converter(forbid_extra_keys=True)
+_TOLERANT = _make_converter(forbid_extra_keys=False)
+
+
+def parse_texts(sources: Iterable[SourceText]) -> Result[Configuration, Problems]:
+    """Parse the texts of a whole set.
+
+    Parameters
+    ----------
+    sources : iterable of SourceText
+        All files of the set.
+
+    Returns
+    -------
+    Result
+        The configuration, or all problems of all files.
+    """
+    found: list[Problem] = []
+    documents: list[SourceDocument] = []
+    for source in sources:
+        _read_text(source, documents, found)
+    return _parse(documents, found, _STRICT)
+
+
+def parse_documents(
+    documents: Iterable[SourceDocument],
+) -> Result[Configuration, Problems]:
+    """Parse plain documents of a whole set, refusing unknown keys and kinds."""
+    return _parse(documents, [], _STRICT)
+
+
+def parse_accepted(
+    data: Iterable[Mapping[str, Any]],
+) -> Result[Configuration, Problems]:
+    """Parse documents that are in force.
+
+    Kinds and keys of a newer release are passed over, so that processes of two
+    releases can run beside each other.
+    """
+    known = [item for item in data if item.get("kind") in DOCUMENT_CLASSES]
+    documents = number_documents("configuration", known)
+    return _parse(documents, [], _TOLERANT)
+
+
+def number_documents(file: str, data: Iterable[object]) -> list[SourceDocument]:
+    """Give each plain document its place in a file."""
+    return [
+        SourceDocument(Place(file, f"document {number}"), item)
+        for number, item in enumerate(data, start=1)
+    ]
+
+
+def _read_text(
+    source: SourceText, documents: list[SourceDocument], found: list[Problem]
+) -> None:
+    try:
+        data = list(yaml.load_all(source.text, Loader=_StrictLoader))
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        detail = " ".join(str(error).split())
+        found.append(problems.UnreadableText(Place(source.file), f"{detail}."))
+        return
+    present = [item for item in data if item is not None]
+    documents.extend(number_documents(source.file, present))
+
+
+def _parse(
+    documents: Iterable[SourceDocument],
+    found: list[Problem],
+    converter: cattrs.Converter,
+) -> Result[Configuration, Problems]:
+    parsed: list[Parsed] = []
+    for source in documents:
+        _structure(source, converter, parsed, found)
+    pairs = [(item.place, item.document) for item in parsed]
+    found.extend(check_set(pairs, is_whole=not found))
+    if found:
+        return Failure(Problems.of(found))
+    return Success(Configuration.of(item.document for item in parsed))
+
+
+def _structure(
+    source: SourceDocument,
+    converter: cattrs.Converter,
+    parsed: list[Parsed],
+    found: list[Problem],
+) -> None:
+    data = source.data
+    kind = data.get("kind") if isinstance(data, dict) else None
+    document_class = DOCUMENT_CLASSES.get(kind) if isinstance(kind, str) else None
+    if document_class is None or not isinstance(data, dict):
+        found.append(problems.UnknownKind(source.place, f"The kind is {kind!r}."))
+        return
+    named = f"{kind} {data['name']}" if "name" in data else str(source.place.document)
+    place = attrs.evolve(source.place, document=named)
+    fields = {key: value for key, value in data.items() if key != "kind"}
+    try:
+        document = converter.structure(fields, document_class)
+    except cattrs.BaseValidationError as error:
+        found.extend(_explain(error, place))
+        return
+    found.extend(check_values(place, document))
+    parsed.append(Parsed(place, document))
+
+
+def _explain(error: Exception, place: Place) -> Iterator[Problem]:
+    match error:
+        case ClassValidationError():
+            noted, bare = error.group_exceptions()
+            for inner, note in noted:
+                yield from _explain(inner, _inside(place, note.name))
+            for inner in bare:
+                yield from _explain(inner, place)
+        case IterableValidationError():
+            noted_items, _ = error.group_exceptions()
+            for inner, item_note in noted_items:
+                yield from _explain(inner, _inside(place, str(item_note.index)))
+        case ForbiddenExtraKeysError():
+            for name in sorted(map(str, error.extra_fields)):
+                detail = "There is no such key."
+                yield problems.UnknownDocumentKey(_inside(place, name), detail)
+        case KeyError():
+            name = str(error.args[0])
+            yield problems.MissingDocumentKey(
+                _inside(place, name, replace=True), "The key is missing."
+            )
+        case AttributeError():
+            yield problems.WrongType(place, "The value is not a mapping.")
+        case _:
+            yield problems.WrongType(place, str(error))
+
+
+def _inside(place: Place, name: str, replace: bool = False) -> Place:
+    is_same = replace and place.key.rpartition(".")[2] == name
+    if is_same:
+        return place
+    key = f"{place.key}.{name}" if place.key else name
+    return attrs.evolve(place, key=key)
--- /dev/null
+++ b/src/sorrelhoist/decisions/configuration_problems.py
@@ -0,0 +1,144 @@
+"""What can be wrong with configuration documents, each with its remedy."""
+
+from collections.abc import Iterable
+from typing import ClassVar
+
+import attrs
+
+from ..exceptions import DocumentError
+
+
+@attrs.frozen
+class Place:
+    """Where a problem is.
+
+    Parameters
+    ----------
+    file : str
+        Name of the file, or of the request that brought the document.
+    document : str
+        Kind and name of the document, or its position in the file.
+    key : str
+        Path of the key inside the document; empty for the whole document.
+    """
+
+    file: str
+    document: str = ""
+    key: str = ""
+
+    def __str__(self) -> str:
+        parts = [self.file, self.document, self.key]
+        return ": ".join(part for part in parts if part)
+
+
+@attrs.frozen
+class Problem:
+    """One problem of one document.
+
+    Parameters
+    ----------
+    place : Place
+        Where it is.
+    detail : str
+        What is wrong, as a sentence.
+    """
+
+    kind: ClassVar[str] = "problem"
+    remedy: ClassVar[str] = "Correct the document."
+
+    place: Place
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.detail} {self.remedy}"
+
+
+class UnreadableText(Problem):
+    """A text is not YAML, or repeats a key."""
+
+    kind = "unreadable_text"
+    remedy = "Correct the YAML."
+
+
+class UnknownKind(Problem):
+    """A document has no known kind."""
+
+    kind = "unknown_kind"
+    remedy = "Set kind to FailureDomain, Model, Service, Workspace or Endpoint."
+
+
+class UnknownDocumentKey(Problem):
+    """A document has a key that its kind does not have."""
+
+    kind = "unknown_key"
+    remedy = "Correct the spelling or remove the key."
+
+
+class MissingDocumentKey(Problem):
+    """A document lacks a key."""
+
+    kind = "missing_key"
+    remedy = "Add the key."
+
+
+class WrongType(Problem):
+    """A value has the wrong type or unit."""
+
+    kind = "wrong_type"
+    remedy = "Give a plain value of this type; units are part of the key's name."
+
+
+class OutOfRange(Problem):
+    """A value is outside its range."""
+
+    kind = "out_of_range"
+    remedy = "Give a value inside the range."
+
+
+class DuplicateDocument(Problem):
+    """Two documents, or two keys, claim the same identity."""
+
+    kind = "duplicate"
+    remedy = "Keep one of them or rename the other."
+
+
+class UnknownReference(Problem):
+    """A document names another one that is not in the set."""
+
+    kind = "unknown_reference"
+    remedy = "Correct the name or add the document."
+
+
+class Inconsistent(Problem):
+    """Values that are valid alone contradict each other."""
+
+    kind = "inconsistent"
+    remedy = "Change one of the values."
+
+
+@attrs.frozen
+class Problems:
+    """All problems of a set of documents.
+
+    Parameters
+    ----------
+    items : tuple of Problem
+        In the order in which they were found.
+    """
+
+    items: tuple[Problem, ...]
+
+    @classmethod
+    def of(cls, items: Iterable[Problem]) -> "Problems":
+        """Collect problems."""
+        return cls(tuple(items))
+
+    def __str__(self) -> str:
+        return "\n".join(str(item) for item in self.items)
+
+    def to_error(self) -> DocumentError:
+        """Return the exception that reports all of them."""
+        count = len(self.items)
+        noun = "problem" if count == 1 else "problems"
+        error = DocumentError(f"{count} {noun} found:\n{self}\n", not_run=True)
+        return error
--- /dev/null
+++ b/src/sorrelhoist/decisions/configuration_records.py
@@ -0,0 +1,202 @@
+"""The records of the configuration topic, as JSON text."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from .documents import DocumentKey, DocumentsDiff, DocumentSet, canonical_json
+
+_READ_ERRORS = (ValueError, TypeError, KeyError, AttributeError, RecursionError)
+
+
+@attrs.frozen
+class Change:
+    """A proposed next configuration, as a difference from the one before.
+
+    Parameters
+    ----------
+    apply_id : str
+        Chosen by the one who applies; names the verdict.
+    base_revision : int
+        The revision that the difference starts from.
+    diff : DocumentsDiff
+        Documents that changed or went.
+    digest : str
+        SHA-256 of the whole set after the change.
+    """
+
+    apply_id: str
+    base_revision: int
+    diff: DocumentsDiff
+    digest: str
+
+    @property
+    def revision(self) -> int:
+        """The revision that the change makes if it is accepted."""
+        return self.base_revision + 1
+
+
+@attrs.frozen
+class AcceptedChange:
+    """One step in the history of accepted changes."""
+
+    revision: int
+    offset: int
+    apply_id: str
+
+
+@attrs.frozen
+class Checkpoint:
+    """The whole state of the fold after a log offset.
+
+    Parameters
+    ----------
+    as_of_offset : int
+        All records up to here, this one included, are folded in.
+    effective_offset : int
+        Offset of the last accepted change; 0 before the first.
+    revision : int
+        Number of the last accepted change; 0 before the first.
+    documents : DocumentSet
+        The whole set.
+    history : tuple of AcceptedChange
+        The latest accepted changes, oldest first.
+    """
+
+    as_of_offset: int = 0
+    effective_offset: int = 0
+    revision: int = 0
+    documents: DocumentSet = attrs.field(factory=DocumentSet)
+    history: tuple[AcceptedChange, ...] = ()
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 of the set."""
+        return self.documents.digest
+
+
+Record = Change | Checkpoint
+
+
+def encode_record(record: Record) -> str:
+    """Return the JSON text of a record."""
+    match record:
+        case Change():
+            return _encode_change(record)
+        case Checkpoint():
+            return _encode_checkpoint(record)
+
+
+def decode_record(text: str) -> Record | None:
+    """Read a record.
+
+    Parameters
+    ----------
+    text : str
+        A value of the log.
+
+    Returns
+    -------
+    Change or Checkpoint or None
+        None for anything that is no well-formed record; each reader takes the
+        same decision on the same text.
+    """
+    try:
+        data = json.loads(text)
+        match data["record"]:
+            case "change":
+                return _decode_change(data)
+            case "checkpoint":
+                return _decode_checkpoint(data)
+    except _READ_ERRORS:
+        return None
+    return None
+
+
+def _encode_change(change: Change) -> str:
+    removed = [{"kind": key.kind, "name": key.name} for key in change.diff.removed]
+    data = {
+        "record": "change",
+        "apply_id": change.apply_id,
+        "base_revision": change.base_revision,
+        "revision": change.revision,
+        "changed": change.diff.changed.to_plain(),
+        "removed": removed,
+        "digest": change.digest,
+    }
+    return canonical_json(data)
+
+
+def _decode_change(data: Mapping[str, Any]) -> Change | None:
+    removed = tuple(
+        DocumentKey(_text(item["kind"]), _text(item["name"]))
+        for item in data["removed"]
+    )
+    change = Change(
+        apply_id=_text(data["apply_id"]),
+        base_revision=_count(data["base_revision"]),
+        diff=DocumentsDiff(_decode_documents(data["changed"]), removed),
+        digest=_text(data["digest"]),
+    )
+    is_next = _count(data["revision"]) == change.revision
+    return change if is_next else None
+
+
+def _encode_checkpoint(checkpoint: Checkpoint) -> str:
+    data = {
+        "record": "checkpoint",
+        "as_of_offset": checkpoint.as_of_offset,
+        "effective_offset": checkpoint.effective_offset,
+        "revision": checkpoint.revision,
+        "documents": checkpoint.documents.to_plain(),
+        "history": [attrs.asdict(item) for item in checkpoint.history],
+        "digest": checkpoint.digest,
+    }
+    return canonical_json(data)
+
+
+def _decode_checkpoint(data: Mapping[str, Any]) -> Checkpoint | None:
+    checkpoint = Checkpoint(
+        as_of_offset=_count(data["as_of_offset"]),
+        effective_offset=_count(data["effective_offset"]),
+        revision=_count(data["revision"]),
+        documents=_decode_documents(data["documents"]),
+        history=tuple(_decode_accepted(item) for item in data["history"]),
+    )
+    is_ordered = (
+        checkpoint.revision <= checkpoint.effective_offset <= checkpoint.as_of_offset
+    )
+    is_whole = checkpoint.digest == data["digest"]
+    return checkpoint if is_ordered and is_whole else None
+
+
+def _decode_accepted(data: Mapping[str, Any]) -> AcceptedChange:
+    return AcceptedChange(
+        revision=_count(data["revision"]),
+        offset=_count(data["offset"]),
+        apply_id=_text(data["apply_id"]),
+    )
+
+
+def _decode_documents(data: object) -> DocumentSet:
+    if not isinstance(data, list):
+        raise TypeError("documents must be a list")
+    for item in data:
+        _text(item["kind"])
+        _text(item["name"])
+    return DocumentSet.from_plain(data)
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError("expected a text")
+    value.encode()
+    return value
+
+
+def _count(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise TypeError("expected a count")
+    return value
