--- /dev/null
+++ b/src/sorrelhoist/standins/engine.py
@@ -0,0 +1,187 @@
+"""The stand-in engine: steps its batch on the loop, dies and comes back."""
+
+import asyncio
+import time
+from random import Random
+from typing import Any
+
+import attrs
+from returns.result import Failure, Result
+
+from . import engine_batch
+from .engine_core import Arrival, Core, Overrun, Refusal, Stream
+from .engine_model import CostModel
+from .engine_options import EngineFaults, EngineOptions
+from .server import MortalServer
+
+BOOT_ID_BITS = 64
+
+
+class Engine:
+    """One engine process.
+
+    Parameters
+    ----------
+    options : EngineOptions
+        How it is built.
+    """
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.faults = EngineFaults()
+        self.cost = CostModel(
+            options.prefill_tokens_per_s,
+            options.decode_step_s,
+            options.decode_growth,
+            options.cold_slow_factor,
+        )
+        self._random = Random(options.seed)
+        self.core = self._boot(options.start_cold)
+        self.deaths = 0
+        self._server: MortalServer | None = None
+        self._work = asyncio.Event()
+        self._thaw = asyncio.Event()
+        self._thaw.set()
+        self._waiters: dict[Stream, asyncio.Event] = {}
+        self._timers: list[asyncio.TimerHandle] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._report, self._report_at_s = self._snapshot(), self.now_s()
+
+    @staticmethod
+    def now_s() -> float:
+        """Return the monotonic time."""
+        return time.monotonic()
+
+    def start(self, server: MortalServer) -> None:
+        """Begin to step; `server` is cut at each death."""
+        self._server = server
+        self._tasks = [
+            asyncio.create_task(self._run()),
+            asyncio.create_task(self._report_often()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop for good."""
+        for timer in self._timers:
+            timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            await self._server.stop()
+
+    def admit(self, arrival: Arrival) -> Result[Stream, Refusal | Overrun]:
+        """Take a stream, refuse it, or die of it."""
+        result = self.core.admit(arrival, self.faults.crash_on_text)
+        if isinstance(result, Failure) and isinstance(result.failure(), Overrun):
+            self.die()
+        self._work.set()
+        return result
+
+    def cancel(self, stream: Stream) -> bool:
+        """Cancel a stream, unless a fault has it ignored."""
+        if self.faults.ignore_cancel_count > 0:
+            self.faults.ignore_cancel_count -= 1
+            return False
+        self.core.cancel(stream, self.now_s())
+        self.wake([stream])
+        return True
+
+    def die(self) -> None:
+        """Lose everything; come back cold after `restart_s`."""
+        self.deaths += 1
+        self.core = self._boot(cold=True)
+        if self._server is not None and self._server.alive:
+            self._server.die()
+            loop = asyncio.get_running_loop()
+            self._timers = [loop.call_later(self.options.restart_s, self._revive)]
+        self.wake(list(self._waiters))
+
+    def freeze(self, freeze_s: float) -> None:
+        """Stand still for a while; 0 ends that."""
+        self._thaw.clear()
+        asyncio.get_running_loop().call_later(freeze_s, self._thaw.set)
+
+    async def thawed(self) -> None:
+        """Wait until the engine isn't frozen."""
+        await self._thaw.wait()
+
+    async def moved(self, stream: Stream) -> None:
+        """Wait until a stream has moved."""
+        await self._waiters.setdefault(stream, asyncio.Event()).wait()
+
+    def wake(self, streams: list[Stream]) -> None:
+        """Wake the readers of streams that have moved."""
+        for stream in streams:
+            waiter = self._waiters.pop(stream, None)
+            if waiter is not None:
+                waiter.set()
+
+    def report(self) -> dict[str, Any]:
+        """Return the status, as old as the last snapshot."""
+        if not self.options.report_lag_s:
+            self._report, self._report_at_s = self._snapshot(), self.now_s()
+        age_ms = int((self.now_s() - self._report_at_s) * 1000)
+        return {**self._report, "report_age_ms": age_ms}
+
+    def _boot(self, cold: bool) -> Core:
+        boot_id = f"{self._random.getrandbits(BOOT_ID_BITS):016x}"
+        return Core.boot(boot_id, self.options, cold, self.now_s(), self._random)
+
+    def _revive(self) -> None:
+        self.core.become_cold(self.now_s())
+        self._report, self._report_at_s = self._snapshot(), self.now_s()
+        if self._server is not None:
+            self._server.revive()
+
+    def _snapshot(self) -> dict[str, Any]:
+        core = self.core
+        return {
+            "boot_id": core.boot_id,
+            "state": "cold" if core.cold else "serving",
+            "model": core.model,
+            "version": core.version,
+            "role": core.role,
+            "kv_capacity_tokens": self.options.kv_capacity_tokens,
+            "kv_used_tokens": core.kv_used_tokens,
+            "running_requests": len(core.running),
+            "prefill_tokens_per_s": self.options.prefill_tokens_per_s,
+            "highest_fencing": core.highest_fencing,
+        }
+
+    async def _report_often(self) -> None:
+        while self.options.report_lag_s:
+            await asyncio.sleep(self.options.report_lag_s)
+            await self.thawed()
+            engine_batch.tend(self.core, self.now_s())
+            self._report, self._report_at_s = self._snapshot(), self.now_s()
+
+    async def _run(self) -> None:
+        while True:
+            await self.thawed()
+            core = self.core
+            engine_batch.tend(core, self.now_s())
+            step = engine_batch.plan(core, self.cost, self.faults.slow_factor)
+            if step is None:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            await asyncio.sleep(step.duration_s)
+            await self.thawed()
+            if core is not self.core:
+                continue
+            applied = engine_batch.apply(core, step, self.now_s())
+            self.wake(list(applied.moved))
+            if applied.fatal:
+                self.die()
+
+
+def apply_faults(engine: Engine, faults: dict[str, Any]) -> None:
+    """Switch faults on or off."""
+    if faults.pop("die", False):
+        engine.die()
+    if faults.pop("cold", False):
+        engine.core.become_cold(engine.now_s())
+    if "freeze_s" in faults:
+        engine.freeze(float(faults.pop("freeze_s")))
+    engine.faults = attrs.evolve(engine.faults, **faults)
--- /dev/null
+++ b/src/sorrelhoist/standins/engine_batch.py
@@ -0,0 +1,118 @@
+"""Continuous batching of the stand-in engine, one step after another."""
+
+import attrs
+
+from .engine_core import Core, Step, Stream
+from .engine_model import CostModel
+
+
+@attrs.frozen
+class Applied:
+    """What a step did.
+
+    Parameters
+    ----------
+    moved : tuple of Stream
+        Streams with new tokens, or that have ended.
+    fatal : bool
+        Whether a prompt killed the engine.
+    """
+
+    moved: tuple[Stream, ...]
+    fatal: bool
+
+
+def _order(stream: Stream) -> tuple[int, int]:
+    return stream.priority, stream.rank
+
+
+def plan(core: Core, cost: CostModel, slow_factor: float) -> Step | None:
+    """Choose the next step, or None when there is nothing to do.
+
+    Each step prefills up to one chunk, lower priority numbers first, and gives
+    each decoding stream one token.
+    """
+    batch = _batch(core)
+    chunks = _chunks(core, batch)
+    decoding = tuple(stream for stream in batch if not stream.to_prefill_tokens)
+    if not chunks and not decoding:
+        return None
+    work_tokens = sum(tokens / stream.group_size for stream, tokens in chunks)
+    duration_s = cost.step_s(work_tokens, len(decoding), core.cold, slow_factor)
+    return Step(chunks, decoding, duration_s)
+
+
+def _batch(core: Core) -> list[Stream]:
+    running = core.running
+    free = core.options.max_running_requests - sum(one.in_batch for one in running)
+    waiting = sorted((one for one in running if not one.in_batch), key=_order)
+    for stream in waiting[: max(free, 0)]:
+        stream.in_batch = True
+    return sorted((one for one in running if one.in_batch), key=_order)
+
+
+def _chunks(core: Core, batch: list[Stream]) -> tuple[tuple[Stream, int], ...]:
+    budget = float(core.options.chunk_tokens)
+    chunks = []
+    for stream in batch:
+        if budget < 1.0:
+            break
+        if not stream.to_prefill_tokens:
+            continue
+        _start(core, stream)
+        tokens = min(stream.to_prefill_tokens, int(budget * stream.group_size))
+        chunks.append((stream, tokens))
+        budget -= tokens / stream.group_size
+    return tuple(chunks)
+
+
+def _start(core: Core, stream: Stream) -> None:
+    if stream.started:
+        return
+    stream.started = True
+    hit_tokens = core.cache.hit_tokens(stream.blocks)
+    # The last token is always computed: it gives the first output token.
+    stream.to_prefill_tokens = max(1, stream.to_prefill_tokens - hit_tokens)
+
+
+def apply(core: Core, step: Step, now_s: float) -> Applied:
+    """Take a finished step into the state.
+
+    Streams that were cancelled meanwhile are left alone.
+    """
+    moved = []
+    fatal = False
+    for stream, tokens in step.chunks:
+        if stream.ended:
+            continue
+        fatal = fatal or stream.fatal
+        stream.to_prefill_tokens -= tokens
+        if not stream.to_prefill_tokens:
+            core.cache.store(stream.blocks, now_s)
+    for stream in step.decoding:
+        if stream.ended:
+            continue
+        if stream.next_index < stream.output_tokens:
+            stream.next_index += 1
+        if stream.next_index >= stream.output_tokens:
+            _complete(core, stream, now_s)
+        moved.append(stream)
+    return Applied(tuple(moved), fatal)
+
+
+def _complete(core: Core, stream: Stream, now_s: float) -> None:
+    core.end(stream, "stop", now_s)
+    if core.cold:
+        core.warm_work_done += 1
+
+
+def tend(core: Core, now_s: float) -> None:
+    """Leave the cold start when it is over; forget streams that ended long ago."""
+    options = core.options
+    warm_by_time = options.warm_s and now_s - core.cold_since_s >= options.warm_s
+    if core.cold and (core.warm_work_done >= options.warm_work or warm_by_time):
+        core.cold = False
+    oldest_s = now_s - options.retain_s
+    for stream in list(core.streams.values()):
+        if stream.ended_at_s is not None and stream.ended_at_s < oldest_s:
+            del core.streams[stream.stream_id]
--- /dev/null
+++ b/src/sorrelhoist/standins/plain_service.py
@@ -0,0 +1,220 @@
+"""The stand-in plain service: effects that are counted, never deduplicated."""
+
+import asyncio
+import json
+from collections import Counter
+from random import Random
+from typing import Any
+
+import attrs
+from tornado.web import Application
+
+from .server import MortalServer
+from .web import JsonHandler
+
+BOOT_ID_BITS = 64
+
+
+@attrs.frozen
+class PlainServiceOptions:
+    """How the stand-in plain service is built.
+
+    Parameters
+    ----------
+    lookup : bool
+        Whether answers can be looked up by key.
+    restart_s : float
+        From a death to the next boot.
+    cold_s : float
+        How long the status says cold after a boot.
+    seed : int
+        For boot ids.
+    """
+
+    lookup: bool = False
+    restart_s: float = 2.0
+    cold_s: float = 0.0
+    seed: int = 0
+
+
+@attrs.define
+class PlainServiceFaults:
+    """Faults that are on; counts and flags run down as they strike.
+
+    Parameters
+    ----------
+    die_before_effect, die_after_effect : bool
+        The next call kills the service.
+    lose_answer_count : int
+        So many calls run and are not answered.
+    delay_s : float
+        Each call waits so long before its effect, also when its caller is gone.
+    refuse_count : int
+        So many calls are answered 503 with no effect.
+    """
+
+    die_before_effect: bool = False
+    die_after_effect: bool = False
+    lose_answer_count: int = 0
+    delay_s: float = 0.0
+    refuse_count: int = 0
+
+
+class PlainService:
+    """One plain service; its effects survive its deaths.
+
+    Parameters
+    ----------
+    options : PlainServiceOptions
+        How it is built.
+    """
+
+    def __init__(self, options: PlainServiceOptions) -> None:
+        self.options = options
+        self.faults = PlainServiceFaults()
+        self.effects: Counter[str] = Counter()
+        self.answers: dict[str, dict[str, Any]] = {}
+        self.workspaces: dict[str, str] = {}
+        self._random = Random(options.seed)
+        self._server: MortalServer | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._boot()
+
+    def start(self, server: MortalServer) -> None:
+        """Take the server that is cut at each death."""
+        self._server = server
+        self._boot()
+
+    async def stop(self) -> None:
+        """Stop for good."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._server is not None:
+            await self._server.stop()
+
+    @property
+    def state(self) -> str:
+        """``cold`` or ``serving``."""
+        warm_at_s = self._booted_at_s + self.options.cold_s
+        return "cold" if asyncio.get_running_loop().time() < warm_at_s else "serving"
+
+    def run(self, key: str, workspace: str) -> dict[str, Any]:
+        """Run one effect."""
+        self.effects[key] += 1
+        self.workspaces[key] = workspace
+        self.answers[key] = {"effect": self.effects.total(), "key": key}
+        return self.answers[key]
+
+    def die(self) -> None:
+        """Cut all connections; come back after `restart_s`."""
+        if self._server is None or not self._server.alive:
+            return
+        self._server.die()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self.options.restart_s, self._revive)
+
+    def _revive(self) -> None:
+        self._boot()
+        if self._server is not None:
+            self._server.revive()
+
+    def _boot(self) -> None:
+        self.boot_id = f"{self._random.getrandbits(BOOT_ID_BITS):016x}"
+        self._booted_at_s = asyncio.get_running_loop().time()
+
+
+class _Handler(JsonHandler):
+    def initialize(self, service: PlainService) -> None:
+        """Take the service."""
+        self.service = service
+
+
+class _CallHandler(_Handler):
+    """Any path that isn't one of the service's own."""
+
+    async def _call(self, path: str) -> None:
+        faults = self.service.faults
+        boot_id = self.service.boot_id
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        if boot_id != self.service.boot_id:
+            return
+        if faults.refuse_count > 0:
+            faults.refuse_count -= 1
+            self.refuse(503, "refused")
+            return
+        if faults.die_before_effect:
+            faults.die_before_effect = False
+            self.service.die()
+            return
+        key = self.request.headers.get("Idempotency-Key", "")
+        workspace = self.request.headers.get("X-Workspace", "")
+        answer = self.service.run(key, workspace)
+        if faults.die_after_effect:
+            faults.die_after_effect = False
+            self.service.die()
+            return
+        if faults.lose_answer_count > 0:
+            faults.lose_answer_count -= 1
+            self.cut()
+            return
+        self.reply(200, **answer)
+
+    get = post = put = delete = patch = _call
+
+
+class _EffectsHandler(_Handler):
+    """``/effects``."""
+
+    def get(self) -> None:
+        """Return how often each key had an effect."""
+        self.finish(json.dumps(self.service.effects))
+
+
+class _LookupHandler(_Handler):
+    """``/lookup/KEY``."""
+
+    def get(self, key: str) -> None:
+        """Return the recorded answer."""
+        if not self.service.options.lookup or key not in self.service.answers:
+            self.refuse(404, "unknown")
+            return
+        self.reply(200, **self.service.answers[key])
+
+
+class _StatusHandler(_Handler):
+    """``/status``."""
+
+    def get(self) -> None:
+        """Return the boot id and the state."""
+        self.reply(200, boot_id=self.service.boot_id, state=self.service.state)
+
+
+class _FaultsHandler(_Handler):
+    """``/faults``."""
+
+    def post(self) -> None:
+        """Switch faults on or off; ``die`` kills the service now."""
+        faults = self.body()
+        dies = faults.pop("die", False)
+        # In place: a call that waits sees the change.
+        for name, value in faults.items():
+            setattr(self.service.faults, name, value)
+        self.reply(200)
+        if dies:
+            self.service.die()
+
+
+def plain_service_application(service: PlainService) -> Application:
+    """Return the routes of a plain service."""
+    take = {"service": service}
+    return Application(
+        [
+            (r"/effects", _EffectsHandler, take),
+            (r"/lookup/([^/]+)", _LookupHandler, take),
+            (r"/status", _StatusHandler, take),
+            (r"/faults", _FaultsHandler, take),
+            (r"(/.*)", _CallHandler, take),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/src/sorrelhoist/standins/testing.py
@@ -0,0 +1,73 @@
+"""Stand-ins on the current loop, for tests."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Generic, TypeVar
+
+import attrs
+
+from .engine import Engine
+from .engine_handlers import engine_application
+from .engine_options import EngineOptions
+from .plain_service import (
+    PlainService,
+    PlainServiceOptions,
+    plain_service_application,
+)
+from .platform import Platform, PlatformOptions, platform_application
+from .server import MortalServer
+
+LOOPBACK = "127.0.0.1"
+
+State = TypeVar("State")
+
+
+@attrs.frozen
+class Running(Generic[State]):
+    """A running stand-in: where it listens, and its state to look into."""
+
+    url: str
+    state: State
+    server: MortalServer
+
+
+@asynccontextmanager
+async def running_engine(
+    options: EngineOptions | None = None, port: int = 0, address: str = LOOPBACK
+) -> AsyncIterator[Running[Engine]]:
+    """Run an engine; port 0 picks a free one."""
+    engine = Engine(options or EngineOptions())
+    server = MortalServer(engine_application(engine), port, address)
+    engine.start(server)
+    try:
+        yield Running(server.url, engine, server)
+    finally:
+        await engine.stop()
+
+
+@asynccontextmanager
+async def running_plain_service(
+    options: PlainServiceOptions | None = None, port: int = 0, address: str = LOOPBACK
+) -> AsyncIterator[Running[PlainService]]:
+    """Run a plain service; port 0 picks a free one."""
+    service = PlainService(options or PlainServiceOptions())
+    server = MortalServer(plain_service_application(service), port, address)
+    service.start(server)
+    try:
+        yield Running(server.url, service, server)
+    finally:
+        await service.stop()
+
+
+@asynccontextmanager
+async def running_platform(
+    options: PlatformOptions | None = None, port: int = 0, address: str = LOOPBACK
+) -> AsyncIterator[Running[Platform]]:
+    """Run a platform; port 0 picks a free one."""
+    platform = Platform(options or PlatformOptions())
+    server = MortalServer(platform_application(platform), port, address)
+    platform.start(server)
+    try:
+        yield Running(server.url, platform, server)
+    finally:
+        await platform.stop()
