--- a/src/sorrelhoist/decisions/configuration.py
+++ b/src/sorrelhoist/decisions/configuration.py
@@ -146,7 +146,8 @@
             Whether another configuration is in force now.
         """
         self._compare(checkpoint)
-        if checkpoint.as_of_offset <= self.state.as_of_offset:
+        is_ahead = checkpoint.as_of_offset > self.state.as_of_offset
+        if not is_ahead or checkpoint.effective_offset < self.state.effective_offset:
             return False
         before = self.state.effective_offset
         self.state = checkpoint
@@ -217,7 +218,8 @@
 
     def _judge(self, offset: int, change: Change) -> None:
         verdict = self._decide(offset, change)
-        if change.apply_id not in self._verdicts:
+        is_first = change.apply_id not in self._verdicts
+        if is_first or isinstance(verdict, Accepted):
             self._remember(verdict)
 
     def _decide(self, offset: int, change: Change) -> Verdict:
--- a/src/sorrelhoist/decisions/configuration_records.py
+++ b/src/sorrelhoist/decisions/configuration_records.py
@@ -186,7 +186,9 @@
     for item in data:
         _text(item["kind"])
         _text(item["name"])
-    return DocumentSet.from_plain(data)
+    documents = DocumentSet.from_plain(data)
+    documents.text.encode()
+    return documents
 
 
 def _text(value: object) -> str:
