--- /dev/null
+++ b/src/sorrelhoist/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts in YAML, interpreted by `sismic`."""
--- /dev/null
+++ b/src/sorrelhoist/decisions/endpoint_health.py
@@ -0,0 +1,169 @@
+"""Whether an endpoint takes new work, and how much."""
+
+import attrs
+
+from .grants import DenialKind, EndpointObservation, Lane
+from .lifecycle import EndpointLifecycle, LifecycleEvent, Phase
+from .limits import EndpointLimits
+from .room import Bounds
+from .slow_start import SlowStart
+
+
+@attrs.define
+class EndpointHealth:
+    """Phase, allowance and the flags that shut an endpoint for new work.
+
+    Parameters
+    ----------
+    limits : EndpointLimits
+        The full limits.
+    now_s : float
+        The present time, monotonic seconds.
+    """
+
+    limits: EndpointLimits
+    now_s: float
+    boot_id: str = ""
+    is_domain_in: bool = True
+    is_leaving: bool = False
+    is_configuration_stale: bool = False
+    slow_start: SlowStart = attrs.field(init=False)
+    lifecycle: EndpointLifecycle = attrs.field(init=False)
+    _reported_capacity_tokens: int = attrs.field(init=False, default=0)
+
+    def __attrs_post_init__(self) -> None:
+        self.slow_start = SlowStart.from_limits(self.limits)
+        self.lifecycle = EndpointLifecycle(self.now_s)
+
+    @property
+    def phase(self) -> Phase:
+        """The phase; a leaving endpoint is leaving also when it starts anew."""
+        phase = self.lifecycle.phase
+        if self.is_leaving and phase is not Phase.GONE:
+            return Phase.LEAVING
+        return phase
+
+    @property
+    def capacity_tokens(self) -> int:
+        """Memory of the engine, the smaller of configured and reported."""
+        if not self._reported_capacity_tokens:
+            return self.limits.kv_capacity_tokens
+        return min(self.limits.kv_capacity_tokens, self._reported_capacity_tokens)
+
+    def closed(self) -> DenialKind | None:
+        """Tell why no new work may start, or None if it may."""
+        if not self.is_domain_in:
+            return DenialKind.DOMAIN_OUT
+        if self.is_configuration_stale:
+            return DenialKind.CONFIGURATION_STALE
+        match self.phase:
+            case Phase.LEAVING | Phase.GONE:
+                return DenialKind.LEAVING
+            case Phase.UNKNOWN:
+                return DenialKind.ENDPOINT_UNKNOWN
+            case Phase.COLD | Phase.WARMING | Phase.SERVING:
+                return None
+
+    def bounds(self, foreign_requests: int, foreign_kv_tokens: int) -> Bounds:
+        """Give what may run at once, less what others use."""
+        limits = self.limits
+        requests = min(limits.max_running_requests, self.slow_start.allowed_requests)
+        long_requests = max(1, int(requests * (1 - limits.short_floor)))
+        return Bounds(
+            requests=limits.max_running_requests - foreign_requests,
+            kv_tokens=self.capacity_tokens - foreign_kv_tokens,
+            allowed_requests=self.slow_start.allowed_requests - foreign_requests,
+            allowed_tokens=self.slow_start.allowed_tokens - foreign_kv_tokens,
+            foreign_requests=foreign_requests,
+            long_requests=min(long_requests, limits.long_running_requests),
+            long_kv_tokens=self.largest_kv_tokens(Lane.LONG),
+        )
+
+    def largest_kv_tokens(self, lane: Lane) -> int:
+        """Give the memory that the requests of a lane may take together."""
+        if lane is Lane.LONG:
+            return int(self.capacity_tokens * (1 - self.limits.short_floor))
+        return self.capacity_tokens
+
+    def full_kind(self) -> DenialKind:
+        """Name the reason why there is no room."""
+        if self.phase is Phase.COLD:
+            return DenialKind.COLD
+        return DenialKind.OVERLOADED
+
+    def is_reboot(self, boot_id: str) -> bool:
+        """Tell whether a boot id is not the one that was known."""
+        return bool(self.boot_id) and boot_id != self.boot_id
+
+    def observe(self, report: EndpointObservation, now_s: float) -> None:
+        """Take a status report in."""
+        self._reported_capacity_tokens = report.kv_capacity_tokens
+        if self.is_reboot(report.boot_id):
+            self._fell(LifecycleEvent.BOOT_CHANGED, now_s)
+        self.boot_id = report.boot_id
+        slow_per_s = self.limits.prefill_tokens_per_s * self.limits.cold_speed_fraction
+        if report.is_cold:
+            self._fell(LifecycleEvent.REPORTED_COLD, now_s)
+        elif 0 < report.prefill_tokens_per_s < slow_per_s:
+            self.slowed(now_s)
+        elif now_s - report.report_age_s >= self.lifecycle.since_s:
+            self.lifecycle.on(LifecycleEvent.REPORTED_SERVING, now_s)
+
+    def slowed(self, now_s: float) -> None:
+        """Note that the speed is that of a cold start."""
+        self._fell(LifecycleEvent.SLOWED, now_s)
+
+    def reported_cold(self, now_s: float) -> None:
+        """Note that the endpoint refused a stream since it is cold."""
+        self._fell(LifecycleEvent.REPORTED_COLD, now_s)
+
+    def unreachable(self, now_s: float) -> None:
+        """Note that the endpoint does not answer."""
+        self._fell(LifecycleEvent.UNREACHABLE, now_s)
+
+    def completed(
+        self, tokens: int, used_requests: int, used_tokens: int, now_s: float
+    ) -> None:
+        """Note completed work; it earns allowance once the cold start is over."""
+        if self.lifecycle.phase is not Phase.WARMING:
+            return
+        self.slow_start.completed(tokens, used_requests, used_tokens)
+        if self.slow_start.full:
+            self.lifecycle.on(LifecycleEvent.FULLY_ALLOWED, now_s)
+
+    def troubled(self, now_s: float) -> None:
+        """Note a failure of the endpoint."""
+        self.slow_start.troubled()
+        self.lifecycle.on(LifecycleEvent.TROUBLED, now_s)
+
+    def set_leaving(self, is_leaving: bool, now_s: float) -> None:
+        """Let the endpoint leave, or stay after all."""
+        self.is_leaving = is_leaving
+        event = LifecycleEvent.LEAVE if is_leaving else LifecycleEvent.STAY
+        self.lifecycle.on(event, now_s)
+
+    def drained(self, now_s: float) -> None:
+        """Note that a leaving endpoint runs nothing any more."""
+        self.lifecycle.on(LifecycleEvent.DRAINED, now_s)
+
+    def set_limits(self, limits: EndpointLimits) -> None:
+        """Take new limits over."""
+        self.limits = limits
+        self.slow_start.set_limits(limits)
+
+    def _fell(self, event: LifecycleEvent, now_s: float) -> None:
+        self.slow_start.reset()
+        self.lifecycle.on(event, now_s)
+
+    def dump(self) -> dict[str, object]:
+        """Give the state as plain data."""
+        return {
+            "boot_id": self.boot_id,
+            "phase": self.phase.value,
+            "lifecycle": self.lifecycle.dump(),
+            "slow_start": self.slow_start.dump(),
+            "is_domain_in": self.is_domain_in,
+            "is_leaving": self.is_leaving,
+            "is_configuration_stale": self.is_configuration_stale,
+            "capacity_tokens": self.capacity_tokens,
+        }
--- /dev/null
+++ b/src/sorrelhoist/decisions/retry_after.py
@@ -0,0 +1,102 @@
+"""When a refused caller should ask again."""
+
+import random
+
+import attrs
+
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 60.0
+DEFAULT_JITTER = 0.2
+
+
+@attrs.frozen
+class Informed:
+    """Wait until the work ahead is expected to be done.
+
+    Parameters
+    ----------
+    jitter : float
+        Largest part of the time that is added at random.
+    """
+
+    jitter: float = DEFAULT_JITTER
+
+
+@attrs.frozen
+class Constant:
+    """Wait the same time always."""
+
+    delay_s: float = 1.0
+
+
+@attrs.frozen
+class Exponential:
+    """Double the time with each refusal, with full jitter."""
+
+    base_s: float = 0.5
+    max_s: float = MAX_RETRY_AFTER_S
+
+
+RetryAdvice = Informed | Constant | Exponential
+
+
+@attrs.frozen(kw_only=True)
+class Backlog:
+    """What stands before a refused request.
+
+    Parameters
+    ----------
+    position : int
+        Requests ahead in the queue.
+    drain_interval_s : float
+        Observed time between two requests that leave the queue.
+    expected_wait_s : float
+        Wait by other knowledge, such as prefill that is under way.
+    attempt : int
+        How often this request was refused before.
+    """
+
+    position: int
+    drain_interval_s: float
+    expected_wait_s: float = 0.0
+    attempt: int = 0
+
+
+def retry_after_s(
+    advice: RetryAdvice, backlog: Backlog, rng: random.Random | None = None
+) -> float:
+    """Advise a time to ask again.
+
+    Parameters
+    ----------
+    advice : RetryAdvice
+        The strategy.
+    backlog : Backlog
+        What the refusing side knows.
+    rng : random.Random, optional
+        Source of jitter; none without it.
+
+    Returns
+    -------
+    float
+        Seconds from now, within `MIN_RETRY_AFTER_S` and `MAX_RETRY_AFTER_S`.
+
+    Examples
+    --------
+    >>> retry_after_s(Informed(), Backlog(position=3, drain_interval_s=0.5))
+    2.0
+    >>> retry_after_s(Constant(4.0), Backlog(position=3, drain_interval_s=0.5))
+    4.0
+    """
+    draw = rng.random() if rng is not None else None
+    match advice:
+        case Informed(jitter=jitter):
+            drained_s = (backlog.position + 1) * backlog.drain_interval_s
+            delay_s = max(drained_s, backlog.expected_wait_s)
+            delay_s *= 1 + jitter * (draw or 0.0)
+        case Constant(delay_s=constant_s):
+            delay_s = constant_s
+        case Exponential(base_s=base_s, max_s=max_s):
+            delay_s = min(max_s, base_s * 2.0 ** min(backlog.attempt, 32))
+            delay_s *= 1.0 if draw is None else draw
+    return min(max(delay_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
--- /dev/null
+++ b/src/sorrelhoist/decisions/room.py
@@ -0,0 +1,99 @@
+"""Whether a request fits on an endpoint beside what runs there."""
+
+import attrs
+
+from .grants import Lane
+from .limits import EndpointLimits
+
+
+@attrs.frozen(kw_only=True)
+class Usage:
+    """What is granted, or still held by the engine."""
+
+    requests: int = 0
+    kv_tokens: int = 0
+    long_requests: int = 0
+    long_kv_tokens: int = 0
+    alone: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """What may be granted at once.
+
+    Parameters
+    ----------
+    requests, kv_tokens : int
+        Memory and slots that are really there.
+    allowed_requests, allowed_tokens : int
+        What slow start allows now.
+    foreign_requests : int
+        Requests that run without a grant.
+    long_requests, long_kv_tokens : int
+        The part for long requests.
+    short_requests, short_kv_tokens : int, optional
+        The part for short requests while a long one waits its turn.
+    alone_waits : bool
+        True while a solitary request waits its turn: nothing else may start.
+    """
+
+    requests: int
+    kv_tokens: int
+    allowed_requests: int
+    allowed_tokens: int
+    foreign_requests: int
+    long_requests: int
+    long_kv_tokens: int
+    short_requests: int | None = None
+    short_kv_tokens: int | None = None
+    alone_waits: bool = False
+
+
+def fits(lane: Lane, kv_tokens: int, usage: Usage, bounds: Bounds) -> bool:
+    """Tell whether one more request may start.
+
+    A lone request may go over what slow start allows in memory: else a prompt
+    larger than the cold allowance would wait for ever.
+    """
+    if usage.alone or usage.requests + 1 > bounds.requests:
+        return False
+    if usage.kv_tokens + kv_tokens > bounds.kv_tokens:
+        return False
+    if usage.requests + 1 > bounds.allowed_requests:
+        return False
+    if usage.requests and usage.kv_tokens + kv_tokens > bounds.allowed_tokens:
+        return False
+    match lane:
+        case Lane.ALONE:
+            return usage.requests == 0 and bounds.foreign_requests == 0
+        case Lane.LONG:
+            return not bounds.alone_waits and _fits_long(kv_tokens, usage, bounds)
+        case Lane.SHORT:
+            return not bounds.alone_waits and _fits_short(kv_tokens, usage, bounds)
+
+
+def _fits_long(kv_tokens: int, usage: Usage, bounds: Bounds) -> bool:
+    return (
+        usage.long_requests + 1 <= bounds.long_requests
+        and usage.long_kv_tokens + kv_tokens <= bounds.long_kv_tokens
+    )
+
+
+def _fits_short(kv_tokens: int, usage: Usage, bounds: Bounds) -> bool:
+    if bounds.short_requests is None or bounds.short_kv_tokens is None:
+        return True
+    short_requests = usage.requests - usage.long_requests
+    short_kv_tokens = usage.kv_tokens - usage.long_kv_tokens
+    return (
+        short_requests + 1 <= bounds.short_requests
+        and short_kv_tokens + kv_tokens <= bounds.short_kv_tokens
+    )
+
+
+def lane_of(prompt_tokens: int, alone: bool, limits: EndpointLimits) -> Lane:
+    """Give the lane of a request."""
+    if alone:
+        return Lane.ALONE
+    if prompt_tokens >= limits.long_prompt_tokens:
+        return Lane.LONG
+    return Lane.SHORT
--- /dev/null
+++ b/tests/decisions/test_ledger_fuzz.py
@@ -0,0 +1,293 @@
+"""Random histories of a ledger against an oracle that only keeps sums."""
+
+import attrs
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from returns.result import Success
+
+from sorrelhoist.decisions.grants import (
+    Cancelled,
+    Completed,
+    Denied,
+    EndpointObservation,
+    EngineHolding,
+    Failed,
+    GrantAsk,
+    Granted,
+    Inventory,
+    Queued,
+)
+from sorrelhoist.decisions.ledger import GrantLedger
+from sorrelhoist.decisions.lifecycle import Phase
+from sorrelhoist.decisions.limits import EndpointLimits
+
+LIMITS = EndpointLimits(
+    kv_capacity_tokens=1000,
+    max_running_requests=6,
+    cold_running_requests=2,
+    prefill_tokens_per_s=500.0,
+    long_prompt_tokens=200,
+    max_queued_requests=5,
+    lease_s=5.0,
+    attach_grace_s=3.0,
+    patience_s=2.0,
+)
+ENTRIES = st.sampled_from(["e1", "e2"])
+PAUSES_S = st.sampled_from([0.0, 0.1, 1.0, 4.0, 6.0, 60.0])
+
+
+@attrs.define
+class Known:
+    """A grant as the oracle sees it."""
+
+    granted: Granted
+    ask: GrantAsk | None
+    on_engine: bool = False
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now_s = 100.0
+        self.boot = 1
+        self.ledger = GrantLedger(LIMITS, "l", self.now_s)
+        self.grants: dict[str, Known] = {}
+        self.asks: dict[str, GrantAsk] = {}
+        self.waiting: set[str] = set()
+        self.shut: set[str] = {"unknown"}
+
+    # What the oracle knows
+
+    def decided(self, answer, was_queued):
+        assert (answer.request_id in self.waiting) == was_queued
+        self.waiting.discard(answer.request_id)
+        if isinstance(answer, Granted):
+            assert not self.shut
+            assert answer.grant_id not in self.grants
+            ask = self.asks[answer.request_id]
+            assert self.now_s <= ask.deadline_s
+            self.grants[answer.grant_id] = Known(answer, ask)
+        else:
+            assert answer.not_run and answer.remedy
+
+    def on_engine(self):
+        return [known for known in self.grants.values() if known.on_engine]
+
+    def pick(self, draw, wanted):
+        names = [name for name, known in self.grants.items() if wanted(known)]
+        return draw(st.sampled_from(sorted(names))) if names else None
+
+    # What entries do
+
+    @rule(
+        data=st.data(),
+        prompt=st.integers(1, 900),
+        output=st.integers(0, 100),
+        budget_s=st.sampled_from([0.5, 3.0, 20.0, 200.0]),
+        alone=st.booleans(),
+    )
+    def ask(self, data, prompt, output, budget_s, alone):
+        ask = GrantAsk(
+            request_id=f"r{len(self.asks)}",
+            workspace=data.draw(st.sampled_from(["w1", "w2", "w3"])),
+            entry_id=data.draw(ENTRIES),
+            prompt_tokens=prompt,
+            output_tokens=output,
+            deadline_s=self.now_s + budget_s,
+            weight=data.draw(st.sampled_from([0.5, 1.0, 4.0])),
+            alone=alone and prompt % 3 == 0,
+            may_queue=prompt % 10 > 0,
+        )
+        self.asks[ask.request_id] = ask
+        answer = self.ledger.request(ask, self.now_s)
+        if isinstance(answer, Queued):
+            assert ask.may_queue
+            self.waiting.add(ask.request_id)
+        else:
+            self.decided(answer, was_queued=False)
+        assert len(self.ledger.queue) <= LIMITS.max_queued_requests
+
+    @rule()
+    def pump(self):
+        for answer in self.ledger.pump(self.now_s):
+            self.decided(answer, was_queued=True)
+        if self.shut:
+            assert not self.waiting
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data())
+    def withdraw(self, data):
+        request_id = data.draw(st.sampled_from(sorted(self.waiting)))
+        if self.ledger.withdraw(request_id):
+            self.waiting.discard(request_id)
+
+    @rule(data=st.data())
+    def ask_again(self, data):
+        name = self.pick(data.draw, lambda known: known.ask is not None)
+        if name is None:
+            return
+        known = self.grants[name]
+        in_use = self.ledger.holdings.of_request(known.ask.request_id)
+        if in_use is None or self.now_s >= in_use.expires_s:
+            return
+        again = self.ledger.request(known.ask, self.now_s)
+        assert again == known.granted or isinstance(again, Denied)
+
+    @rule(data=st.data())
+    def submit(self, data):
+        name = self.pick(data.draw, lambda known: True)
+        if name is None:
+            return
+        known = self.grants[name]
+        if not isinstance(self.ledger.submitted(name, self.now_s), Success):
+            if not known.on_engine:
+                del self.grants[name]
+            return
+        assert not self.shut and not known.on_engine
+        beside = self.on_engine()
+        lanes = {other.granted.lane for other in beside}
+        assert "alone" not in lanes
+        assert known.granted.lane != "alone" or not beside
+        assert len(beside) < self.ledger.health.slow_start.allowed_requests
+        if self.ledger.health.phase is Phase.COLD:
+            assert len(beside) < LIMITS.cold_running_requests
+        known.on_engine = True
+
+    @rule(data=st.data())
+    def first_token(self, data):
+        if name := self.pick(data.draw, lambda known: known.on_engine):
+            self.ledger.first_token(name, self.now_s)
+
+    @rule(data=st.data(), outcome=st.sampled_from([Completed(), Failed(refused=True)]))
+    def end(self, data, outcome):
+        if name := self.pick(data.draw, lambda known: known.on_engine):
+            self.ledger.release(name, self.now_s, outcome)
+            del self.grants[name]
+
+    @rule(data=st.data(), outcome=st.sampled_from([Cancelled(), Failed()]))
+    def cancel(self, data, outcome):
+        if name := self.pick(data.draw, lambda known: True):
+            self.ledger.release(name, self.now_s, outcome)
+            if not self.grants[name].on_engine:
+                del self.grants[name]
+
+    @rule(data=st.data())
+    def confirm_cancels(self, data):
+        for name in self.ledger.cancelling():
+            if data.draw(st.booleans()):
+                self.ledger.freed(name, self.now_s)
+                del self.grants[name]
+
+    @rule(data=st.data(), entry=ENTRIES)
+    def renew(self, data, entry):
+        self.ledger.renew(entry, sorted(self.grants), self.now_s)
+
+    @rule(data=st.data(), entry=ENTRIES)
+    def attach(self, data, entry):
+        if name := self.pick(data.draw, lambda known: known.on_engine):
+            request_id = self.grants[name].granted.request_id
+            match self.ledger.attach(request_id, entry, self.now_s):
+                case Success(granted):
+                    assert granted.grant_id in self.grants
+                    assert not self.ledger.renew(entry, [granted.grant_id], self.now_s)
+
+    # What time and the endpoint do
+
+    @rule(pause_s=PAUSES_S)
+    def pass_time(self, pause_s):
+        self.now_s += pause_s
+
+    @rule()
+    def expire(self):
+        expired = self.ledger.expired(self.now_s)
+        for name in expired.dropped:
+            assert not self.grants.pop(name).on_engine
+        for name in expired.orphaned + expired.to_cancel:
+            assert self.grants[name].on_engine
+
+    @rule(
+        reboot=st.sampled_from([False, False, False, True]),
+        is_cold=st.sampled_from([False, False, False, True]),
+        age_s=st.sampled_from([0.0, 0.5, 2.0]),
+        kv=st.integers(0, 1200),
+        running=st.integers(0, 8),
+        capacity=st.sampled_from([0, 0, 800, 5000]),
+    )
+    def observe(self, reboot, is_cold, age_s, kv, running, capacity):
+        self.boot += reboot
+        report = EndpointObservation(
+            boot_id=f"b{self.boot}",
+            is_cold=is_cold,
+            kv_used_tokens=kv,
+            kv_capacity_tokens=capacity,
+            running_requests=running,
+            report_age_s=age_s,
+        )
+        lost = self.ledger.observe(report, self.now_s)
+        if lost:
+            assert set(lost) == set(self.grants)
+            self.grants.clear()
+        self.shut.discard("unknown")
+        if self.ledger.health.lifecycle.phase in (Phase.UNKNOWN, Phase.GONE):
+            self.shut.add("unknown")
+
+    @rule()
+    def lose_contact(self):
+        self.ledger.unreachable(self.now_s)
+        self.shut.add("unknown")
+
+    @rule(shut=st.booleans(), reason=st.sampled_from(["domain", "stale", "leaving"]))
+    def shut_or_open(self, shut, reason):
+        match reason:
+            case "domain":
+                self.ledger.set_domain_in(not shut)
+            case "stale":
+                self.ledger.set_configuration_stale(shut)
+            case "leaving":
+                self.ledger.set_leaving(shut, self.now_s)
+                if self.ledger.health.lifecycle.phase is Phase.UNKNOWN:
+                    self.shut.add("unknown")
+        (self.shut.add if shut else self.shut.discard)(reason)
+
+    @precondition(lambda self: not self.grants)
+    @rule(kv=st.integers(1, 300))
+    def restart_agent(self, kv):
+        self.ledger = GrantLedger(LIMITS, f"l{self.now_s}", self.now_s)
+        self.shut = {"unknown"}
+        self.waiting.clear()
+        found = EngineHolding(holding_id="old", request_id="old", kv_tokens=kv)
+        inventory = Inventory(f"b{self.boot}", (found,))
+        assert self.ledger.adopt(inventory, self.now_s) == ("old",)
+        assert self.ledger.adopt(inventory, self.now_s) == ()
+        granted = self.ledger.answer(self.ledger.holdings.get("old"))
+        self.grants["old"] = Known(granted, None, on_engine=True)
+
+    # What must always hold
+
+    @invariant()
+    def sums_are_right_and_within_bounds(self):
+        usage = self.ledger.usage
+        known = list(self.grants.values())
+        assert usage.kv_tokens == sum(item.granted.kv_tokens for item in known)
+        assert usage.requests == len(known)
+        assert usage.kv_tokens <= LIMITS.kv_capacity_tokens
+        assert usage.requests <= LIMITS.max_running_requests
+        assert usage.long_kv_tokens <= LIMITS.long_kv_tokens
+        assert usage.long_requests <= LIMITS.long_running_requests
+
+    def teardown(self):
+        self.ledger.expired(self.now_s)
+        for name in list(self.grants):
+            self.ledger.release(name, self.now_s, Cancelled())
+        for name in self.ledger.cancelling():
+            self.ledger.freed(name, self.now_s)
+        assert self.ledger.usage.kv_tokens == self.ledger.usage.requests == 0
+        self.now_s += 1000.0
+        for answer in self.ledger.pump(self.now_s):
+            assert isinstance(answer, Denied)
+            self.decided(answer, was_queued=True)
+        assert not self.waiting
+        self.ledger.dump()
+
+
+TestLedgerFuzz = LedgerMachine.TestCase
