--- /dev/null
+++ b/src/sorrelhoist/agent/app.py
@@ -0,0 +1,239 @@
+"""The agent process: one endpoint's gatekeeper."""
+
+import asyncio
+import logging
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from ..clients.engine import EngineClient
+from ..clients.log import LogClient
+from ..clients.plain_service import PlainServiceClient
+from ..decisions.claims_records import Claimant
+from ..decisions.configuration_set import Configuration
+from ..decisions.ledger import GrantLedger
+from ..decisions.suspicion import SuspicionTable
+from ..exceptions import NotReadyError, PeerError, SorrelhoistError
+from ..messages.gen import ttypes
+from ..node.dump import dump_route
+from ..node.gossip import GossipHooks
+from ..node.health import health_routes
+from ..node.metrics import AgentMetrics
+from ..node.peers import Responder
+from ..node.process import NodeProcess
+from ..node.signals import stop_requested
+from ..settings import Settings
+from .claims import ClaimedCalls, ServiceTraits
+from .engine import EngineGuard
+from .limits import endpoint_limits
+from .service import ServiceGuard
+
+logger = logging.getLogger(__name__)
+
+CLOSED_RETRY_AFTER_S = 1.0
+STALE_CHECK_INTERVAL_S = 0.5
+
+Guard = EngineGuard | ServiceGuard
+
+
+class Agent:
+    """Owns the state of an agent.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of an agent.
+    clock : callable, optional
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self, settings: Settings, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        assert settings.endpoint is not None
+        self.settings = settings
+        self.endpoint = settings.endpoint
+        self.clock = clock
+        self.suspicions = SuspicionTable()
+        hooks = GossipHooks(
+            suspicions=lambda: self.suspicions.to_spread(self.clock()),
+            on_suspicions=lambda heard: self.suspicions.merge(heard, self.clock()),
+        )
+        self.process = NodeProcess(settings, hooks, clock)
+        self.metrics = AgentMetrics.create(self.process.metrics.meter)
+        self.guard: Guard | None = None
+        self.is_leaving = False
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator["Agent"]:
+        """Run until the block ends."""
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self.process.running(self.handle))
+            http = HTTPServer(self._application())
+            http.listen(self.settings.http_port, address=self.settings.address)
+            stack.callback(http.stop)
+            opening = asyncio.create_task(self._open(stack))
+            stack.callback(opening.cancel)
+            yield self
+
+    async def _open(self, stack: AsyncExitStack) -> None:
+        """Open the guard once the configuration is known."""
+        while not self.process.replica.is_ready:
+            await asyncio.sleep(STALE_CHECK_INTERVAL_S / 10)
+        if self.endpoint.type == "engine":
+            await self._guard_engine(stack)
+        else:
+            await self._guard_service(stack)
+
+    async def _guard_engine(self, stack: AsyncExitStack) -> None:
+        replica = self.process.replica
+        ledger = GrantLedger(
+            endpoint_limits(replica.configuration, self.settings),
+            f"{self.settings.node_id}.{self.process.boot_id[:8]}",
+            self.clock(),
+            rng=self.process.rng,
+        )
+        guard = EngineGuard(
+            endpoint=self.endpoint.name,
+            client=EngineClient(self.endpoint.url),
+            ledger=ledger,
+            metrics=self.metrics,
+            clock=self.clock,
+            is_suspected=lambda print_: self.suspicions.is_suspected(
+                print_, self.clock()
+            ),
+            on_death=self._endpoint_died,
+        )
+        await guard.monitor.poll()
+        replica.add_listener(lambda configuration: self._configure(ledger))
+        for work in (guard.run(), self._watch_staleness(ledger)):
+            stack.callback(asyncio.create_task(work).cancel)
+        self.guard = guard
+
+    def _configure(self, ledger: GrantLedger) -> None:
+        configuration = self.process.replica.configuration
+        ledger.set_limits(endpoint_limits(configuration, self.settings))
+        ledger.set_domain_in(self._is_domain_in(configuration))
+
+    def _is_domain_in(self, configuration: Configuration) -> bool:
+        named = self.endpoint.name in configuration.endpoints
+        return named and configuration.is_domain_in(self.settings.failure_domain)
+
+    async def _watch_staleness(self, ledger: GrantLedger) -> None:
+        while True:
+            ledger.set_configuration_stale(self.process.replica.is_stale(self.clock()))
+            await asyncio.sleep(STALE_CHECK_INTERVAL_S)
+
+    async def _guard_service(self, stack: AsyncExitStack) -> None:
+        service_name = self._service_name()
+        service = self.process.replica.configuration.services.get(service_name)
+        calls = ClaimedCalls(
+            LogClient(self.settings.platform_url, f"claims.{service_name}"),
+            PlainServiceClient(self.endpoint.url),
+            Claimant(self.settings.node_id, self.process.boot_id),
+            ServiceTraits(
+                at_most_once=service is None or service.at_most_once,
+                offers_lookup=service is not None and service.lookup,
+            ),
+            clock=self.clock,
+        )
+        await stack.enter_async_context(calls.running())
+        self.guard = ServiceGuard(calls, self._closed)
+
+    def _service_name(self) -> str:
+        configuration = self.process.replica.configuration
+        endpoint = configuration.endpoints.get(self.endpoint.name)
+        return endpoint.service if endpoint else self.endpoint.name
+
+    def _closed(self) -> SorrelhoistError | None:
+        """Return why no new work is taken, or None."""
+        replica = self.process.replica
+        reason = ""
+        if self.is_leaving:
+            reason = "The endpoint is leaving."
+        elif not self._is_domain_in(replica.configuration):
+            reason = "The endpoint's failure domain is out of service."
+        elif replica.is_stale(self.clock()):
+            reason = "The agent can't know the configuration in force."
+        if not reason:
+            return None
+        return NotReadyError(
+            reason, not_run=True, retry_after_s=CLOSED_RETRY_AFTER_S
+        )
+
+    def _endpoint_died(self, boot_id: str, fingerprints: list[int]) -> None:
+        self.suspicions.endpoint_died(
+            self.endpoint.name, boot_id, fingerprints, self.clock()
+        )
+
+    async def handle(self, body: object, responder: Responder) -> None:
+        """Answer a call of an entry."""
+        match self.guard, body:
+            case EngineGuard() as guard, ttypes.GrantRequest():
+                await guard.grant(body, responder)
+            case EngineGuard() as guard, ttypes.Submit():
+                await guard.submit(body, responder)
+            case EngineGuard() as guard, ttypes.Attach():
+                await guard.attach(body, responder)
+            case EngineGuard() as guard, ttypes.Renew():
+                await responder.send(guard.renew(body))
+            case EngineGuard() as guard, ttypes.Cancel():
+                await responder.send(guard.cancel(body))
+            case ServiceGuard() as guard, ttypes.ServiceCall():
+                await guard.call(body, responder)
+            case None, ttypes.GrantRequest() | ttypes.ServiceCall():
+                await responder.send(self._not_open())
+            case _:
+                raise PeerError(f"This agent does not answer {type(body).__name__}.")
+
+    def _not_open(self) -> ttypes.Denial:
+        return ttypes.Denial(
+            kind=NotReadyError.kind,
+            message="The agent has not opened yet.",
+            remedy=NotReadyError.default_remedy,
+            not_run=True,
+            retry_after_ms=int(CLOSED_RETRY_AFTER_S * 1000),
+        )
+
+    def _application(self) -> Application:
+        routes = health_routes(self.process.metrics, self.problem)
+        routes.append(dump_route(self.settings.operator_key_sha256, self.dump))
+        return Application(routes)
+
+    def problem(self) -> str:
+        """Return why the agent takes no new work, or an empty text."""
+        if self.guard is None:
+            return "The agent has no configuration yet."
+        closed = self._closed()
+        return closed.message if closed else ""
+
+    async def drain(self) -> None:
+        """Take no new work and let running work end."""
+        self.is_leaving = True
+        self.process.gossip.leave()
+        if self.guard is not None:
+            await self.guard.drain(self.settings.drain_timeout_s)
+
+    def dump(self) -> dict:
+        """Return the state as plain data."""
+        return {
+            "process": self.process.dump(),
+            "endpoint": self.endpoint.name,
+            "problem": self.problem(),
+            "guard": None if self.guard is None else self.guard.dump(),
+            "suspicions": self.suspicions.dump(),
+        }
+
+
+async def run_agent(settings: Settings) -> None:
+    """Run an agent until the process is asked to stop."""
+    agent = Agent(settings)
+    async with agent.running():
+        logger.info("agent started", extra={"endpoint": agent.endpoint.name})
+        await stop_requested()
+        logger.info("agent draining")
+        await agent.drain()
+    logger.info("agent stopped")
--- /dev/null
+++ b/src/sorrelhoist/agent/engine.py
@@ -0,0 +1,427 @@
+"""The guard of a model engine: grants, streams, leases, cancels."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import attrs
+from returns.result import Failure, Success
+
+from ..clients.engine import EngineClient
+from ..clients.engine_messages import StreamSpec
+from ..clients.exceptions import EngineRefusedError, EngineUnreachableError
+from ..decisions.grants import Cancelled, Denied, GrantAsk, Granted, Queued
+from ..decisions.ledger import GrantLedger
+from ..exceptions import KeyReusedError, PeerError
+from ..messages.gen import ttypes
+from ..node.metrics import AgentMetrics
+from ..node.peers import Responder
+from .driver import Ended, StreamDriver
+from .gatekeeper import Gatekeeper
+from .loads import MS_PER_S, denial_message, grant_message, load_message
+from .monitor import EngineMonitor
+from .names import StreamName
+from .runs import Run, RunEnd, RunFailure, RunTable
+
+logger = logging.getLogger(__name__)
+
+HOUSEKEEPING_INTERVAL_S = 0.2
+
+
+@attrs.frozen
+class Accepted:
+    """What was asked when a grant was given."""
+
+    request: ttypes.GrantRequest
+    granted: Granted
+
+
+@attrs.define(eq=False)
+class EngineGuard:
+    """All that happens to one engine goes through here.
+
+    Parameters
+    ----------
+    endpoint : str
+    client : EngineClient
+    ledger : GrantLedger
+    metrics : AgentMetrics
+    clock : callable
+        Monotonic seconds.
+    is_suspected : callable
+        Tells whether a fingerprint must run alone.
+    on_death : callable
+        ``on_death(boot_id, fingerprints)`` when the engine died.
+    """
+
+    endpoint: str
+    client: EngineClient
+    ledger: GrantLedger
+    metrics: AgentMetrics
+    clock: Callable[[], float]
+    is_suspected: Callable[[int], bool]
+    on_death: Callable[[str, list[int]], None]
+    runs: RunTable = attrs.field(init=False, factory=RunTable)
+    gatekeeper: Gatekeeper = attrs.field(init=False)
+    monitor: EngineMonitor = attrs.field(init=False)
+    _accepted: dict[str, Accepted] = attrs.field(init=False, factory=dict)
+    _parts: dict[str, str] = attrs.field(init=False, factory=dict)
+    _drivers: dict[str, asyncio.Task] = attrs.field(init=False, factory=dict)
+    _cancels: dict[str, asyncio.Task] = attrs.field(init=False, factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.gatekeeper = Gatekeeper(self.ledger, self.clock)
+        self.monitor = EngineMonitor(
+            self.client, self.ledger, self.clock, self._engine_died
+        )
+
+    # Grants
+
+    def load(self) -> ttypes.Load:
+        """Return the load that rides on every answer."""
+        return load_message(self.endpoint, self.ledger.load(self.clock()))
+
+    async def grant(
+        self, request: ttypes.GrantRequest, responder: Responder
+    ) -> None:
+        """Decide on a request and tell the entry, at once or from the queue."""
+        known = self._known(request)
+        if known is not None:
+            await responder.send(known)
+            return
+        async for answer in self.gatekeeper.decide(self._ask(request)):
+            match answer:
+                case Queued(expected_wait_s=wait_s):
+                    reply: object = ttypes.Queued(
+                        request_id=request.request_id,
+                        queue_delay_ms=int(wait_s * MS_PER_S),
+                    )
+                case Granted():
+                    self._accepted[answer.grant_id] = Accepted(request, answer)
+                    self.metrics.grants.add(1)
+                    reply = grant_message(answer, self.load())
+                case Denied():
+                    self.metrics.denials.add(1, {"kind": answer.kind.value})
+                    reply = denial_message(answer, self.load())
+            await responder.send(reply)
+
+    def _known(self, request: ttypes.GrantRequest) -> ttypes.Denial | None:
+        run = self.runs.get(request.request_id)
+        if run is None or isinstance(run.outcome, RunFailure) or request.group_id:
+            return None
+        if run.fingerprint != request.fingerprint:
+            return ttypes.Denial(
+                kind=KeyReusedError.kind,
+                message="The idempotency key came with another body before.",
+                remedy=KeyReusedError.default_remedy,
+                not_run=True,
+                retry_after_ms=0,
+            )
+        return ttypes.Denial(kind="exists", not_run=False, retry_after_ms=0)
+
+    def _ask(self, request: ttypes.GrantRequest) -> GrantAsk:
+        suspected = request.suspected or self.is_suspected(request.fingerprint)
+        return GrantAsk(
+            request_id=request.request_id,
+            workspace=request.workspace,
+            entry_id=request.entry_id,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            deadline_s=self.clock() + request.budget_ms / MS_PER_S,
+            weight=request.weight,
+            delivered_tokens=request.delivered_tokens,
+            kv_share_tokens=request.kv_share_tokens or None,
+            alone=bool(suspected),
+        )
+
+    # Streams
+
+    async def submit(self, submit: ttypes.Submit, responder: Responder) -> None:
+        """Use a grant: run the stream, or hold a part of a group."""
+        accepted = self._accepted.get(submit.grant_id)
+        match self.ledger.submitted(submit.grant_id, self.clock()):
+            case Failure(denied):
+                await responder.send(denial_message(denied, self.load()))
+                return
+            case Success(_):
+                pass
+        if accepted is None:
+            raise PeerError("The grant is not known.")
+        if accepted.request.group_id and not submit.prompt:
+            await self._hold_part(submit, accepted, responder)
+            return
+        run = self._start(submit, accepted)
+        await self._relay(run, len(submit.delivered), responder)
+
+    def _start(self, submit: ttypes.Submit, accepted: Accepted) -> Run:
+        run = Run(
+            request_id=submit.request_id,
+            grant_id=submit.grant_id,
+            boot_id=accepted.granted.boot_id,
+            fingerprint=accepted.request.fingerprint,
+            prompt_tokens=accepted.request.prompt_tokens,
+            tokens=list(submit.delivered),
+        )
+        self.runs.add(run)
+        name = StreamName(submit.grant_id, submit.request_id)
+        spec = StreamSpec(
+            stream_id=str(name),
+            model=submit.model,
+            prompt=submit.prompt,
+            output_tokens=submit.output_tokens,
+            priority=accepted.granted.lane.priority,
+            delivered=tuple(submit.delivered),
+            group_id=accepted.request.group_id,
+            group_size=max(1, len(submit.group_endpoints)),
+        )
+        driver = self._driver(run, name)
+        self._drive(run, driver.start(spec))
+        return run
+
+    def _driver(self, run: Run, name: StreamName) -> StreamDriver:
+        def note_first_token() -> None:
+            self.ledger.first_token(run.grant_id, self.clock())
+
+        return StreamDriver(
+            self.client, run, str(name), self.monitor.is_alive, note_first_token
+        )
+
+    def _drive(self, run: Run, work) -> None:
+        async def drive() -> None:
+            ended = await work
+            self._ended(run, ended)
+
+        task = asyncio.get_running_loop().create_task(drive())
+        self._drivers[run.grant_id] = task
+        task.add_done_callback(lambda _: self._drivers.pop(run.grant_id, None))
+
+    def _ended(self, run: Run, ended: Ended) -> None:
+        now_s = self.clock()
+        self.ledger.release(run.grant_id, now_s, ended.outcome)
+        run.end(ended.result, now_s)
+        self._accepted.pop(run.grant_id, None)
+        self.gatekeeper.pump()
+
+    async def _relay(self, run: Run, from_sequence: int, responder: Responder) -> None:
+        async for event in run.follow(from_sequence):
+            match event:
+                case RunEnd(total_tokens=total, finish_reason=reason):
+                    reply: object = ttypes.StreamEnd(
+                        request_id=run.request_id,
+                        total_tokens=total,
+                        finish_reason=reason,
+                        prompt_tokens=run.prompt_tokens,
+                        load=self.load(),
+                    )
+                case RunFailure():
+                    reply = self._failure_message(run, event)
+                case _:
+                    reply = event
+            await responder.send(reply)
+
+    def _failure_message(self, run: Run, failure: RunFailure) -> ttypes.StreamFailure:
+        return ttypes.StreamFailure(
+            request_id=run.request_id,
+            kind=failure.kind,
+            message=failure.message,
+            next_sequence=run.next_sequence,
+            endpoint_died=failure.endpoint_died,
+            sole_request=failure.sole_request,
+            load=self.load(),
+        )
+
+    async def _hold_part(
+        self, submit: ttypes.Submit, accepted: Accepted, responder: Responder
+    ) -> None:
+        name = str(StreamName(submit.grant_id, submit.request_id))
+        self._parts[submit.grant_id] = name
+        try:
+            await self.client.hold_part(name, accepted.granted.kv_tokens)
+        except (EngineRefusedError, EngineUnreachableError) as error:
+            self.cancel_grant(submit.grant_id)
+            await responder.send(
+                ttypes.Denial(
+                    kind="endpoint_failed",
+                    message=error.message,
+                    remedy=error.remedy,
+                    not_run=True,
+                    retry_after_ms=0,
+                    load=self.load(),
+                )
+            )
+            return
+        held = ttypes.Piece(request_id=submit.request_id, sequence=0, tokens=[])
+        await responder.send(held)
+
+    async def attach(self, attach: ttypes.Attach, responder: Responder) -> None:
+        """Read a stream of this agent from a sequence number on."""
+        run = self.runs.get(attach.request_id)
+        now_s = self.clock()
+        match self.ledger.attach(attach.request_id, attach.entry_id, now_s):
+            case Success(granted):
+                if run is None:
+                    run = self._resume_adopted(granted, attach)
+            case Failure(denied) if run is None:
+                await responder.send(denial_message(denied, self.load()))
+                return
+        assert run is not None
+        if attach.from_sequence < run.base_sequence:
+            await responder.send(
+                ttypes.Denial(
+                    kind="stream_lost",
+                    message="The first tokens of the stream are no longer here.",
+                    remedy="Send the request again.",
+                    not_run=False,
+                    retry_after_ms=0,
+                )
+            )
+            return
+        await self._relay(run, attach.from_sequence, responder)
+
+    def _resume_adopted(self, granted: Granted, attach: ttypes.Attach) -> Run:
+        run = Run(
+            request_id=attach.request_id,
+            grant_id=granted.grant_id,
+            boot_id=granted.boot_id,
+            fingerprint=0,
+            prompt_tokens=granted.kv_tokens,
+            base_sequence=attach.from_sequence,
+        )
+        self.runs.add(run)
+        driver = self._driver(run, StreamName(granted.grant_id, attach.request_id))
+        self._drive(run, driver.resume())
+        return run
+
+    # Leases and cancels
+
+    def renew(self, renew: ttypes.Renew) -> ttypes.Renewed:
+        """Renew an entry's leases."""
+        unknown = self.ledger.renew(renew.entry_id, renew.grant_ids, self.clock())
+        return ttypes.Renewed(unknown_grant_ids=list(unknown))
+
+    def cancel(self, cancel: ttypes.Cancel) -> ttypes.Cancelled:
+        """Take a grant back, or a request that waits for one."""
+        if cancel.request_id:
+            self.gatekeeper.withdraw(cancel.request_id)
+        not_run = True
+        if cancel.grant_id:
+            run = self._run_of(cancel.grant_id)
+            not_run = run is None
+            self.cancel_grant(cancel.grant_id)
+        return ttypes.Cancelled(not_run=not_run)
+
+    def _run_of(self, grant_id: str) -> Run | None:
+        for run in self.runs.live():
+            if run.grant_id == grant_id:
+                return run
+        return None
+
+    def cancel_grant(self, grant_id: str) -> None:
+        """Stop what runs under a grant; its memory counts until it is freed."""
+        run = self._run_of(grant_id)
+        driver = self._drivers.get(grant_id)
+        if driver is not None:
+            driver.cancel()
+        now_s = self.clock()
+        if run is not None:
+            run.end(RunFailure("cancelled", "The request was cancelled."), now_s)
+        self._accepted.pop(grant_id, None)
+        self.ledger.release(grant_id, now_s, Cancelled())
+        self.gatekeeper.pump()
+        self._cancel_on_engine()
+
+    def _cancel_on_engine(self) -> None:
+        for grant_id in self.ledger.cancelling():
+            if grant_id not in self._cancels:
+                task = asyncio.get_running_loop().create_task(self._free(grant_id))
+                self._cancels[grant_id] = task
+                task.add_done_callback(lambda _, g=grant_id: self._cancels.pop(g, None))
+
+    async def _free(self, grant_id: str) -> None:
+        """Cancel once; housekeeping repeats it until the engine confirms."""
+        holding = self.ledger.holdings.get(grant_id)
+        if holding is None:
+            return
+        name = str(StreamName(grant_id, holding.request_id))
+        self.metrics.cancels.add(1)
+        try:
+            # A stream and a part never share a name; an unknown one is free.
+            freed = await self.client.cancel(name)
+            freed = await self.client.free_part(name) and freed
+        except (EngineRefusedError, EngineUnreachableError) as error:
+            logger.info("cancel not confirmed", extra={"error": error.message})
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+            return
+        if freed:
+            self._parts.pop(grant_id, None)
+            self.ledger.freed(grant_id, self.clock())
+            self.gatekeeper.pump()
+
+    async def run(self) -> None:
+        """Watch the engine and the leases until cancelled."""
+        watching = asyncio.create_task(self.monitor.run())
+        try:
+            while True:
+                self._keep_house()
+                await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+        finally:
+            watching.cancel()
+
+    def _keep_house(self) -> None:
+        now_s = self.clock()
+        expired = self.ledger.expired(now_s)
+        for grant_id in expired.dropped:
+            self._accepted.pop(grant_id, None)
+        for grant_id in expired.to_cancel:
+            logger.info("lease lapsed", extra={"grant": grant_id})
+            self.metrics.lapsed_leases.add(1)
+            self.cancel_grant(grant_id)
+        self._cancel_on_engine()
+        self.gatekeeper.pump()
+        self.runs.forget_old(now_s)
+
+    # The engine's death
+
+    def _engine_died(self, boot_id: str) -> None:
+        """Fail all that ran on a boot of the engine that is no more."""
+        lost = [run for run in self.runs.live() if run.boot_id == boot_id]
+        logger.warning(
+            "endpoint died", extra={"endpoint": self.endpoint, "runs": len(lost)}
+        )
+        self.metrics.endpoint_deaths.add(1)
+        self.on_death(boot_id, [run.fingerprint for run in lost])
+        sole = len(lost) == 1
+        failure = RunFailure("endpoint_died", "The endpoint died.", True, sole)
+        for run in lost:
+            driver = self._drivers.get(run.grant_id)
+            if driver is not None:
+                driver.cancel()
+            run.end(failure, self.clock())
+            self._accepted.pop(run.grant_id, None)
+        self.gatekeeper.pump()
+
+    # Shutdown
+
+    async def drain(self, timeout_s: float) -> None:
+        """Let running streams end; give the rest back to their entries."""
+        self.ledger.set_leaving(True, self.clock())
+        self.gatekeeper.pump()
+        deadline_s = self.clock() + timeout_s
+        while self.runs.live() and self.clock() < deadline_s:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+        moved = RunFailure("moved", "The endpoint is leaving.")
+        for run in self.runs.live():
+            run.end(moved, self.clock())
+            self.cancel_grant(run.grant_id)
+        if self._cancels:
+            await asyncio.wait(self._cancels.values())
+
+    def dump(self) -> dict:
+        """Return the state as plain data."""
+        return {
+            "ledger": self.ledger.dump(),
+            "runs": self.runs.dump(),
+            "parts": dict(self._parts),
+            "cancelling": sorted(self._cancels),
+            "monitor": self.monitor.dump(),
+        }
--- /dev/null
+++ b/src/sorrelhoist/agent/loads.py
@@ -0,0 +1,50 @@
+"""Turn the ledger's answers into messages."""
+
+from ..decisions.grants import DenialKind, Denied, Granted, LoadFigures
+from ..exceptions import DeadlineExceededError, InvalidRequestError
+from ..messages.gen import ttypes
+
+MS_PER_S = 1000
+_CALLER_KINDS = {
+    DenialKind.TOO_LARGE: InvalidRequestError.kind,
+    DenialKind.DEADLINE: DeadlineExceededError.kind,
+    DenialKind.ALREADY_RUNNING: "exists",
+}
+
+
+def load_message(endpoint: str, figures: LoadFigures) -> ttypes.Load:
+    """Return the message for the figures of an endpoint."""
+    return ttypes.Load(
+        endpoint=endpoint,
+        phase=figures.phase,
+        running_requests=figures.running_requests,
+        queued_requests=figures.queued_requests,
+        kv_used_tokens=figures.kv_used_tokens,
+        kv_capacity_tokens=figures.kv_capacity_tokens,
+        pending_prefill_tokens=figures.pending_prefill_tokens,
+        prefill_tokens_per_s=figures.prefill_tokens_per_s,
+        long_requests=figures.long_requests,
+        queue_delay_ms=figures.queue_delay_ms,
+    )
+
+
+def grant_message(granted: Granted, load: ttypes.Load) -> ttypes.Grant:
+    """Return the message for a grant."""
+    return ttypes.Grant(
+        grant_id=granted.grant_id,
+        lease_ms=int(granted.lease_s * MS_PER_S),
+        boot_id=granted.boot_id,
+        load=load,
+    )
+
+
+def denial_message(denied: Denied, load: ttypes.Load) -> ttypes.Denial:
+    """Return the message for a denial."""
+    return ttypes.Denial(
+        kind=_CALLER_KINDS.get(denied.kind, denied.kind.value),
+        message=denied.message,
+        remedy=denied.remedy,
+        not_run=denied.not_run,
+        retry_after_ms=int(denied.retry_after_s * MS_PER_S),
+        load=load,
+    )
--- /dev/null
+++ b/src/sorrelhoist/agent/runs.py
@@ -0,0 +1,187 @@
+"""Streams that run on the engine, with what they produced so far."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+
+import attrs
+
+from ..messages.gen import ttypes
+
+HEARTBEAT_INTERVAL_S = 0.5
+# A finished answer can be read again for this long.
+RETENTION_S = 30.0
+
+
+@attrs.frozen
+class RunEnd:
+    """How a run ended well.
+
+    Parameters
+    ----------
+    total_tokens : int
+    finish_reason : str
+    """
+
+    total_tokens: int
+    finish_reason: str
+
+
+@attrs.frozen
+class RunFailure:
+    """How a run ended badly.
+
+    Parameters
+    ----------
+    kind, message : str
+    endpoint_died : bool
+        Whether the endpoint is known to have died under it.
+    sole_request : bool
+        Whether nothing else ran beside it then.
+    """
+
+    kind: str
+    message: str
+    endpoint_died: bool = False
+    sole_request: bool = False
+
+
+@attrs.define(eq=False)
+class Run:
+    """One stream and its buffer.
+
+    Parameters
+    ----------
+    request_id, grant_id, boot_id : str
+    fingerprint : int
+        Of the prompt.
+    prompt_tokens : int
+    base_sequence : int
+        Number of the first token in the buffer.
+    tokens : list of str
+        From `base_sequence` on.
+    """
+
+    request_id: str
+    grant_id: str
+    boot_id: str
+    fingerprint: int
+    prompt_tokens: int
+    base_sequence: int = 0
+    tokens: list[str] = attrs.field(factory=list, repr=len)
+    outcome: RunEnd | RunFailure | None = None
+    ended_s: float | None = None
+    has_first_token: bool = False
+    _changed: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
+
+    @property
+    def next_sequence(self) -> int:
+        """Number of the next token from the engine."""
+        return self.base_sequence + len(self.tokens)
+
+    def accept(self, sequence: int, tokens: Sequence[str]) -> bool:
+        """Take tokens from the engine in.
+
+        Returns
+        -------
+        bool
+            False if tokens before them are missing.
+        """
+        known = self.next_sequence - sequence
+        if known < 0:
+            return False
+        fresh = tokens[known:]
+        if fresh:
+            self.tokens.extend(fresh)
+            self._notify()
+        return True
+
+    def end(self, outcome: RunEnd | RunFailure, now_s: float) -> None:
+        """End the run; only the first outcome counts."""
+        if self.outcome is None:
+            self.outcome = outcome
+            self.ended_s = now_s
+            self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def follow(
+        self, from_sequence: int
+    ) -> AsyncIterator[ttypes.Piece | RunEnd | RunFailure]:
+        """Read the stream from a sequence number on.
+
+        Parameters
+        ----------
+        from_sequence : int
+
+        Yields
+        ------
+        Piece, RunEnd or RunFailure
+            A piece without tokens is a heartbeat. The outcome is the last.
+        """
+        position = max(from_sequence, self.base_sequence)
+        while True:
+            changed = self._changed
+            tokens = self.tokens[position - self.base_sequence :]
+            if tokens:
+                yield self._piece(position, tokens)
+                position += len(tokens)
+                continue
+            if self.outcome is not None:
+                yield self.outcome
+                return
+            try:
+                async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                    await changed.wait()
+            except TimeoutError:
+                yield self._piece(position, [])
+
+    def _piece(self, sequence: int, tokens: list[str]) -> ttypes.Piece:
+        return ttypes.Piece(
+            request_id=self.request_id, sequence=sequence, tokens=tokens
+        )
+
+    def dump(self) -> dict:
+        """Return the state as plain data."""
+        return {
+            "request_id": self.request_id,
+            "grant_id": self.grant_id,
+            "boot_id": self.boot_id,
+            "prompt_tokens": self.prompt_tokens,
+            "next_sequence": self.next_sequence,
+            "outcome": None if self.outcome is None else attrs.asdict(self.outcome),
+        }
+
+
+@attrs.define
+class RunTable:
+    """All runs, and the finished ones for a while."""
+
+    _runs: dict[str, Run] = attrs.field(factory=dict)
+
+    def add(self, run: Run) -> None:
+        """Keep a run; it replaces a failed one of the same request."""
+        self._runs[run.request_id] = run
+
+    def get(self, request_id: str) -> Run | None:
+        """Return the run of a request."""
+        return self._runs.get(request_id)
+
+    def live(self) -> list[Run]:
+        """Return the runs that have not ended."""
+        return [run for run in self._runs.values() if run.outcome is None]
+
+    def forget_old(self, now_s: float) -> None:
+        """Drop answers that were kept long enough."""
+        old = [
+            run.request_id
+            for run in self._runs.values()
+            if run.ended_s is not None and now_s - run.ended_s > RETENTION_S
+        ]
+        for request_id in old:
+            del self._runs[request_id]
+
+    def dump(self) -> list[dict]:
+        """Return the state as plain data."""
+        return [run.dump() for run in self._runs.values()]
--- /dev/null
+++ b/src/sorrelhoist/entry/fleet.py
@@ -0,0 +1,89 @@
+"""The endpoints that can be asked now: configuration joined with membership."""
+
+from collections.abc import Callable, Collection, Sequence
+
+import attrs
+
+from ..decisions.configuration_set import Configuration
+from ..decisions.routing import Target
+from ..messages.gen import ttypes
+from ..node.peers import PeerAddress
+
+ALIVE_STATES = frozenset({"alive", "suspect"})
+
+
+@attrs.define
+class Fleet:
+    """A joined view; nothing is kept, so that nothing can be out of step.
+
+    Parameters
+    ----------
+    configuration : callable
+        Returns the `Configuration` in force, or None.
+    members : callable
+        Returns the members that are known.
+    leaving_hosts : callable
+        Returns the names of the hosts that the platform lists as leaving.
+    """
+
+    configuration: Callable[[], Configuration | None]
+    members: Callable[[], Sequence[ttypes.Member]]
+    leaving_hosts: Callable[[], Collection[str]]
+
+    def _agents(self) -> dict[str, ttypes.Member]:
+        leaving = self.leaving_hosts()
+        return {
+            member.endpoint: member
+            for member in self.members()
+            if member.endpoint
+            and member.state in ALIVE_STATES
+            and member.host not in leaving
+        }
+
+    def targets(self, model: str) -> list[Target]:
+        """Return the endpoints of a model that may take new work.
+
+        Parameters
+        ----------
+        model : str
+
+        Returns
+        -------
+        list of Target
+            In no order.
+        """
+        configuration = self.configuration()
+        if configuration is None:
+            return []
+        agents = self._agents()
+        return [
+            Target(
+                endpoint=endpoint.name,
+                node_id=agents[endpoint.name].node_id,
+                failure_domain=endpoint.failure_domain,
+                kv_capacity_tokens=endpoint.kv_capacity_tokens,
+            )
+            for endpoint in configuration.endpoints_for_model(model)
+            if endpoint.name in agents
+            and configuration.is_domain_in(endpoint.failure_domain)
+        ]
+
+    def service_agents(self, service: str) -> list[ttypes.Member]:
+        """Return the agents of a plain service that may take new calls."""
+        configuration = self.configuration()
+        if configuration is None:
+            return []
+        agents = self._agents()
+        return [
+            agents[endpoint.name]
+            for endpoint in configuration.endpoints_for_service(service)
+            if endpoint.name in agents
+            and configuration.is_domain_in(endpoint.failure_domain)
+        ]
+
+    def address_of(self, node_id: str) -> PeerAddress | None:
+        """Return where a member listens, whatever its state."""
+        for member in self.members():
+            if member.node_id == node_id:
+                return PeerAddress(member.address, member.peer_port)
+        return None
--- /dev/null
+++ b/src/sorrelhoist/entry/http.py
@@ -0,0 +1,165 @@
+"""What all HTTP handlers of callers share: keys, limits on bodies, typed errors."""
+
+import hashlib
+import logging
+import math
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+from tornado.web import RequestHandler, stream_request_body
+
+from ..exceptions import (
+    AuthenticationError,
+    InvalidRequestError,
+    NotFoundError,
+    NotReadyError,
+    SorrelhoistError,
+)
+from .answers import error_body
+from .requests import MAX_BODY_BYTES
+
+if TYPE_CHECKING:
+    from .app import Entry
+
+logger = logging.getLogger(__name__)
+
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+def hash_key(key: str) -> str:
+    """Return the hash under which a key stands in the configuration.
+
+    Examples
+    --------
+    >>> hash_key("a")[:8]
+    'ca978112'
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@stream_request_body
+class CallerHandler(RequestHandler):
+    """Base of the callers' handlers.
+
+    Checks the key and the size before the body is read, and turns errors of the
+    package into JSON bodies.
+    """
+
+    def initialize(self, entry: "Entry") -> None:
+        """Keep the entry that owns the state."""
+        self.entry = entry
+        self.request_id = uuid.uuid4().hex
+        self._chunks: list[bytes] = []
+        self._received_bytes = 0
+        self._running: Any = None
+
+    def set_default_headers(self) -> None:
+        """Name no server software."""
+        self.clear_header("Server")
+
+    async def prepare(self) -> None:
+        """Refuse a request that need not be read."""
+        self.set_header(REQUEST_ID_HEADER, self.request_id)
+        try:
+            self.workspace = self._authenticate()
+            declared = self.request.headers.get("Content-Length", "0")
+            self._check_size(int(declared) if declared.isdigit() else 0)
+        except SorrelhoistError as error:
+            self.refuse(error, close=True)
+
+    def _authenticate(self) -> Any:
+        if not self.entry.accepting:
+            raise NotReadyError(
+                "This entry is not ready.", not_run=True, retry_after_s=1.0
+            )
+        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            raise AuthenticationError("The request carries no key.", not_run=True)
+        workspace = self.entry.workspace_for_key(hash_key(key.strip()))
+        if workspace is None:
+            raise AuthenticationError("The key is not known.", not_run=True)
+        return workspace
+
+    def _check_size(self, size_bytes: int) -> None:
+        if size_bytes > MAX_BODY_BYTES:
+            raise InvalidRequestError(
+                f"The body is over the limit of {MAX_BODY_BYTES} bytes.",
+                "Send a shorter prompt.",
+                not_run=True,
+            )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Gather the body, within the limit."""
+        if self._finished:
+            return
+        self._received_bytes += len(chunk)
+        try:
+            self._check_size(self._received_bytes)
+        except SorrelhoistError as error:
+            self._chunks.clear()
+            self.refuse(error, close=True)
+            return
+        self._chunks.append(chunk)
+
+    def body(self) -> bytes:
+        """Return the whole body."""
+        return b"".join(self._chunks)
+
+    def refuse(self, error: SorrelhoistError, close: bool = False) -> None:
+        """Answer with an error, at once."""
+        self.set_status(error.http_status)
+        self.set_header("Content-Type", "application/json")
+        if error.retry_after_s is not None:
+            self.set_header("Retry-After", str(max(1, math.ceil(error.retry_after_s))))
+        if close:
+            self.set_header("Connection", "close")
+        self.entry.metrics.refusals.add(1, {"kind": error.kind})
+        self.finish(error_body(error, self.request_id))
+
+    async def guard(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a handler's work and answer its errors.
+
+        Parameters
+        ----------
+        run : callable
+            Coroutine function that writes the answer.
+        """
+        if self._finished:
+            return
+        try:
+            await run()
+        except SorrelhoistError as error:
+            self._answer_error(error)
+        except Exception:
+            logger.exception("request failed", extra={"request_id": self.request_id})
+            self._answer_error(SorrelhoistError("The entry failed."))
+
+    def _answer_error(self, error: SorrelhoistError) -> None:
+        if self._finished:
+            return
+        logger.info(
+            "request refused",
+            extra={
+                "request_id": self.request_id,
+                "workspace": self.workspace.name,
+                "kind": error.kind,
+                "error": error.message,
+            },
+        )
+        if not self._headers_written:
+            self.refuse(error)
+            return
+        self.entry.metrics.refusals.add(1, {"kind": error.kind})
+        self.finish(f"event: error\ndata: {error_body(error, self.request_id)}\n\n")
+
+
+class UnknownPathHandler(CallerHandler):
+    """Answer every other path."""
+
+    async def prepare(self) -> None:
+        """Refuse at once."""
+        self.set_header(REQUEST_ID_HEADER, self.request_id)
+        self.refuse(
+            NotFoundError(f"There is no {self.request.path}.", not_run=True), close=True
+        )
--- /dev/null
+++ b/src/sorrelhoist/entry/services.py
@@ -0,0 +1,134 @@
+"""Route calls of plain services."""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Callable
+
+import attrs
+
+from ..decisions.membership_records import Member
+from ..decisions.rendezvous import ranked
+from ..exceptions import (
+    DeadlineExceededError,
+    InvalidRequestError,
+    OutcomeUnknownError,
+    OverloadedError,
+    PeerError,
+    SorrelhoistError,
+)
+from ..messages.gen import ttypes
+from ..node.peers import PeerAddress, PeerPool
+from .calls import SILENCE_TIMEOUT_S
+from .errors import MS_PER_S, error_of, refusal_of
+from .fleet import Fleet
+
+logger = logging.getLogger(__name__)
+
+REPLY_MARGIN_S = 1.0
+
+
+@attrs.define
+class ServiceRouter:
+    """Send a call to one agent of the service; the log decides on races.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    pool : PeerPool
+    clock : callable
+        Monotonic seconds.
+    """
+
+    fleet: Fleet
+    pool: PeerPool
+    clock: Callable[[], float]
+
+    async def call(
+        self, call: ttypes.ServiceCall, repeatable: bool, deadline_s: float
+    ) -> ttypes.ServiceReply:
+        """Make a call.
+
+        Parameters
+        ----------
+        call : ServiceCall
+            Its budget is set here.
+        repeatable : bool
+            Whether the service may run it twice.
+        deadline_s : float
+
+        Returns
+        -------
+        ServiceReply
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If it may have run and must not be repeated.
+        SorrelhoistError
+            With ``not_run`` where that is known.
+        """
+        if repeatable and not call.idempotency_key:
+            call.idempotency_key = uuid.uuid4().hex
+        if not call.idempotency_key:
+            raise InvalidRequestError(
+                "The call has no Idempotency-Key header.",
+                "Send a UUIDv7 as Idempotency-Key; use it again when you repeat.",
+                not_run=True,
+            )
+        denials: list[ttypes.Denial] = []
+        for member in self._ordered(call):
+            reply = await self._ask(member, call, deadline_s)
+            match reply:
+                case ttypes.ServiceReply():
+                    return reply
+                case ttypes.Denial(not_run=True, kind="not_ready"):
+                    denials.append(reply)
+                case ttypes.Denial():
+                    raise error_of(reply)
+        raise refusal_of(denials)
+
+    def _ordered(self, call: ttypes.ServiceCall) -> list[Member]:
+        agents = {a.node_id: a for a in self.fleet.service_agents(call.service_name)}
+        if not agents:
+            raise OverloadedError(
+                f"No endpoint of the service '{call.service_name}' is reachable.",
+                not_run=True,
+                retry_after_s=1.0,
+            )
+        return [agents[name] for name in ranked(call.idempotency_key, list(agents))]
+
+    async def _ask(
+        self, member: Member, call: ttypes.ServiceCall, deadline_s: float
+    ) -> object:
+        left_s = deadline_s - self.clock()
+        if left_s <= 0:
+            raise DeadlineExceededError("The deadline passed.", not_run=True)
+        call.budget_ms = int(left_s * MS_PER_S)
+        address = PeerAddress(member.address, member.peer_port)
+        try:
+            connection = await self.pool.connection(address)
+        except PeerError as error:
+            # Nothing was sent, so that another agent may be asked.
+            logger.info("agent not reached", extra={"error": error.message})
+            return ttypes.Denial(kind="not_ready", not_run=True, retry_after_ms=1000)
+        try:
+            async with asyncio.timeout(left_s + REPLY_MARGIN_S):
+                async with connection.open(call) as receive:
+                    return await self._reply(receive)
+        except (PeerError, TimeoutError) as error:
+            raise self._unknown() from error
+
+    async def _reply(self, receive) -> object:
+        while True:
+            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                reply = await receive()
+            if not isinstance(reply, ttypes.Queued):
+                return reply
+
+    def _unknown(self) -> SorrelhoistError:
+        return OutcomeUnknownError(
+            "The agent was lost while the call was with it: it may have run.",
+            "Send it again with the same Idempotency-Key to learn the outcome.",
+            retry_after_s=1.0,
+        )
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -208,6 +208,7 @@
      - weight
      - group_id
      - delivered_tokens
+     - kv_share_tokens
 
     """
 
@@ -225,10 +226,11 @@
         'weight',
         'group_id',
         'delivered_tokens',
+        'kv_share_tokens',
     )
 
 
-    def __init__(self, request_id=None, workspace=None, model=None, prompt_tokens=None, output_tokens=None, budget_ms=None, entry_id=None, prefix_hashes=None, fingerprint=None, suspected=None, weight=None, group_id=None, delivered_tokens=None,):
+    def __init__(self, request_id=None, workspace=None, model=None, prompt_tokens=None, output_tokens=None, budget_ms=None, entry_id=None, prefix_hashes=None, fingerprint=None, suspected=None, weight=None, group_id=None, delivered_tokens=None, kv_share_tokens=None,):
         self.request_id = request_id
         self.workspace = workspace
         self.model = model
@@ -242,6 +244,7 @@
         self.weight = weight
         self.group_id = group_id
         self.delivered_tokens = delivered_tokens
+        self.kv_share_tokens = kv_share_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -322,6 +325,11 @@
                     self.delivered_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.kv_share_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -387,6 +395,10 @@
             oprot.writeFieldBegin('delivered_tokens', TType.I64, 13)
             oprot.writeI64(self.delivered_tokens)
             oprot.writeFieldEnd()
+        if self.kv_share_tokens is not None:
+            oprot.writeFieldBegin('kv_share_tokens', TType.I64, 14)
+            oprot.writeI64(self.kv_share_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -966,23 +978,106 @@
         return not (self == other)
 
 
+class Queued(object):
+    """
+    Attributes:
+     - request_id
+     - queue_delay_ms
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'queue_delay_ms',
+    )
+
+
+    def __init__(self, request_id=None, queue_delay_ms=None,):
+        self.request_id = request_id
+        self.queue_delay_ms = queue_delay_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.queue_delay_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Queued')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.queue_delay_ms is not None:
+            oprot.writeFieldBegin('queue_delay_ms', TType.I64, 2)
+            oprot.writeI64(self.queue_delay_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Cancel(object):
     """
     Attributes:
      - grant_id
      - reason
+     - request_id
 
     """
 
     __slots__ = (
         'grant_id',
         'reason',
+        'request_id',
     )
 
 
-    def __init__(self, grant_id=None, reason=None,):
+    def __init__(self, grant_id=None, reason=None, request_id=None,):
         self.grant_id = grant_id
         self.reason = reason
+        self.request_id = request_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1003,6 +1098,11 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1021,6 +1121,10 @@
             oprot.writeFieldBegin('reason', TType.STRING, 2)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 3)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3055,6 +3159,7 @@
      - indirect_ping
      - sync_request
      - sync_reply
+     - queued
 
     """
 
@@ -3082,10 +3187,11 @@
         'indirect_ping',
         'sync_request',
         'sync_reply',
+        'queued',
     )
 
 
-    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None,):
+    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None,):
         self.call_id = call_id
         self.grant_request = grant_request
         self.grant = grant
@@ -3109,6 +3215,7 @@
         self.indirect_ping = indirect_ping
         self.sync_request = sync_request
         self.sync_reply = sync_reply
+        self.queued = queued
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3256,6 +3363,12 @@
                     self.sync_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.queued = Queued()
+                    self.queued.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3358,6 +3471,10 @@
             oprot.writeFieldBegin('sync_reply', TType.STRUCT, 23)
             self.sync_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.STRUCT, 24)
+            self.queued.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3411,6 +3528,7 @@
     (11, TType.DOUBLE, 'weight', None, None, ),  # 11
     (12, TType.STRING, 'group_id', 'UTF8', None, ),  # 12
     (13, TType.I64, 'delivered_tokens', None, None, ),  # 13
+    (14, TType.I64, 'kv_share_tokens', None, None, ),  # 14
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
@@ -3452,11 +3570,18 @@
     None,  # 0
     (1, TType.LIST, 'unknown_grant_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
+all_structs.append(Queued)
+Queued.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'queue_delay_ms', None, None, ),  # 2
+)
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'grant_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'request_id', 'UTF8', None, ),  # 3
 )
 all_structs.append(Cancelled)
 Cancelled.thrift_spec = (
@@ -3631,6 +3756,7 @@
     (21, TType.STRUCT, 'indirect_ping', [IndirectPing, None], None, ),  # 21
     (22, TType.STRUCT, 'sync_request', [SyncRequest, None], None, ),  # 22
     (23, TType.STRUCT, 'sync_reply', [SyncReply, None], None, ),  # 23
+    (24, TType.STRUCT, 'queued', [Queued, None], None, ),  # 24
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -36,6 +36,7 @@
   11: double weight,           // of the workspace
   12: string group_id,         // empty unless part of a group reservation
   13: i64 delivered_tokens,    // tokens already sent to the caller
+  14: i64 kv_share_tokens,     // this endpoint's part if it is one of a group, else 0
 }
 
 struct Grant {
@@ -75,10 +76,17 @@
   1: list<string> unknown_grant_ids,
 }
 
-// Give a grant back, running or not.
+// The request waits at the agent. Sent again and again until it is decided.
+struct Queued {
+  1: string request_id,
+  2: i64 queue_delay_ms,
+}
+
+// Give a grant back, running or not; or a request that waits for one.
 struct Cancel {
   1: string grant_id,
   2: string reason,
+  3: string request_id,
 }
 
 struct Cancelled {
@@ -240,4 +248,5 @@
   21: optional IndirectPing indirect_ping,
   22: optional SyncRequest sync_request,
   23: optional SyncReply sync_reply,
+  24: optional Queued queued,
 }
--- /dev/null
+++ b/src/sorrelhoist/node/peers.py
@@ -0,0 +1,286 @@
+"""Calls between processes: framed envelopes over TCP, many calls a connection."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Protocol
+
+import attrs
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from ..exceptions import PeerError
+from ..messages.frames import (
+    LENGTH_PREFIX_BYTES,
+    MAX_FRAME_BYTES,
+    Message,
+    decode,
+    frame,
+    frame_length,
+)
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 5.0
+# Replies that may wait for a slow reader before its connection is closed.
+MAX_WAITING_REPLIES = 65536
+
+
+@attrs.frozen
+class PeerAddress:
+    """Where a process listens for its peers.
+
+    Parameters
+    ----------
+    address : str
+        IP number.
+    port : int
+    """
+
+    address: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.address}:{self.port}"
+
+
+class Responder(Protocol):
+    """Send replies to one call."""
+
+    async def send(self, body: object) -> None:
+        """Send one reply; a call may have many."""
+
+
+Handler = Callable[[object, Responder], Awaitable[None]]
+
+
+async def _read_message(stream: IOStream) -> Message:
+    prefix = await stream.read_bytes(LENGTH_PREFIX_BYTES)
+    data = await stream.read_bytes(frame_length(prefix))
+    return decode(data)
+
+
+@attrs.define
+class _ServerCall:
+    stream: IOStream
+    call_id: int
+
+    async def send(self, body: object) -> None:
+        try:
+            await self.stream.write(frame(Message(self.call_id, body)))
+        except StreamClosedError as error:
+            raise PeerError("The caller has gone.") from error
+
+
+class PeerServer(TCPServer):
+    """Accept calls from peers.
+
+    Parameters
+    ----------
+    handler : callable
+        ``await handler(body, responder)`` for each call. When the connection
+        closes, the calls that came through it are cancelled.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        super().__init__(max_buffer_size=2 * MAX_FRAME_BYTES)
+        self._handler = handler
+        self._streams: set[IOStream] = set()
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        """Serve one connection until it closes."""
+        stream.set_nodelay(True)
+        self._streams.add(stream)
+        calls: set[asyncio.Task] = set()
+        try:
+            while True:
+                message = await _read_message(stream)
+                call = _ServerCall(stream, message.call_id)
+                task = asyncio.ensure_future(self._serve(message.body, call))
+                calls.add(task)
+                task.add_done_callback(calls.discard)
+        except StreamClosedError:
+            pass
+        except PeerError as error:
+            logger.warning("peer broke the protocol", extra={"error": str(error)})
+        finally:
+            stream.close()
+            self._streams.discard(stream)
+            for task in calls:
+                task.cancel()
+
+    async def _serve(self, body: object, call: _ServerCall) -> None:
+        try:
+            await self._handler(body, call)
+        except (PeerError, StreamClosedError):
+            pass
+        except Exception:
+            logger.exception("call failed", extra={"body": type(body).__name__})
+            call.stream.close()
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        self.stop()
+        for stream in list(self._streams):
+            stream.close()
+
+
+class PeerConnection:
+    """One connection to a peer, shared by many calls."""
+
+    def __init__(self, stream: IOStream, address: PeerAddress) -> None:
+        self._stream = stream
+        self._address = address
+        self._next_call_id = 1
+        self._replies: dict[int, asyncio.Queue] = {}
+        self._reader = asyncio.ensure_future(self._read())
+
+    @property
+    def closed(self) -> bool:
+        """Whether it can't be used any more."""
+        return self._stream.closed()
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                message = await _read_message(self._stream)
+                queue = self._replies.get(message.call_id)
+                if queue is not None:
+                    queue.put_nowait(message.body)
+        except (StreamClosedError, PeerError, asyncio.QueueFull) as error:
+            logger.info(
+                "peer connection ended",
+                extra={"peer": str(self._address), "error": repr(error)},
+            )
+        finally:
+            self._stream.close()
+            for queue in self._replies.values():
+                self._end(queue)
+
+    def _end(self, queue: asyncio.Queue) -> None:
+        if queue.full():
+            queue.get_nowait()
+        queue.put_nowait(None)
+
+    @asynccontextmanager
+    async def open(self, body: object) -> AsyncIterator[Callable[[], Awaitable]]:
+        """Start a call that may have many replies.
+
+        Parameters
+        ----------
+        body : object
+            The request.
+
+        Yields
+        ------
+        callable
+            ``await receive()`` returns the next reply.
+
+        Raises
+        ------
+        PeerError
+            From ``receive`` when the connection is lost.
+        """
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        queue: asyncio.Queue = asyncio.Queue(MAX_WAITING_REPLIES)
+        self._replies[call_id] = queue
+
+        async def receive() -> object:
+            reply = await queue.get()
+            if reply is None:
+                raise PeerError(f"The connection to {self._address} was lost.")
+            return reply
+
+        try:
+            await self._send(Message(call_id, body))
+            yield receive
+        finally:
+            del self._replies[call_id]
+
+    async def _send(self, message: Message) -> None:
+        try:
+            await self._stream.write(frame(message))
+        except StreamClosedError as error:
+            raise PeerError(f"The connection to {self._address} was lost.") from error
+
+    def close(self) -> None:
+        """Close the connection; its calls end with an error."""
+        self._stream.close()
+        self._reader.cancel()
+
+
+class PeerPool:
+    """Connections to peers, opened when first needed."""
+
+    def __init__(self) -> None:
+        self._client = TCPClient()
+        self._connections: dict[PeerAddress, PeerConnection] = {}
+        self._opening: dict[PeerAddress, asyncio.Task] = {}
+
+    async def _connect(self, address: PeerAddress) -> PeerConnection:
+        try:
+            stream = await self._client.connect(
+                address.address,
+                address.port,
+                timeout=CONNECT_TIMEOUT_S,
+                max_buffer_size=2 * MAX_FRAME_BYTES,
+            )
+        except (TimeoutError, OSError, StreamClosedError) as error:
+            raise PeerError(f"Can't connect to {address}: {error}.") from error
+        stream.set_nodelay(True)
+        connection = PeerConnection(stream, address)
+        self._connections[address] = connection
+        return connection
+
+    async def connection(self, address: PeerAddress) -> PeerConnection:
+        """Return an open connection to a peer.
+
+        Raises
+        ------
+        PeerError
+            If the peer can't be reached.
+        """
+        connection = self._connections.get(address)
+        if connection is not None and not connection.closed:
+            return connection
+        task = self._opening.get(address)
+        if task is None:
+            task = asyncio.ensure_future(self._connect(address))
+            self._opening[address] = task
+            task.add_done_callback(lambda _: self._opening.pop(address, None))
+        return await asyncio.shield(task)
+
+    @asynccontextmanager
+    async def open(
+        self, address: PeerAddress, body: object
+    ) -> AsyncIterator[Callable[[], Awaitable]]:
+        """Start a call with many replies; see `PeerConnection.open`."""
+        connection = await self.connection(address)
+        async with connection.open(body) as receive:
+            yield receive
+
+    async def call(
+        self, address: PeerAddress, body: object, timeout_s: float = CALL_TIMEOUT_S
+    ) -> object:
+        """Make a call with one reply.
+
+        Raises
+        ------
+        PeerError
+            If the peer can't be reached or does not answer in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s), self.open(address, body) as receive:
+                return await receive()
+        except TimeoutError as error:
+            raise PeerError(f"{address} did not answer in {timeout_s} s.") from error
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
--- /dev/null
+++ b/src/sorrelhoist/node/process.py
@@ -0,0 +1,218 @@
+"""One process of the system: what both roles run."""
+
+import asyncio
+import logging
+import random
+import time
+import uuid
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
+
+import attrs
+
+from ..clients.hosts import HostList
+from ..clients.log import LogClient
+from ..decisions.membership_records import Address, Member
+from ..exceptions import PlatformError, SorrelhoistError
+from ..messages.gen import ttypes
+from ..settings import Settings
+from .configuration import ConfigurationReplica
+from .configuration_options import ReplicaOptions
+from .gossip import Gossip, GossipHooks, running_gossip
+from .metrics import ProcessMetrics
+from .peers import PeerAddress, PeerPool, PeerServer, Responder
+
+logger = logging.getLogger(__name__)
+
+HOST_POLL_INTERVAL_S = 2.0
+HOST_STATE_LEAVING = "leaving"
+CONFIGURATION_TOPIC = "configuration"
+
+RoleHandler = Callable[[object, Responder], Awaitable[None]]
+
+
+@attrs.define
+class ReplicaPeers:
+    """The other processes, for the configuration replica."""
+
+    process: "NodeProcess"
+
+    def members(self) -> Sequence[Member]:
+        """Return the live processes but the own one."""
+        return self.process.others()
+
+    async def call(self, member: Any, body: object, timeout_s: float) -> object:
+        """Send a message and return its reply."""
+        address = PeerAddress(member.address, member.peer_port)
+        return await self.process.pool.call(address, body, timeout_s)
+
+
+def parse_address(text: str) -> Address:
+    """Read ``ADDRESS:PORT``.
+
+    Examples
+    --------
+    >>> parse_address("127.0.0.1:80")
+    Address(address='127.0.0.1', port=80)
+    """
+    address, _, port = text.rpartition(":")
+    return Address(address, int(port))
+
+
+class NodeProcess:
+    """Membership, configuration and metrics of one process.
+
+    Parameters
+    ----------
+    settings : Settings
+    hooks : GossipHooks
+        What the role adds to the gossip; its digest hooks are replaced.
+    clock : callable, optional
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        hooks: GossipHooks | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.boot_id = uuid.uuid4().hex
+        self.rng = random.Random()
+        self.pool = PeerPool()
+        self.metrics = ProcessMetrics(settings.node_id, settings.role)
+        self.replica = ConfigurationReplica(
+            ReplicaOptions(
+                settings.node_id,
+                settings.failure_domain,
+                stale_after_s=settings.configuration_stale_after_s,
+            ),
+            LogClient(settings.platform_url, CONFIGURATION_TOPIC),
+            ReplicaPeers(self),
+            self.rng,
+            clock,
+        )
+        self._hooks = hooks or GossipHooks()
+        self._hosts = HostList(settings.platform_url)
+        self._gossip: Gossip | None = None
+        self.leaving_hosts: frozenset[str] = frozenset()
+
+    @property
+    def gossip(self) -> Gossip:
+        """The running gossip."""
+        assert self._gossip is not None
+        return self._gossip
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all processes that are up, this one included."""
+        return () if self._gossip is None else self._gossip.table.alive()
+
+    def others(self) -> list[Member]:
+        """Return all processes that are up, but this one."""
+        own = self.settings.node_id
+        return [member for member in self.members() if member.node_id != own]
+
+    @asynccontextmanager
+    async def running(self, handler: RoleHandler) -> AsyncIterator["NodeProcess"]:
+        """Run until the block ends.
+
+        Parameters
+        ----------
+        handler : callable
+            Answers the calls of peers that are the role's own.
+        """
+
+        async def handle(body: object, responder: Responder) -> None:
+            if not await self._handle(body, responder):
+                await handler(body, responder)
+
+        server = PeerServer(handle)
+        server.listen(self.settings.peer_port, address=self.settings.address)
+        async with AsyncExitStack() as stack:
+            stack.callback(self.metrics.close)
+            stack.callback(self.pool.close)
+            stack.callback(server.close)
+            self._gossip = await stack.enter_async_context(self._running_gossip())
+            hosts = asyncio.create_task(self._poll_hosts())
+            stack.callback(hosts.cancel)
+            await stack.enter_async_context(self.replica.running())
+            yield self
+
+    def _running_gossip(self) -> Any:
+        seeds = [parse_address(seed) for seed in self.settings.seeds]
+        hooks = attrs.evolve(
+            self._hooks,
+            digest=self.replica.digest,
+            on_digest=lambda digest, member: self.replica.on_digest(member, digest),
+        )
+        return running_gossip(
+            self._own_member(),
+            self._call,
+            seeds=seeds,
+            hooks=hooks,
+            rng=self.rng,
+            clock=self.clock,
+        )
+
+    def _own_member(self) -> Member:
+        settings = self.settings
+        endpoint = settings.endpoint
+        return Member(
+            node_id=settings.node_id,
+            boot_id=self.boot_id,
+            role=settings.role,
+            address=settings.address,
+            peer_port=settings.peer_port,
+            http_port=settings.http_port,
+            host=settings.host,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            endpoint=endpoint.name if endpoint else "",
+        )
+
+    async def _call(
+        self, address: str, port: int, body: object, timeout_s: float
+    ) -> object:
+        return await self.pool.call(PeerAddress(address, port), body, timeout_s)
+
+    async def _handle(self, body: object, responder: Responder) -> bool:
+        match body:
+            case ttypes.SyncRequest():
+                await responder.send(self.gossip.handle_sync(body))
+            case ttypes.ConfigurationRequest() | ttypes.ConfigurationBody():
+                await responder.send(self.replica.handle(body))
+            case _:
+                return False
+        return True
+
+    async def _poll_hosts(self) -> None:
+        while True:
+            try:
+                await self._read_hosts()
+            except (PlatformError, SorrelhoistError) as error:
+                logger.debug("host list not read", extra={"error": error.message})
+            await asyncio.sleep(HOST_POLL_INTERVAL_S)
+
+    async def _read_hosts(self) -> None:
+        hosts = await self._hosts.fetch()
+        leaving = {host.host for host in hosts if host.state == HOST_STATE_LEAVING}
+        self.leaving_hosts = frozenset(leaving)
+        self.gossip.table.mark_platform_leaving(leaving)
+        for host in hosts:
+            self.gossip.table.add_seed(host.address, host.peer_port)
+
+    def dump(self) -> dict:
+        """Return the state as plain data."""
+        return {
+            "node_id": self.settings.node_id,
+            "role": self.settings.role,
+            "boot_id": self.boot_id,
+            "failure_domain": self.settings.failure_domain,
+            "configuration": self.replica.dump(),
+            "membership": self.gossip.table.dump(),
+            "gossip": attrs.asdict(self.gossip.counters),
+            "leaving_hosts": sorted(self.leaving_hosts),
+        }
