--- /dev/null
+++ b/src/sorrelhoist/decisions/membership.py
@@ -0,0 +1,433 @@
+"""A membership table in the manner of SWIM.
+
+Each process probes one other per interval, so the cost per process doesn't grow
+with the fleet. Changes ride on the probes and on a few extra datagrams, within a
+budget of bytes. See Das, Gupta, Motivala: SWIM, DSN 2002.
+"""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from ..messages.gen import ttypes
+from .membership_options import (
+    Action,
+    Event,
+    MembershipOptions,
+    RequestSync,
+    SendDatagram,
+)
+from .membership_probes import Prober
+from .membership_records import (
+    Address,
+    Member,
+    MemberState,
+    from_wire,
+    to_wire,
+    to_wire_state,
+    to_wire_update,
+    wire_bytes,
+)
+from .membership_store import MemberStore
+
+MAX_SEEDS = 4096
+MIN_SYNC_SPACING_S = 5.0
+LEAVE_FANOUT = 8
+
+
+class MembershipTable:
+    """What this process knows of the others, and what to send them.
+
+    Nothing here reads a clock or a socket: `tick` and `on_message` return what
+    to send.
+
+    Parameters
+    ----------
+    self_member : Member
+        The record of this process, with its address and boot id.
+    options : MembershipOptions
+    rng : random.Random
+
+    Examples
+    --------
+    >>> me = Member("a", "boot", address="127.0.0.1", peer_port=1)
+    >>> table = MembershipTable(me, MembershipOptions(), random.Random(1))
+    >>> [member.node_id for member in table.alive()]
+    ['a']
+    """
+
+    def __init__(
+        self, self_member: Member, options: MembershipOptions, rng: random.Random
+    ) -> None:
+        self._options = options
+        self._rng = rng
+        self._store = MemberStore(self_member, options, rng)
+        self._prober = Prober(options, rng)
+        self._seeds: dict[Address, None] = {}
+        self._leaving_hosts: frozenset[str] = frozenset()
+        self._last_tick_s: float | None = None
+        self._next_probe_s = 0.0
+        self._next_reconnect_s = 0.0
+        self._next_sync_s = 0.0
+        self._last_sync_s = float("-inf")
+        self._reconnect: tuple[str, int] | None = None
+        self._cached: tuple[int, tuple[Member, ...]] = (-1, ())
+
+    @property
+    def me(self) -> Member:
+        """The present record of this process."""
+        return self._store.me
+
+    @property
+    def version(self) -> int:
+        """A number that rises with each change of a record."""
+        return self._store.version
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all records, this process and the dead included."""
+        others = self._store.records.values()
+        listed = (m for m in others if not self._store.is_forgotten(m.node_id))
+        return (self.me, *listed)
+
+    def alive(self) -> tuple[Member, ...]:
+        """Return the members that are alive or only suspected.
+
+        This process is included until it leaves. The order is stable between
+        changes only.
+        """
+        if self._cached[0] != self.version:
+            records = self._store.records
+            others = tuple(records[node_id] for node_id in self._store.up_ids)
+            own = (self.me,) if self.me.is_up else ()
+            self._cached = (self.version, own + others)
+        return self._cached[1]
+
+    def get(self, node_id: str) -> Member | None:
+        """Return the record of a node id, or None."""
+        return self._store.get(node_id)
+
+    def take_events(self) -> list[Event]:
+        """Return what changed since the last call, oldest first."""
+        return self._store.take_events()
+
+    def add_seed(self, address: str, port: int) -> None:
+        """Add a hint where another process may listen."""
+        seed = Address(address, port)
+        if seed != self.me.peer_address and len(self._seeds) < MAX_SEEDS:
+            self._seeds[seed] = None
+
+    def set_seeds(self, seeds: Iterable[Address]) -> None:
+        """Replace the hints."""
+        self._seeds.clear()
+        for seed in seeds:
+            self.add_seed(seed.address, seed.port)
+
+    def mark_platform_leaving(self, hosts: Iterable[str]) -> None:
+        """Replace the hosts that the platform's list shows as leaving."""
+        self._leaving_hosts = frozenset(hosts)
+
+    def is_platform_leaving(self, member: Member) -> bool:
+        """Whether the platform's list shows the member's host as leaving."""
+        return member.host in self._leaving_hosts
+
+    def update_me(self, **changes: object) -> None:
+        """Change fields of the own record, such as `models`, and spread it."""
+        me = attrs.evolve(self.me, **changes)  # type: ignore[arg-type]
+        if me != self.me:
+            self._store.set_me(attrs.evolve(me, incarnation=me.incarnation + 1))
+
+    def leave(self, now_s: float) -> list[Action]:
+        """Leave gracefully: the others drop this process at once.
+
+        It goes on probing and answering until it stops, which spreads the news.
+        """
+        if self.me.state is not MemberState.LEFT:
+            self._store.set_me(attrs.evolve(self.me, state=MemberState.LEFT))
+        return [
+            self._send(member, now_s, [to_wire_state(self.me)])
+            for member in self._store.sample(LEAVE_FANOUT)
+        ]
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Do what is due.
+
+        Parameters
+        ----------
+        now_s : float
+            Call it several times per probe interval.
+
+        Returns
+        -------
+        list of Action
+        """
+        self._note_pause(now_s)
+        self._store.expire(now_s)
+        actions = self._ask_others(now_s)
+        if now_s >= self._next_probe_s:
+            self._next_probe_s += self._options.probe_interval_s
+            self._next_probe_s = max(self._next_probe_s, now_s)
+            actions += self._probe(now_s)
+            actions += self._spread(now_s)
+        actions += self._reconnect_one(now_s)
+        actions += self._sync_one(now_s)
+        return actions
+
+    def on_message(self, body: object, sender: Address, now_s: float) -> list[Action]:
+        """Take in a message.
+
+        Parameters
+        ----------
+        body : object
+            Any structure; those that don't belong here are ignored.
+        sender : Address
+            Where it came from.
+        now_s : float
+
+        Returns
+        -------
+        list of Action
+        """
+        match body:
+            case ttypes.Ping():
+                return self._on_ping(body, sender, now_s)
+            case ttypes.Pong():
+                return self._on_pong(body, now_s)
+            case ttypes.IndirectPing():
+                return self._on_indirect_ping(body, sender, now_s)
+            case ttypes.SyncReply():
+                self._merge_all(body.members, now_s, synced=True)
+        return []
+
+    def sync_request(self) -> ttypes.SyncRequest:
+        """Make a request that carries only the states of the others."""
+        states = [to_wire_state(member) for member in self._store.records.values()]
+        return ttypes.SyncRequest(members=[to_wire(self.me), *states])
+
+    def sync_reply(self, request: ttypes.SyncRequest, now_s: float) -> ttypes.SyncReply:
+        """Take in a request and answer with what is newer here."""
+        self._merge_all(request.members, now_s, synced=True)
+        theirs = {wire.node_id: wire for wire in request.members or ()}
+        newer = [
+            to_wire(member)
+            for member in (self.me, *self._store.records.values())
+            if self._is_newer(member, theirs.get(member.node_id))
+        ]
+        return ttypes.SyncReply(members=newer)
+
+    def dump(self) -> dict[str, object]:
+        """Return plain data for the state dump."""
+        return {
+            "members": [
+                {**attrs.asdict(member), "state": member.state.value}
+                for member in self.members()
+            ],
+            "seeds": [f"{seed.address}:{seed.port}" for seed in self._seeds],
+            "platform_leaving": sorted(self._leaving_hosts),
+            "queued_updates": len(self._store.updates),
+        }
+
+    def _note_pause(self, now_s: float) -> None:
+        last_s = self._last_tick_s
+        self._last_tick_s = now_s
+        if last_s is None:
+            interval_s = self._options.probe_interval_s
+            self._next_probe_s = now_s + self._rng.random() * interval_s
+            return
+        pause_s = now_s - last_s
+        if pause_s > self._options.max_pause_s:
+            self._prober.current = None
+            self._store.note_pause(pause_s, now_s)
+
+    def _probe(self, now_s: float) -> list[Action]:
+        missed = self._prober.finish()
+        if missed is not None:
+            self._store.suspect(missed, now_s)
+        started = self._prober.start(self._store, now_s)
+        if started is None:
+            return []
+        target, sequence = started
+        return [self._send(target, now_s, _lead(target), sequence)]
+
+    def _ask_others(self, now_s: float) -> list[Action]:
+        if not self._prober.is_late(now_s) or self._prober.current is None:
+            return []
+        probe = self._prober.current
+        target = self._store.get(probe.node_id)
+        if target is None:
+            return []
+        body = ttypes.IndirectPing(
+            node_id=self.me.node_id,
+            sequence=probe.sequence,
+            target=ttypes.Member(
+                node_id=target.node_id,
+                address=target.address,
+                peer_port=target.peer_port,
+                boot_id=target.boot_id,
+                incarnation=target.incarnation,
+                state=target.state.value,
+            ),
+        )
+        others = self._store.sample(self._options.indirect_probes, target.node_id)
+        return [SendDatagram(other.peer_address, body) for other in others]
+
+    def _spread(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        for member in self._store.sample(self._options.gossip_fanout):
+            updates = self._pull(now_s, [])
+            if not updates:
+                break
+            actions.append(SendDatagram(member.peer_address, self._ping(updates)))
+        return actions
+
+    def _reconnect_one(self, now_s: float) -> list[Action]:
+        # Two halves of a healed partition find each other by this.
+        if now_s < self._next_reconnect_s:
+            return []
+        alone = not self._store.up_ids
+        options = self._options
+        wait_s = options.probe_interval_s if alone else options.reconnect_interval_s
+        self._next_reconnect_s = now_s + wait_s * (0.5 + self._rng.random())
+        actions = self._probe_dead(now_s)
+        seeds = self._unknown_seeds()
+        if seeds:
+            seed = self._rng.choice(seeds)
+            updates = self._pull(now_s, [to_wire(self.me)])
+            ping = self._ping(updates, self._prober.next_sequence())
+            actions.append(SendDatagram(seed, ping))
+            if alone:
+                actions.append(RequestSync(seed))
+        return actions
+
+    def _probe_dead(self, now_s: float) -> list[Action]:
+        dead = [
+            member
+            for node_id in self._store.down_since_s
+            if (member := self._store.records[node_id]).state is MemberState.DEAD
+        ]
+        if not dead:
+            return []
+        target = self._rng.choice(dead)
+        sequence = self._prober.next_sequence()
+        self._reconnect = (target.node_id, sequence)
+        leads = [to_wire(self.me), *_lead(target)]
+        return [self._send(target, now_s, leads, sequence)]
+
+    def _unknown_seeds(self) -> list[Address]:
+        known = {member.peer_address for member in self.alive()}
+        return [seed for seed in self._seeds if seed not in known]
+
+    def _sync_one(self, now_s: float) -> list[Action]:
+        soon = self._store.wants_sync
+        spaced = now_s >= self._last_sync_s + MIN_SYNC_SPACING_S
+        if not (now_s >= self._next_sync_s or (soon and spaced)):
+            return []
+        partners = self._store.sample(1)
+        if not partners:
+            return []
+        self._store.wants_sync = False
+        self._last_sync_s = now_s
+        wait_s = self._options.sync_after_s(self._store.size)
+        self._next_sync_s = now_s + wait_s * (0.5 + self._rng.random())
+        return [RequestSync(partners[0].peer_address)]
+
+    def _on_ping(
+        self, ping: ttypes.Ping, sender: Address, now_s: float
+    ) -> list[Action]:
+        self._merge_all(ping.updates, now_s)
+        if not ping.sequence:
+            return []
+        known = self._store.get(ping.node_id or "")
+        leads = [] if known is None else _lead(known)
+        leads += [
+            to_wire_update(known)
+            for wire in ping.updates or ()
+            if known is not None and not leads and _differs(wire, known)
+        ]
+        if known is None or ping.target_node_id != self.me.node_id:
+            leads.append(to_wire(self.me))
+        pong = ttypes.Pong(
+            node_id=self.me.node_id,
+            sequence=ping.sequence,
+            updates=self._pull(now_s, leads),
+        )
+        return [SendDatagram(sender, pong)]
+
+    def _on_pong(self, pong: ttypes.Pong, now_s: float) -> list[Action]:
+        self._merge_all(pong.updates, now_s)
+        if self._reconnect == (pong.node_id, pong.sequence):
+            # The partition has healed: try the next one soon.
+            self._reconnect = None
+            self._next_reconnect_s = now_s + self._options.probe_interval_s
+            self._store.wants_sync = True
+        relay = self._prober.answered(pong, now_s)
+        if relay is None:
+            return []
+        passed_on = ttypes.Pong(
+            node_id=pong.node_id, sequence=relay.sequence, updates=[]
+        )
+        return [SendDatagram(relay.origin, passed_on)]
+
+    def _on_indirect_ping(
+        self, ping: ttypes.IndirectPing, sender: Address, now_s: float
+    ) -> list[Action]:
+        target = from_wire(ping.target) if ping.target is not None else None
+        if target is None or not target.address or not target.peer_port:
+            return []
+        sequence = self._prober.relay(sender, ping, now_s)
+        return [self._send(target, now_s, _lead(target), sequence)]
+
+    def _merge_all(
+        self, reports: list[ttypes.Member] | None, now_s: float, synced: bool = False
+    ) -> None:
+        up_before = self._store.size
+        spread = not synced or len(reports or ()) <= up_before
+        for wire in reports or ():
+            report = from_wire(wire)
+            if report is not None:
+                self._store.merge(report, now_s, synced=synced, spread=spread)
+        if up_before == 1 and self._store.size > 1:
+            self._store.wants_sync = True
+
+    def _is_newer(self, member: Member, wire: ttypes.Member | None) -> bool:
+        if wire is None:
+            return not self._store.is_forgotten(member.node_id)
+        theirs = from_wire(wire)
+        if theirs is None:
+            return False
+        return member.order > theirs.order or member.boot_id != theirs.boot_id
+
+    def _send(
+        self,
+        member: Member,
+        now_s: float,
+        leads: list[ttypes.Member],
+        sequence: int = 0,
+    ) -> SendDatagram:
+        ping = self._ping(self._pull(now_s, leads), sequence, member.node_id)
+        return SendDatagram(member.peer_address, ping)
+
+    def _ping(
+        self, updates: list[ttypes.Member], sequence: int = 0, target: str = ""
+    ) -> ttypes.Ping:
+        return ttypes.Ping(
+            node_id=self.me.node_id,
+            sequence=sequence,
+            updates=updates,
+            target_node_id=target,
+        )
+
+    def _pull(self, now_s: float, leads: list[ttypes.Member]) -> list[ttypes.Member]:
+        lead_bytes = sum(wire_bytes(lead) for lead in leads)
+        left_bytes = self._options.datagram_update_bytes - lead_bytes
+        retransmits = self._options.retransmits(self._store.size)
+        return leads + self._store.updates.pull(left_bytes, retransmits, now_s)
+
+
+def _lead(target: Member) -> list[ttypes.Member]:
+    # What is said of the target goes first, so that it can refute.
+    return [] if target.state is MemberState.ALIVE else [to_wire_state(target)]
+
+
+def _differs(wire: ttypes.Member, known: Member) -> bool:
+    return wire.node_id == known.node_id and wire.boot_id != known.boot_id
--- /dev/null
+++ b/src/sorrelhoist/decisions/membership_records.py
@@ -0,0 +1,187 @@
+"""The record of one member, its order against others, and its form on the wire."""
+
+from enum import StrEnum
+
+import attrs
+
+from ..messages.gen import ttypes
+
+MAX_TEXT_BYTES = 255
+MAX_MODELS = 64
+MAX_PORT = 65535
+MAX_INCARNATION = 2**62
+FIELD_OVERHEAD_BYTES = 4
+INTEGER_BYTES = 10
+
+
+class MemberState(StrEnum):
+    """What is believed of a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+_RANKS = {state: rank for rank, state in enumerate(MemberState)}
+_STATES = {state.value: state for state in MemberState}
+_TEXTS = (
+    "node_id",
+    "role",
+    "address",
+    "host",
+    "failure_domain",
+    "region",
+    "endpoint",
+    "boot_id",
+    "service_name",
+)
+
+
+@attrs.frozen
+class Address:
+    """Where a process listens.
+
+    Parameters
+    ----------
+    address : str
+        IP number.
+    port : int
+    """
+
+    address: str
+    port: int
+
+
+@attrs.frozen
+class Member:
+    """One process of the system.
+
+    Parameters
+    ----------
+    node_id : str
+        Names the process; a restarted process keeps it.
+    boot_id : str
+        New at each start.
+    incarnation : int
+        Raised only by the process itself, to refute what is said of it.
+    state : MemberState
+    role : str
+        ``entry`` or ``agent``.
+    address : str
+        IP number; empty when only the state is known.
+    peer_port, http_port : int
+    host, failure_domain, region : str
+    endpoint : str
+        Empty for entries.
+    models : tuple of str
+    service_name : str
+        The plain service behind an agent, or empty.
+    """
+
+    node_id: str
+    boot_id: str = ""
+    incarnation: int = 0
+    state: MemberState = MemberState.ALIVE
+    role: str = ""
+    address: str = ""
+    peer_port: int = 0
+    http_port: int = 0
+    host: str = ""
+    failure_domain: str = ""
+    region: str = ""
+    endpoint: str = ""
+    models: tuple[str, ...] = ()
+    service_name: str = ""
+
+    @property
+    def peer_address(self) -> Address:
+        """Where its gossip and its frames go."""
+        return Address(self.address, self.peer_port)
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it is alive, or only suspected."""
+        return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+    @property
+    def order(self) -> tuple[int, int, str]:
+        """The record with the highest order wins in every table."""
+        return (self.incarnation, _RANKS[self.state], self.boot_id)
+
+
+def to_wire(member: Member) -> ttypes.Member:
+    """Make the whole record for the wire."""
+    values = attrs.asdict(member, recurse=False)
+    values["models"] = list(member.models)
+    values["state"] = member.state.value
+    return ttypes.Member(**values)
+
+
+def to_wire_state(member: Member) -> ttypes.Member:
+    """Make a record for the wire that carries the state only."""
+    return ttypes.Member(
+        node_id=member.node_id,
+        incarnation=member.incarnation,
+        boot_id=member.boot_id,
+        state=member.state.value,
+    )
+
+
+def to_wire_update(member: Member) -> ttypes.Member:
+    """Make a record for the wire: whole when alive, else the state only."""
+    if member.state is MemberState.ALIVE:
+        return to_wire(member)
+    return to_wire_state(member)
+
+
+def wire_bytes(member: ttypes.Member) -> int:
+    """Bound the encoded size of a record from above, in bytes."""
+    texts = [getattr(member, name) for name in _TEXTS]
+    texts.append(member.state)
+    texts.extend(member.models or ())
+    size = sum(len(text.encode()) + FIELD_OVERHEAD_BYTES for text in texts if text)
+    return size + 2 * INTEGER_BYTES
+
+
+def from_wire(wire: ttypes.Member) -> Member | None:
+    """Read a record off the wire.
+
+    Parameters
+    ----------
+    wire : ttypes.Member
+        Any values at all: it may come from another release.
+
+    Returns
+    -------
+    Member or None
+        None when the record can't be used.
+    """
+    texts = {name: getattr(wire, name) or "" for name in _TEXTS}
+    state = _STATES.get(wire.state)
+    models = tuple(wire.models or ())
+    incarnation = wire.incarnation or 0
+    ports = (wire.peer_port or 0, wire.http_port or 0)
+    usable = (
+        state is not None
+        and texts["node_id"] != ""
+        and all(_is_text(text) for text in texts.values())
+        and len(models) <= MAX_MODELS
+        and all(_is_text(model) for model in models)
+        and 0 <= incarnation <= MAX_INCARNATION
+        and all(0 <= port <= MAX_PORT for port in ports)
+    )
+    if not usable or state is None:
+        return None
+    return Member(
+        incarnation=incarnation,
+        state=state,
+        peer_port=ports[0],
+        http_port=ports[1],
+        models=models,
+        **texts,
+    )
+
+
+def _is_text(value: object) -> bool:
+    return isinstance(value, str) and len(value.encode()) <= MAX_TEXT_BYTES
