--- /dev/null
+++ b/src/sorrelhoist/decisions/claims.py
@@ -0,0 +1,449 @@
+"""At-most-once calls: the steps of one call, decided one at a time.
+
+A call appends a claim, reads the log through it, and calls the service only if
+the claim won and time is left. The outcome is appended after it.
+
+Rules that keep the effect at most once, whatever pauses, dies or is lost:
+
+- Only the claimant of the winning claim calls, and it calls once.
+- Only the claimant voids its claim, and only if nothing was sent to the service.
+  After a void was asked for, the claimant never calls.
+- A claim without outcome stays. Others wait for the outcome, look the key up
+  where the service offers it, and else say that the call may have run.
+
+``not_run`` is said of the call that is answered: it sent nothing and never will.
+It is left out as soon as another call with the same key is known, or when the
+claim may stand and its void could not be confirmed. A call that is refused
+because the log is down can't know of calls through other agents with the same
+key; sending it again with the same key is safe in every case.
+
+These steps run for every call, and the state is a few fields, so they are plain
+code rather than an interpreted chart.
+"""
+
+import enum
+import random
+from collections.abc import Callable
+
+import attrs
+
+from ..exceptions import (
+    DeadlineExceededError,
+    EndpointFailedError,
+    KeyExpiredError,
+    KeyReusedError,
+    LogUnavailableError,
+    OutcomeUnknownError,
+    OverloadedError,
+    SorrelhoistError,
+)
+from .claims_fold import ClaimFold, Done, Free, Open, Verdict
+from .claims_records import ID_BYTES, Claim, Claimant, Outcome, Void, outcome_of
+from .claims_steps import (
+    Action,
+    AnswerError,
+    AnswerReply,
+    AppendClaim,
+    Appended,
+    AppendOutcome,
+    AppendUnknown,
+    AppendVoid,
+    Begin,
+    CallService,
+    CallUnknown,
+    Event,
+    LookedUp,
+    LookUp,
+    NotAppended,
+    NotReached,
+    OutcomeRead,
+    Progress,
+    ReadOutcome,
+    ReadThrough,
+    Served,
+)
+
+VOID_RESERVE_FRACTION = 0.2
+MAX_VOID_RESERVE_S = 1.0
+CLAIM_RETRY_S = 1.0
+LOOKUP_INTERVAL_S = 1.0
+VOID_RETRY_S = 0.2
+FULL_RETRY_AFTER_S = 30.0
+NOT_REACHED_RETRY_AFTER_S = 1.0
+SAME_KEY = "Send it again with the same idempotency key."
+
+
+class Phase(enum.Enum):
+    """Where a call is; also the key of its step."""
+
+    STARTING = "starting"
+    CLAIMING = "claiming"
+    READING = "reading"
+    CALLING = "calling"
+    VOIDING = "voiding"
+    READING_VOID = "reading_void"
+    WAITING = "waiting"
+    LOOKING_UP = "looking_up"
+    FETCHING = "fetching"
+    RECORDING = "recording"
+    ANSWERED = "answered"
+
+
+def _never_gone(claimant: Claimant) -> bool:
+    return False
+
+
+@attrs.define
+class ClaimProcess:
+    """One call, from its key to its answer.
+
+    Parameters
+    ----------
+    key_hash, fingerprint : bytes
+        Of the call.
+    claimant : Claimant
+        This process.
+    key_made_s : float
+        When the caller made the key, in monotonic seconds of this process.
+    deadline_s : float
+        When the answer must be given, in monotonic seconds.
+    give_up_s : float
+        From here on the service is not called, so that a void can be confirmed.
+    offers_lookup : bool
+        Whether the service answers look-ups by key.
+    rng : random.Random
+        For claim ids.
+    is_gone : callable
+        Tells of a claimant that it is known to have died.
+    """
+
+    key_hash: bytes
+    fingerprint: bytes
+    claimant: Claimant
+    key_made_s: float
+    deadline_s: float
+    give_up_s: float
+    offers_lookup: bool
+    rng: random.Random
+    is_gone: Callable[[Claimant], bool] = _never_gone
+    phase: Phase = Phase.STARTING
+    claim: Claim | None = None
+    _called: bool = False
+    _next_lookup_s: float = 0.0
+    _next_append_s: float = 0.0
+    _maybe_appended: bool = False
+    _offset: int | None = None
+    _cause: SorrelhoistError | None = None
+    _served: Served | None = None
+
+    def advance(self, event: Event, fold: ClaimFold, now_s: float) -> Action:
+        """Take in an event and return the next action.
+
+        Parameters
+        ----------
+        event : Event
+            `Begin` first; then the answer to the action before.
+        fold : ClaimFold
+            Of the service's claims, as far as they were read.
+        now_s : float
+            The present time, in monotonic seconds.
+
+        Returns
+        -------
+        Action
+        """
+        match self.phase, event:
+            case Phase.STARTING, Begin():
+                return self._start(fold, now_s)
+            case Phase.CLAIMING, Appended() | NotAppended() | AppendUnknown():
+                return self._claimed(event, fold, now_s)
+            case Phase.READING, Progress():
+                return self._read(fold, now_s)
+            case Phase.CALLING, Served() | NotReached() | CallUnknown():
+                return self._called_service(event, now_s)
+            case Phase.VOIDING, Appended() | NotAppended() | AppendUnknown():
+                return self._voided(event, fold, now_s)
+            case Phase.READING_VOID, Progress():
+                return self._read_void(fold, now_s)
+            case Phase.WAITING, Progress():
+                return self._wait(fold, now_s)
+            case Phase.LOOKING_UP, LookedUp(served):
+                return self._looked_up(served, fold, now_s)
+            case Phase.FETCHING, OutcomeRead(outcome):
+                return self._fetched(outcome)
+            case Phase.RECORDING, Appended() | NotAppended() | AppendUnknown():
+                return self._recorded(event)
+        raise ValueError(f"{event} can't come while {self.phase.value}.")
+
+    def _start(self, fold: ClaimFold, now_s: float) -> Action:
+        match fold.state(self.key_hash):
+            case Open(claim) if claim.fingerprint != self.fingerprint:
+                return self._key_reused()
+            case Done(_, fingerprint) if fingerprint != self.fingerprint:
+                return self._key_reused()
+            case Done(_, _, offset):
+                return self._fetch(offset)
+            case Open(claim):
+                patience_s = (
+                    0.0 if self.is_gone(claim.claimant) else self._left_s(now_s)
+                )
+                self._next_lookup_s = now_s + patience_s / 2
+                return self._wait(fold, now_s)
+        return self._claim(fold, now_s)
+
+    def _claim(self, fold: ClaimFold, now_s: float) -> Action:
+        if self._called:
+            return self._may_have_run()
+        if not self._covered(fold, now_s):
+            return self._error(_not_covered())
+        if now_s >= self.give_up_s:
+            return self._error(_too_late(not_run=True))
+        if fold.full:
+            return self._error(_index_full())
+        claim_id = self.rng.randbytes(ID_BYTES)
+        self.claim = Claim(self.key_hash, self.fingerprint, claim_id, self.claimant)
+        self._offset = None
+        self._maybe_appended = False
+        self.phase = Phase.CLAIMING
+        return AppendClaim(self.claim)
+
+    def _claimed(self, event: Event, fold: ClaimFold, now_s: float) -> Action:
+        match event:
+            case NotAppended(reason, retry_after_s) if not self._maybe_appended:
+                return self._error(_log_down(reason, retry_after_s))
+            case Appended(offset):
+                self._offset = offset
+        self._maybe_appended = True
+        self._next_append_s = now_s + CLAIM_RETRY_S
+        self.phase = Phase.READING
+        return self._read(fold, now_s)
+
+    def _read(self, fold: ClaimFold, now_s: float) -> Action:
+        assert self.claim is not None
+        match fold.verdict(self.claim):
+            case Verdict.WON:
+                return self._won(fold, now_s)
+            case Verdict.LOST:
+                return self._start(fold, now_s)
+        if now_s >= self.give_up_s:
+            return self._void(_too_late(not_run=True))
+        if self._offset is not None:
+            return ReadThrough(self._offset, self.give_up_s)
+        if now_s >= self._next_append_s:
+            # The same claim twice in the log counts once.
+            self.phase = Phase.CLAIMING
+            return AppendClaim(self.claim)
+        return ReadThrough(None, min(self.give_up_s, self._next_append_s))
+
+    def _won(self, fold: ClaimFold, now_s: float) -> Action:
+        match fold.state(self.key_hash):
+            case Done(_, _, offset):
+                return self._fetch(offset)
+        if not self._covered(fold, now_s):
+            return self._void(_not_covered())
+        if now_s >= self.give_up_s:
+            return self._void(_too_late(not_run=True))
+        self._called = True
+        self.phase = Phase.CALLING
+        # What is left after it is for the outcome, or for a look-up.
+        return CallService((self.give_up_s + self.deadline_s) / 2 - now_s)
+
+    def _called_service(self, event: Event, now_s: float) -> Action:
+        match event:
+            case Served() as served:
+                return self._record(served)
+            case NotReached(reason):
+                # Nothing was sent, so that the key may be freed again.
+                return self._void(_not_reached(reason))
+        if not self.offers_lookup or now_s >= self.deadline_s:
+            return self._may_have_run()
+        return self._look_up(now_s)
+
+    def _record(self, served: Served) -> Action:
+        assert self.claim is not None
+        self._served = served
+        self.phase = Phase.RECORDING
+        return AppendOutcome(
+            outcome_of(self.claim, served.status, served.content_type, served.body)
+        )
+
+    def _recorded(self, event: Event) -> Action:
+        assert self.claim is not None and self._served is not None
+        served = self._served
+        outcome = outcome_of(
+            self.claim, served.status, served.content_type, served.body
+        )
+        pending = None if isinstance(event, Appended) else outcome
+        return self._reply(served, replayed=not self._called, pending=pending)
+
+    def _void(self, cause: SorrelhoistError) -> Action:
+        assert self.claim is not None
+        self._cause = cause
+        self.phase = Phase.VOIDING
+        return AppendVoid(self._void_record())
+
+    def _voided(self, event: Event, fold: ClaimFold, now_s: float) -> Action:
+        match event:
+            case Appended(offset):
+                self._offset = offset
+            case NotAppended() | AppendUnknown():
+                self._offset = None
+        self._next_append_s = now_s + VOID_RETRY_S
+        self.phase = Phase.READING_VOID
+        return self._read_void(fold, now_s)
+
+    def _read_void(self, fold: ClaimFold, now_s: float) -> Action:
+        assert self.claim is not None and self._cause is not None
+        match fold.verdict(self.claim):
+            case Verdict.VOIDED | Verdict.LOST:
+                return self._void_won(fold)
+        if now_s >= self.deadline_s:
+            return self._error(_too_late(not_run=False), self._void_record())
+        if self._offset is not None:
+            return ReadThrough(self._offset, self.deadline_s)
+        if now_s >= self._next_append_s:
+            self.phase = Phase.VOIDING
+            return AppendVoid(self._void_record())
+        return ReadThrough(None, min(self.deadline_s, self._next_append_s))
+
+    def _void_won(self, fold: ClaimFold) -> Action:
+        assert self._cause is not None
+        match fold.state(self.key_hash):
+            case Free():
+                return self._error(self._cause)
+            case Done(_, fingerprint, offset) if fingerprint == self.fingerprint:
+                return self._fetch(offset)
+        return self._may_have_run()
+
+    def _wait(self, fold: ClaimFold, now_s: float) -> Action:
+        self.phase = Phase.WAITING
+        match fold.state(self.key_hash):
+            case Free():
+                return self._claim(fold, now_s)
+            case Done():
+                return self._start(fold, now_s)
+            case Open(claim):
+                return self._wait_for(claim, now_s)
+
+    def _wait_for(self, holder: Claim, now_s: float) -> Action:
+        gone = holder.claimant != self.claimant and self.is_gone(holder.claimant)
+        if now_s >= self.give_up_s or (gone and not self.offers_lookup):
+            return self._may_have_run()
+        if not self.offers_lookup:
+            return ReadThrough(None, self.give_up_s)
+        if now_s >= self._next_lookup_s:
+            self.claim = holder
+            return self._look_up(now_s)
+        return ReadThrough(None, min(self.give_up_s, self._next_lookup_s))
+
+    def _look_up(self, now_s: float) -> Action:
+        self._next_lookup_s = now_s + LOOKUP_INTERVAL_S
+        self.phase = Phase.LOOKING_UP
+        return LookUp(max(self.deadline_s - now_s, 0.0) / 2)
+
+    def _looked_up(
+        self, served: Served | None, fold: ClaimFold, now_s: float
+    ) -> Action:
+        if served is not None:
+            return self._record(served)
+        # None proves nothing: the claimant may be paused right before its call.
+        return self._wait(fold, now_s)
+
+    def _fetch(self, offset: int) -> Action:
+        self.phase = Phase.FETCHING
+        return ReadOutcome(offset)
+
+    def _fetched(self, outcome: Outcome | None) -> Action:
+        if outcome is None:
+            return self._error(OutcomeUnknownError("It ran; its answer can't be read."))
+        if outcome.body is None:
+            return self._error(
+                OutcomeUnknownError(
+                    f"It ran with status {outcome.status}; "
+                    "its answer was too large to keep."
+                )
+            )
+        served = Served(outcome.status, outcome.content_type, outcome.body)
+        return self._reply(served, replayed=True)
+
+    def _covered(self, fold: ClaimFold, now_s: float) -> bool:
+        return fold.covers(now_s - self.key_made_s, now_s)
+
+    def _left_s(self, now_s: float) -> float:
+        return max(self.give_up_s - now_s, 0.0)
+
+    def _key_reused(self) -> Action:
+        return self._error(
+            KeyReusedError("The idempotency key was used for another request.")
+        )
+
+    def _may_have_run(self) -> Action:
+        return self._error(
+            OutcomeUnknownError("A call with this idempotency key may have run.")
+        )
+
+    def _reply(
+        self, served: Served, *, replayed: bool, pending: Outcome | None = None
+    ) -> Action:
+        self.phase = Phase.ANSWERED
+        return AnswerReply(
+            served.status, served.content_type, served.body, replayed, pending
+        )
+
+    def _error(self, error: SorrelhoistError, pending: Void | None = None) -> Action:
+        self.phase = Phase.ANSWERED
+        return AnswerError(error, pending)
+
+    def _void_record(self) -> Void:
+        assert self.claim is not None
+        return Void(self.key_hash, self.claim.claim_id, self.claimant)
+
+
+def give_up_time(now_s: float, deadline_s: float) -> float:
+    """Return from when on a call is too late to reach the service.
+
+    Examples
+    --------
+    >>> give_up_time(0.0, 10.0), give_up_time(0.0, 2.0)
+    (9.0, 1.6)
+    """
+    reserve_s = min(MAX_VOID_RESERVE_S, VOID_RESERVE_FRACTION * (deadline_s - now_s))
+    return deadline_s - reserve_s
+
+
+def _too_late(*, not_run: bool) -> SorrelhoistError:
+    return DeadlineExceededError(
+        "The deadline passed before the service was called.",
+        SAME_KEY,
+        not_run=not_run,
+    )
+
+
+def _not_covered() -> SorrelhoistError:
+    return KeyExpiredError("Claims as old as this idempotency key can't be read.")
+
+
+def _log_down(reason: str, retry_after_s: float) -> SorrelhoistError:
+    return LogUnavailableError(
+        f"The call was not claimed: {reason}",
+        f"{SAME_KEY} Wait for the time in Retry-After first.",
+        not_run=True,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _index_full() -> SorrelhoistError:
+    return OverloadedError(
+        "The service has as many keys as its agents can remember.",
+        not_run=True,
+        retry_after_s=FULL_RETRY_AFTER_S,
+    )
+
+
+def _not_reached(reason: str) -> SorrelhoistError:
+    return EndpointFailedError(
+        f"The service can't be reached: {reason}",
+        SAME_KEY,
+        not_run=True,
+        retry_after_s=NOT_REACHED_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/src/sorrelhoist/decisions/claims_fold.py
@@ -0,0 +1,216 @@
+"""The state of all claims of one service: a fold over its topic.
+
+Every agent of a service folds the same records in the same order and reaches
+the same verdicts. The verdict on a claim is settled by the records up to and
+including it, and by its own claimant's void, so that nobody has to wait for it:
+
+- a claim wins if its key is free at its offset; else it has lost for good;
+- a void frees the key of its claim, or settles a claim that comes later;
+- the first outcome of the claim that holds the key settles the key.
+
+The index holds a hash of each key, not the key, and the offset of each outcome,
+not the outcome. An entry expires by the age of its record. At the default window
+an entry stays for 3,960 seconds, and `DEFAULT_MAX_KEYS` then allows a sustained
+rate of 10 claims a second for each service; over it new claims are refused.
+"""
+
+import enum
+
+import attrs
+
+from .claims_index import AgingIndex
+from .claims_records import Claim, ClaimRecord, Outcome, Void, decode_record
+from .idempotency import KeyWindow
+
+DEFAULT_MAX_KEYS = 40_000
+FIRST_OFFSET = 1
+
+
+@attrs.frozen
+class Free:
+    """No claim holds the key."""
+
+
+@attrs.frozen
+class Open:
+    """A claim holds the key and has no outcome: it may have run."""
+
+    claim: Claim
+
+
+@attrs.frozen
+class Done:
+    """The key's call ran; its outcome is the record at `outcome_offset`."""
+
+    claim_id: bytes
+    fingerprint: bytes
+    outcome_offset: int
+
+
+KeyState = Free | Open | Done
+
+
+class Verdict(enum.Enum):
+    """What the log says of one claim."""
+
+    UNSEEN = "unseen"
+    WON = "won"
+    LOST = "lost"
+    VOIDED = "voided"
+
+
+@attrs.define
+class ClaimFold:
+    """Claims of one service, folded in the order of their offsets.
+
+    Parameters
+    ----------
+    window : KeyWindow
+        How long keys are honoured.
+    max_keys : int
+        New claims are refused while the index holds this many keys. Records in
+        the log are folded all the same: the verdicts don't depend on the bound.
+    next_offset : int
+        The offset of the record that is folded next.
+    """
+
+    window: KeyWindow = attrs.field(factory=KeyWindow)
+    max_keys: int = DEFAULT_MAX_KEYS
+    next_offset: int = FIRST_OFFSET
+    _floor_s: float | None = None
+    _keys: AgingIndex[Open | Done] = attrs.field(init=False)
+    _closed: AgingIndex[Void | Verdict] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._clear()
+
+    def restart(self, from_offset: int, floor_s: float) -> None:
+        """Forget everything and fold from a later offset.
+
+        Parameters
+        ----------
+        from_offset : int
+            The offset of the next record.
+        floor_s : float
+            Claims that were recorded before this time may be missing.
+        """
+        self.next_offset = from_offset
+        self._floor_s = floor_s
+        self._clear()
+
+    def add(self, offset: int, recorded_at_s: float, value: str) -> bool:
+        """Fold one record.
+
+        Parameters
+        ----------
+        offset : int
+            Of the record.
+        recorded_at_s : float
+            When the log took it, in monotonic seconds of this process.
+        value : str
+            The record's text; one that can't be read changes nothing.
+
+        Returns
+        -------
+        bool
+            False if this is not the next record and was left out.
+        """
+        if offset != self.next_offset:
+            return False
+        self.next_offset = offset + 1
+        record = decode_record(value)
+        if record is not None:
+            self._fold(record, offset, recorded_at_s)
+        return True
+
+    def expire(self, now_s: float) -> None:
+        """Drop what no acceptable key can meet any more."""
+        self._keys.expire(now_s)
+        self._closed.expire(now_s)
+
+    def state(self, key_hash: bytes) -> KeyState:
+        """Return what holds a key now."""
+        return self._keys.get(key_hash) or Free()
+
+    def verdict(self, claim: Claim) -> Verdict:
+        """Return what the log has settled about a claim."""
+        match self._closed.get(claim.claim_id):
+            case Verdict() as verdict:
+                return verdict
+            case Void(_, _, claimant) if claimant == claim.claimant:
+                return Verdict.VOIDED
+        if _holder(self._keys.get(claim.key_hash)) == claim.claim_id:
+            return Verdict.WON
+        return Verdict.UNSEEN
+
+    def covers(self, key_age_s: float, now_s: float) -> bool:
+        """Tell whether any claim of a key of this age would have been folded."""
+        if self._floor_s is None:
+            return True
+        return now_s - self._floor_s >= key_age_s + 2 * self.window.skew_s
+
+    @property
+    def full(self) -> bool:
+        """Whether the index is at its bound."""
+        return len(self._keys) + len(self._closed) >= self.max_keys
+
+    def dump(self) -> dict:
+        """Return the state for the process's dump."""
+        return {
+            "next_offset": self.next_offset,
+            "keys": len(self._keys),
+            "closed_claims": len(self._closed),
+            "max_keys": self.max_keys,
+            "floor_s": self._floor_s,
+        }
+
+    def _clear(self) -> None:
+        self._keys = AgingIndex(self.window.retention_s)
+        self._closed = AgingIndex(self.window.retention_s)
+
+    def _fold(self, record: ClaimRecord, offset: int, recorded_at_s: float) -> None:
+        match record:
+            case Claim():
+                self._fold_claim(record, recorded_at_s)
+            case Void():
+                self._fold_void(record, recorded_at_s)
+            case Outcome():
+                self._fold_outcome(record, offset)
+
+    def _fold_claim(self, claim: Claim, recorded_at_s: float) -> None:
+        if self.verdict(claim) is not Verdict.UNSEEN:
+            return
+        # A void of another claimant doesn't count.
+        self._closed.remove(claim.claim_id)
+        if self._keys.get(claim.key_hash) is None:
+            self._keys.add(claim.key_hash, Open(claim), recorded_at_s)
+        else:
+            self._closed.add(claim.claim_id, Verdict.LOST, recorded_at_s)
+
+    def _fold_void(self, void: Void, recorded_at_s: float) -> None:
+        if self._closed.get(void.claim_id) is not None:
+            return
+        match self._keys.get(void.key_hash):
+            case Open(claim) if claim.claim_id == void.claim_id:
+                if claim.claimant == void.claimant:
+                    self._keys.remove(void.key_hash)
+                    self._closed.add(void.claim_id, Verdict.VOIDED, recorded_at_s)
+            case Done(claim_id) if claim_id == void.claim_id:
+                pass
+            case _:
+                self._closed.add(void.claim_id, void, recorded_at_s)
+
+    def _fold_outcome(self, outcome: Outcome, offset: int) -> None:
+        match self._keys.get(outcome.key_hash):
+            case Open(claim) if claim.claim_id == outcome.claim_id:
+                done = Done(claim.claim_id, claim.fingerprint, offset)
+                self._keys.replace(outcome.key_hash, done)
+
+
+def _holder(state: Open | Done | None) -> bytes | None:
+    match state:
+        case Open(claim):
+            return claim.claim_id
+        case Done(claim_id):
+            return claim_id
+    return None
