--- /dev/null
+++ b/src/sorrelhoist/agent/claims.py
@@ -0,0 +1,356 @@
+"""Calls of one plain service, at most once where the service needs it.
+
+Calls with the same key join each other here; between agents the log decides. A
+call that was begun runs to its end even if its caller has gone.
+"""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any, Protocol, TypeVar
+
+import attrs
+from returns.result import Failure, Success
+
+from ..decisions.claims import ClaimProcess, give_up_time
+from ..decisions.claims_fold import DEFAULT_MAX_KEYS, ClaimFold
+from ..decisions.claims_records import Claimant
+from ..decisions.claims_steps import AnswerReply
+from ..decisions.idempotency import (
+    IdempotencyKey,
+    KeyExpired,
+    KeyFromFuture,
+    KeyMalformed,
+    KeyWindow,
+    check_key,
+    fingerprint,
+    key_hash,
+)
+from ..exceptions import (
+    DeadlineExceededError,
+    InvalidRequestError,
+    KeyExpiredError,
+    KeyReusedError,
+    NotReadyError,
+    OutcomeUnknownError,
+    OverloadedError,
+    SorrelhoistError,
+)
+from ..messages.gen import ttypes
+from .claims_appender import AppendLog, GroupAppender
+from .claims_follower import ClaimFollower, ReadLog
+from .claims_pending import PendingRecords
+from .claims_runner import ClaimCounters, ClaimRunner, PlainService, send
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+ANSWER_MARGIN_FRACTION = 0.05
+MAX_ANSWER_MARGIN_S = 0.1
+MAX_CALLS_IN_FLIGHT = 512
+NOT_READY_RETRY_AFTER_S = 1.0
+DEFAULT_DRAIN_S = 30.0
+Answer = TypeVar("Answer")
+
+
+class ClaimLog(AppendLog, ReadLog, Protocol):
+    """The log's client for the topic ``claims.SERVICE``."""
+
+
+@attrs.frozen
+class ServiceTraits:
+    """What the configuration says of the service.
+
+    Parameters
+    ----------
+    at_most_once : bool
+        Calls may not be repeated. Others go straight through.
+    offers_lookup : bool
+        The service answers look-ups by key.
+    window : KeyWindow
+        How long idempotency keys are honoured.
+    max_keys : int
+        The bound of the index of keys.
+    """
+
+    at_most_once: bool = True
+    offers_lookup: bool = False
+    window: KeyWindow = attrs.field(factory=KeyWindow)
+    max_keys: int = DEFAULT_MAX_KEYS
+
+
+@attrs.frozen
+class _Running:
+    fingerprint: bytes
+    answer: "asyncio.Task[AnswerReply]"
+
+
+class ClaimedCalls:
+    """Call one plain service for many callers.
+
+    Use it within ``async with calls.running()``.
+
+    Parameters
+    ----------
+    log : ClaimLog
+        The topic ``claims.SERVICE``.
+    service : PlainService
+        The service beside this agent.
+    claimant : Claimant
+        This process; the boot id must be new for each start.
+    traits : ServiceTraits
+        What the configuration says of the service.
+    rng : random.Random, optional
+        For claim ids and jitter.
+    clock, wall_clock : callable
+        Monotonic seconds, and seconds since 1970.
+    is_gone : callable, optional
+        Tells of a claimant that it is known to have died; only saves waiting.
+    """
+
+    def __init__(
+        self,
+        log: ClaimLog,
+        service: PlainService,
+        claimant: Claimant,
+        traits: ServiceTraits,
+        *,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+        is_gone: Callable[[Claimant], bool] | None = None,
+    ) -> None:
+        self.counters = ClaimCounters()
+        self._service = service
+        self._claimant = claimant
+        self._traits = traits
+        self._rng = rng or random.SystemRandom()
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._is_gone = is_gone or self._is_previous_boot
+        self._appender = GroupAppender(log)
+        fold = ClaimFold(traits.window, traits.max_keys)
+        self._follower = ClaimFollower(log, fold, clock, self._rng)
+        self._pending = PendingRecords(
+            self._appender, traits.window.retention_s, clock, self._rng
+        )
+        self._runner = ClaimRunner(
+            service,
+            self._appender,
+            self._follower,
+            self._pending,
+            self.counters,
+            clock,
+        )
+        self._running: dict[bytes, _Running] = {}
+        self._draining = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether all claims of the window were read."""
+        return not self._traits.at_most_once or self._follower.ready
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator["ClaimedCalls"]:
+        """Follow the log and append to it; on leaving, stop at once."""
+        tasks: list[asyncio.Task] = []
+        if self._traits.at_most_once:
+            tasks.append(_spawn(self._follower.run()))
+            tasks.append(_spawn(self._appender.run()))
+        try:
+            yield self
+        finally:
+            self._pending.cancel()
+            tasks += [running.answer for running in self._running.values()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def call(self, call: ttypes.ServiceCall) -> ttypes.ServiceReply:
+        """Call the service, at most once for the call's key.
+
+        Parameters
+        ----------
+        call : ServiceCall
+            With the time left in `budget_ms`.
+
+        Returns
+        -------
+        ServiceReply
+            `replayed` is true if another call with this key ran.
+
+        Raises
+        ------
+        SorrelhoistError
+            With `not_run` set if this call sent nothing and never will.
+        """
+        try:
+            return await self._call(call)
+        except OutcomeUnknownError:
+            self.counters.unknown += 1
+            raise
+        except SorrelhoistError as error:
+            self.counters.not_run += error.not_run
+            raise
+
+    async def drain(self, timeout_s: float = DEFAULT_DRAIN_S) -> None:
+        """Refuse new calls; wait for running ones and for pending records."""
+        self._draining = True
+        deadline_s = self._clock() + timeout_s
+        while self._running and self._clock() < deadline_s:
+            answers = {running.answer for running in self._running.values()}
+            await asyncio.wait(answers, timeout=deadline_s - self._clock())
+        await self._pending.drained(max(deadline_s - self._clock(), 0.0))
+
+    def dump(self) -> dict:
+        """Return the state for the process's dump."""
+        return {
+            "ready": self.ready,
+            "fault": self._follower.fault,
+            "draining": self._draining,
+            "running_calls": len(self._running),
+            "pending_records": len(self._pending),
+            "dropped_records": self._pending.dropped,
+            "fold": self._follower.fold.dump(),
+            "appender": self._appender.dump(),
+            "counters": attrs.asdict(self.counters),
+        }
+
+    async def _call(self, call: ttypes.ServiceCall) -> ttypes.ServiceReply:
+        if self._draining:
+            raise NotReadyError("The agent is shutting down.", not_run=True)
+        if not call.path.startswith("/"):
+            raise InvalidRequestError("The path has no leading slash.", not_run=True)
+        deadline_s = self._deadline(call)
+        if not self._traits.at_most_once:
+            return await self._pass_through(call, deadline_s)
+        key = self._checked_key(call)
+        self._check_ready()
+        return await self._join(call, key, deadline_s)
+
+    async def _pass_through(
+        self, call: ttypes.ServiceCall, deadline_s: float
+    ) -> ttypes.ServiceReply:
+        left_s = deadline_s - self._clock()
+        reply = await send(self._service, call, call.idempotency_key, left_s)
+        return ttypes.ServiceReply(reply.status, reply.content_type, reply.body, False)
+
+    def _deadline(self, call: ttypes.ServiceCall) -> float:
+        budget_s = min(call.budget_ms / MS_PER_S, self._traits.window.max_budget_s)
+        if budget_s <= 0:
+            raise DeadlineExceededError("No time is left.", not_run=True)
+        margin_s = min(MAX_ANSWER_MARGIN_S, ANSWER_MARGIN_FRACTION * budget_s)
+        return self._clock() + budget_s - margin_s
+
+    def _checked_key(self, call: ttypes.ServiceCall) -> IdempotencyKey:
+        checked = check_key(
+            call.idempotency_key, self._wall_clock(), self._traits.window
+        )
+        match checked:
+            case Success(key):
+                return key
+            case Failure(KeyMalformed(reason)):
+                raise InvalidRequestError(
+                    f"The idempotency key can't be used: {reason}.",
+                    "Send a UUIDv7 as Idempotency-Key.",
+                )
+            case Failure(KeyExpired(age_s)):
+                raise KeyExpiredError(
+                    f"The idempotency key is {age_s:.0f} seconds old, more than "
+                    f"{self._traits.window.window_s:.0f}."
+                )
+            case Failure(KeyFromFuture(ahead_s)):
+                raise InvalidRequestError(
+                    f"The idempotency key's time is {ahead_s:.0f} seconds ahead.",
+                    "Set the clock that the key was made with.",
+                )
+        raise AssertionError(checked)
+
+    def _check_ready(self) -> None:
+        if not self.ready:
+            raise NotReadyError(
+                f"No call can be claimed yet: {self._follower.fault}.",
+                not_run=True,
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
+            )
+
+    async def _join(
+        self, call: ttypes.ServiceCall, key: IdempotencyKey, deadline_s: float
+    ) -> ttypes.ServiceReply:
+        hashed = key_hash(key)
+        asked = fingerprint(call.workspace, call.method, call.path, call.body or b"")
+        while True:
+            running = self._running.get(hashed)
+            joined = running is not None
+            if running is None:
+                running = self._begin(call, key, hashed, asked, deadline_s)
+            if running.fingerprint != asked:
+                raise KeyReusedError("The idempotency key is in use by another call.")
+            self.counters.joined += joined
+            try:
+                return await self._answer(running, deadline_s, joined)
+            except DeadlineExceededError:
+                # The first caller's time was up; this one may have more.
+                if not joined or self._clock() >= deadline_s:
+                    raise
+
+    def _begin(
+        self,
+        call: ttypes.ServiceCall,
+        key: IdempotencyKey,
+        hashed: bytes,
+        asked: bytes,
+        deadline_s: float,
+    ) -> _Running:
+        if len(self._running) >= MAX_CALLS_IN_FLIGHT:
+            raise OverloadedError(
+                "The agent has too many calls.", not_run=True, retry_after_s=1.0
+            )
+        now_s = self._clock()
+        process = ClaimProcess(
+            key_hash=hashed,
+            fingerprint=asked,
+            claimant=self._claimant,
+            key_made_s=now_s - (self._wall_clock() - key.made_unix_s),
+            deadline_s=deadline_s,
+            give_up_s=give_up_time(now_s, deadline_s),
+            offers_lookup=self._traits.offers_lookup,
+            rng=self._rng,
+            is_gone=self._is_gone,
+        )
+        running = _Running(asked, _spawn(self._runner.run(process, call, key.text)))
+        self._running[hashed] = running
+        running.answer.add_done_callback(lambda task: self._ended(hashed, task))
+        return running
+
+    def _ended(self, hashed: bytes, answer: asyncio.Task) -> None:
+        self._running.pop(hashed, None)
+        if not answer.cancelled():
+            # Its callers may have gone; the error is taken note of here.
+            answer.exception()
+
+    async def _answer(
+        self, running: _Running, deadline_s: float, joined: bool
+    ) -> ttypes.ServiceReply:
+        if joined:
+            left_s = max(deadline_s - self._clock(), 0.0)
+            await asyncio.wait({running.answer}, timeout=left_s)
+            if not running.answer.done():
+                raise OutcomeUnknownError("A call with this key is still running.")
+        reply = await asyncio.shield(running.answer)
+        replayed = reply.replayed or joined
+        self.counters.replays += replayed
+        return ttypes.ServiceReply(
+            reply.status, reply.content_type, reply.body, replayed
+        )
+
+    def _is_previous_boot(self, claimant: Claimant) -> bool:
+        same_node = claimant.node_id == self._claimant.node_id
+        return same_node and claimant.boot_id != self._claimant.boot_id
+
+
+def _spawn(coroutine: Coroutine[Any, Any, Answer]) -> "asyncio.Task[Answer]":
+    return asyncio.get_running_loop().create_task(coroutine)
--- /dev/null
+++ b/src/sorrelhoist/agent/claims_runner.py
@@ -0,0 +1,219 @@
+"""Carry out the actions of one call's process and report what came back."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from ..clients.exceptions import ServiceNotReachedError
+from ..clients.plain_service import PlainReply
+from ..decisions.claims import ClaimProcess
+from ..decisions.claims_records import ClaimRecord, encode_record
+from ..decisions.claims_steps import (
+    Action,
+    AnswerError,
+    AnswerReply,
+    AppendClaim,
+    AppendOutcome,
+    AppendVoid,
+    Begin,
+    CallService,
+    CallUnknown,
+    Event,
+    LookedUp,
+    LookUp,
+    NotReached,
+    OutcomeRead,
+    Progress,
+    ReadOutcome,
+    ReadThrough,
+    Served,
+)
+from ..exceptions import SorrelhoistError
+from ..messages.gen import ttypes
+from .claims_appender import GroupAppender
+from .claims_follower import ClaimFollower
+from .claims_pending import PendingRecords
+
+READ_RETRY_S = 0.2
+
+
+class PlainService(Protocol):
+    """The client of the plain service beside this agent."""
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        key: str,
+        workspace: str,
+        body: bytes,
+        content_type: str,
+        timeout_s: float,
+    ) -> PlainReply:
+        """Send one call, once."""
+        ...
+
+    async def lookup(self, key: str) -> PlainReply | None:
+        """Return the recorded answer of a key, or None."""
+        ...
+
+
+@attrs.define
+class ClaimCounters:
+    """Counters since the start of the process."""
+
+    claims: int = 0
+    voids: int = 0
+    service_calls: int = 0
+    outcomes: int = 0
+    replays: int = 0
+    joined: int = 0
+    unknown: int = 0
+    not_run: int = 0
+
+
+async def send(
+    service: PlainService, call: ttypes.ServiceCall, key: str, timeout_s: float
+) -> PlainReply:
+    """Send a call to the service, once."""
+    return await service.call(
+        call.method,
+        call.path,
+        key,
+        call.workspace,
+        call.body or b"",
+        call.content_type or "",
+        timeout_s,
+    )
+
+
+@attrs.define
+class ClaimRunner:
+    """Runs the processes of all calls.
+
+    Parameters
+    ----------
+    service : PlainService
+        The service beside this agent.
+    appender : GroupAppender
+        Of the topic.
+    follower : ClaimFollower
+        Of the topic.
+    pending : PendingRecords
+        Takes the records that a process leaves behind.
+    counters : ClaimCounters
+        Are counted up here.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    service: PlainService
+    appender: GroupAppender
+    follower: ClaimFollower
+    pending: PendingRecords
+    counters: ClaimCounters
+    clock: Callable[[], float]
+
+    async def run(
+        self, process: ClaimProcess, call: ttypes.ServiceCall, key: str
+    ) -> AnswerReply:
+        """Run a process to its answer.
+
+        Parameters
+        ----------
+        process : ClaimProcess
+            Not begun yet.
+        call : ServiceCall
+            What to send to the service.
+        key : str
+            The call's idempotency key in canonical form.
+
+        Returns
+        -------
+        AnswerReply
+
+        Raises
+        ------
+        SorrelhoistError
+            The error that the process answers with.
+        """
+        event: Event = Begin()
+        while True:
+            action = process.advance(event, self.follower.fold, self.clock())
+            match action:
+                case AnswerReply(pending=pending):
+                    self._leave_behind(pending)
+                    return action
+                case AnswerError(error, pending):
+                    self._leave_behind(pending)
+                    raise error
+            # Nothing may come between the decision to call and the call.
+            event = await self._carry_out(action, process, call, key)
+
+    async def _carry_out(
+        self,
+        action: Action,
+        process: ClaimProcess,
+        call: ttypes.ServiceCall,
+        key: str,
+    ) -> Event:
+        match action:
+            case AppendClaim(claim):
+                self.counters.claims += 1
+                return await self._append(claim, process.give_up_s)
+            case AppendVoid(void):
+                self.counters.voids += 1
+                return await self._append(void, process.deadline_s)
+            case AppendOutcome(outcome):
+                self.counters.outcomes += 1
+                return await self._append(outcome, process.deadline_s)
+            case ReadThrough(offset, until_s):
+                await self.follower.progress(offset, until_s)
+                return Progress()
+            case CallService(timeout_s):
+                return await self._call_service(call, key, timeout_s)
+            case LookUp(timeout_s):
+                return await self._look_up(key, timeout_s)
+            case ReadOutcome(offset):
+                return await self._read_outcome(offset, process.deadline_s)
+        raise AssertionError(action)
+
+    async def _append(self, record: ClaimRecord, until_s: float) -> Event:
+        return await self.appender.append(encode_record(record), until_s - self.clock())
+
+    async def _call_service(
+        self, call: ttypes.ServiceCall, key: str, timeout_s: float
+    ) -> Event:
+        self.counters.service_calls += 1
+        try:
+            sent = send(self.service, call, key, timeout_s)
+            reply = await asyncio.wait_for(sent, timeout_s)
+        except ServiceNotReachedError as error:
+            return NotReached(error.message)
+        except Exception as error:
+            return CallUnknown(str(error))
+        return Served(reply.status, reply.content_type, reply.body)
+
+    async def _look_up(self, key: str, timeout_s: float) -> Event:
+        try:
+            reply = await asyncio.wait_for(self.service.lookup(key), timeout_s)
+        except (SorrelhoistError, TimeoutError, OSError):
+            return LookedUp(None)
+        if reply is None:
+            return LookedUp(None)
+        return LookedUp(Served(reply.status, reply.content_type, reply.body))
+
+    async def _read_outcome(self, offset: int, until_s: float) -> Event:
+        while (left_s := until_s - self.clock()) > 0:
+            try:
+                read = self.follower.read_outcome(offset)
+                return OutcomeRead(await asyncio.wait_for(read, left_s))
+            except (SorrelhoistError, TimeoutError):
+                await asyncio.sleep(min(READ_RETRY_S, left_s))
+        return OutcomeRead(None)
+
+    def _leave_behind(self, record: ClaimRecord | None) -> None:
+        if record is not None:
+            self.pending.add(encode_record(record))
--- a/src/sorrelhoist/decisions/claims.py
+++ b/src/sorrelhoist/decisions/claims.py
@@ -27,16 +27,8 @@
 
 import attrs
 
-from ..exceptions import (
-    DeadlineExceededError,
-    EndpointFailedError,
-    KeyExpiredError,
-    KeyReusedError,
-    LogUnavailableError,
-    OutcomeUnknownError,
-    OverloadedError,
-    SorrelhoistError,
-)
+from ..exceptions import SorrelhoistError
+from . import claims_errors as errors
 from .claims_fold import ClaimFold, Done, Free, Open, Verdict
 from .claims_records import ID_BYTES, Claim, Claimant, Outcome, Void, outcome_of
 from .claims_steps import (
@@ -68,9 +60,6 @@
 CLAIM_RETRY_S = 1.0
 LOOKUP_INTERVAL_S = 1.0
 VOID_RETRY_S = 0.2
-FULL_RETRY_AFTER_S = 30.0
-NOT_REACHED_RETRY_AFTER_S = 1.0
-SAME_KEY = "Send it again with the same idempotency key."
 
 
 class Phase(enum.Enum):
@@ -195,11 +184,11 @@
         if self._called:
             return self._may_have_run()
         if not self._covered(fold, now_s):
-            return self._error(_not_covered())
+            return self._error(errors.not_covered())
         if now_s >= self.give_up_s:
-            return self._error(_too_late(not_run=True))
+            return self._error(errors.too_late(not_run=True))
         if fold.full:
-            return self._error(_index_full())
+            return self._error(errors.index_full())
         claim_id = self.rng.randbytes(ID_BYTES)
         self.claim = Claim(self.key_hash, self.fingerprint, claim_id, self.claimant)
         self._offset = None
@@ -210,7 +199,7 @@
     def _claimed(self, event: Event, fold: ClaimFold, now_s: float) -> Action:
         match event:
             case NotAppended(reason, retry_after_s) if not self._maybe_appended:
-                return self._error(_log_down(reason, retry_after_s))
+                return self._error(errors.log_down(reason, retry_after_s))
             case Appended(offset):
                 self._offset = offset
         self._maybe_appended = True
@@ -226,7 +215,7 @@
             case Verdict.LOST:
                 return self._start(fold, now_s)
         if now_s >= self.give_up_s:
-            return self._void(_too_late(not_run=True))
+            return self._void(errors.too_late(not_run=True))
         if self._offset is not None:
             return ReadThrough(self._offset, self.give_up_s)
         if now_s >= self._next_append_s:
@@ -240,9 +229,9 @@
             case Done(_, _, offset):
                 return self._fetch(offset)
         if not self._covered(fold, now_s):
-            return self._void(_not_covered())
+            return self._void(errors.not_covered())
         if now_s >= self.give_up_s:
-            return self._void(_too_late(not_run=True))
+            return self._void(errors.too_late(not_run=True))
         self._called = True
         self.phase = Phase.CALLING
         # What is left after it is for the outcome, or for a look-up.
@@ -254,7 +243,7 @@
                 return self._record(served)
             case NotReached(reason):
                 # Nothing was sent, so that the key may be freed again.
-                return self._void(_not_reached(reason))
+                return self._void(errors.not_reached(reason))
         if not self.offers_lookup or now_s >= self.deadline_s:
             return self._may_have_run()
         return self._look_up(now_s)
@@ -298,7 +287,7 @@
             case Verdict.VOIDED | Verdict.LOST:
                 return self._void_won(fold)
         if now_s >= self.deadline_s:
-            return self._error(_too_late(not_run=False), self._void_record())
+            return self._error(errors.too_late(not_run=False), self._void_record())
         if self._offset is not None:
             return ReadThrough(self._offset, self.deadline_s)
         if now_s >= self._next_append_s:
@@ -355,14 +344,9 @@
 
     def _fetched(self, outcome: Outcome | None) -> Action:
         if outcome is None:
-            return self._error(OutcomeUnknownError("It ran; its answer can't be read."))
+            return self._error(errors.answer_lost())
         if outcome.body is None:
-            return self._error(
-                OutcomeUnknownError(
-                    f"It ran with status {outcome.status}; "
-                    "its answer was too large to keep."
-                )
-            )
+            return self._error(errors.answer_too_large(outcome.status))
         served = Served(outcome.status, outcome.content_type, outcome.body)
         return self._reply(served, replayed=True)
 
@@ -373,14 +357,10 @@
         return max(self.give_up_s - now_s, 0.0)
 
     def _key_reused(self) -> Action:
-        return self._error(
-            KeyReusedError("The idempotency key was used for another request.")
-        )
+        return self._error(errors.key_reused())
 
     def _may_have_run(self) -> Action:
-        return self._error(
-            OutcomeUnknownError("A call with this idempotency key may have run.")
-        )
+        return self._error(errors.may_have_run())
 
     def _reply(
         self, served: Served, *, replayed: bool, pending: Outcome | None = None
@@ -409,41 +389,3 @@
     """
     reserve_s = min(MAX_VOID_RESERVE_S, VOID_RESERVE_FRACTION * (deadline_s - now_s))
     return deadline_s - reserve_s
-
-
-def _too_late(*, not_run: bool) -> SorrelhoistError:
-    return DeadlineExceededError(
-        "The deadline passed before the service was called.",
-        SAME_KEY,
-        not_run=not_run,
-    )
-
-
-def _not_covered() -> SorrelhoistError:
-    return KeyExpiredError("Claims as old as this idempotency key can't be read.")
-
-
-def _log_down(reason: str, retry_after_s: float) -> SorrelhoistError:
-    return LogUnavailableError(
-        f"The call was not claimed: {reason}",
-        f"{SAME_KEY} Wait for the time in Retry-After first.",
-        not_run=True,
-        retry_after_s=retry_after_s,
-    )
-
-
-def _index_full() -> SorrelhoistError:
-    return OverloadedError(
-        "The service has as many keys as its agents can remember.",
-        not_run=True,
-        retry_after_s=FULL_RETRY_AFTER_S,
-    )
-
-
-def _not_reached(reason: str) -> SorrelhoistError:
-    return EndpointFailedError(
-        f"The service can't be reached: {reason}",
-        SAME_KEY,
-        not_run=True,
-        retry_after_s=NOT_REACHED_RETRY_AFTER_S,
-    )
--- a/src/sorrelhoist/decisions/idempotency.py
+++ b/src/sorrelhoist/decisions/idempotency.py
@@ -88,7 +88,7 @@
     ahead_s: float
 
 
-KeyError_ = KeyMalformed | KeyExpired | KeyFromFuture
+KeyFault = KeyMalformed | KeyExpired | KeyFromFuture
 
 
 def parse_key(text: str) -> Result[IdempotencyKey, KeyMalformed]:
@@ -123,7 +123,7 @@
 
 def check_key(
     text: str, now_unix_s: float, window: KeyWindow
-) -> Result[IdempotencyKey, KeyError_]:
+) -> Result[IdempotencyKey, KeyFault]:
     """Parse a key and check its time against the window.
 
     Parameters
@@ -148,7 +148,7 @@
 
 def _check_age(
     key: IdempotencyKey, age_s: float, window: KeyWindow
-) -> Result[IdempotencyKey, KeyError_]:
+) -> Result[IdempotencyKey, KeyFault]:
     if age_s > window.window_s:
         return Failure(KeyExpired(age_s))
     if age_s < -window.skew_s:
@@ -156,24 +156,27 @@
     return Success(key)
 
 
-def key_hash(workspace: str, key: IdempotencyKey) -> bytes:
-    """Hash a key within its workspace, so that workspaces can't collide.
+def key_hash(key: IdempotencyKey) -> bytes:
+    """Hash a key for the index.
 
     Returns
     -------
     bytes of length HASH_BYTES
     """
-    return _digest(workspace.encode(), key.text.encode())
+    return _digest(key.text.encode())
 
 
-def fingerprint(method: str, path: str, body: bytes) -> bytes:
+def fingerprint(workspace: str, method: str, path: str, body: bytes) -> bytes:
     """Hash what a call asks for, to tell a retry from a reused key.
 
+    The workspace is part of it: another workspace that comes with the same key
+    is told that the key was used, and never gets the answer.
+
     Returns
     -------
     bytes of length HASH_BYTES
     """
-    return _digest(method.upper().encode(), path.encode(), body)
+    return _digest(workspace.encode(), method.upper().encode(), path.encode(), body)
 
 
 def _digest(*parts: bytes) -> bytes:
--- /dev/null
+++ b/tests/virtual_loop.py
@@ -0,0 +1,27 @@
+"""An event loop whose clock jumps to the next timer instead of waiting."""
+
+import asyncio
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self):
+        super().__init__()
+        self._now_s = 1000.0
+        self._real_select = self._selector.select
+        self._selector.select = self._jump
+
+    def time(self):
+        return self._now_s
+
+    def _jump(self, timeout):
+        events = self._real_select(0)
+        if not events:
+            assert timeout is not None, "nothing is left to wait for"
+            self._now_s += timeout
+        return events
+
+
+def run_virtual(main):
+    """Run a coroutine; waiting takes no real time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main)
