--- a/src/sorrelhoist/clients/engine.py
+++ b/src/sorrelhoist/clients/engine.py
@@ -1,42 +1,50 @@
 """Client of a model engine."""
 
-import json
 from collections.abc import AsyncIterator
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
     asynccontextmanager,
 )
-from typing import Any
+from typing import Any, NoReturn
 
-import attrs
-from tornado.httpclient import HTTPError, HTTPRequest
+from tornado.httpclient import HTTPRequest
 
 from .engine_messages import (
-    CacheEvent,
     CacheEvents,
     EngineEnd,
     EngineInventory,
     EngineStatus,
     EngineTokens,
     ExportedCache,
+    Freed,
     HeldImport,
     HeldPart,
-    HeldStream,
     Order,
+    Ordered,
+    StreamLine,
     StreamSpec,
 )
-from .exceptions import EngineRefusedError, EngineUnreachableError
+from .exceptions import (
+    EngineRefusedError,
+    EngineUnreachableError,
+    ExchangeError,
+    NotSentError,
+)
 from .http import (
     NO_TIMEOUT_S,
     REQUEST_TIMEOUT_S,
+    Answer,
+    Refusal,
     decode,
     fetch,
     json_request,
-    streamed,
 )
+from .streaming import streamed
 
+STATUS_OK = 200
 STATUS_NOT_FOUND = 404
+STATUS_ERRORS = 400
 ORDER_TIMEOUT_S = 600.0
 
 EngineItems = AsyncIterator[EngineTokens | EngineEnd]
@@ -50,7 +58,8 @@
     base_url : str
         Without a slash at the end.
     request_timeout_s : float
-        For a call that isn't a stream or an order.
+        For a call that isn't an order, and for the first answer to a stream. What
+        comes between the lines of a stream has no timeout here.
     """
 
     def __init__(
@@ -66,8 +75,7 @@
         ------
         EngineUnreachableError, EngineRefusedError
         """
-        body = await self._call("GET", "/v1/status")
-        return EngineStatus(**_known(EngineStatus, body))
+        return await self._call("GET", "/v1/status", EngineStatus)
 
     def stream(self, spec: StreamSpec) -> AbstractAsyncContextManager[EngineItems]:
         """Start a stream; leaving the context leaves it running on the engine.
@@ -89,7 +97,7 @@
             On entering.
         """
         url = f"{self._base_url}/v1/streams"
-        return self._items(json_request("POST", url, attrs.asdict(spec), NO_TIMEOUT_S))
+        return self._items(json_request("POST", url, spec, NO_TIMEOUT_S))
 
     def resume(
         self, stream_id: str, from_sequence: int
@@ -99,9 +107,7 @@
         Returns and raises as `stream` does.
         """
         url = f"{self._base_url}/v1/streams/{stream_id}?from={from_sequence}"
-        return self._items(
-            json_request("GET", url, request_timeout_s=NO_TIMEOUT_S),
-        )
+        return self._items(json_request("GET", url, timeout_s=NO_TIMEOUT_S))
 
     async def cancel(self, stream_id: str) -> bool:
         """Cancel a stream.
@@ -124,13 +130,7 @@
         ------
         EngineUnreachableError, EngineRefusedError
         """
-        body = await self._call("GET", "/v1/streams")
-        return EngineInventory(
-            boot_id=body["boot_id"],
-            streams=tuple(HeldStream(**item) for item in body["streams"]),
-            parts=tuple(HeldPart(**item) for item in body["parts"]),
-            imports=tuple(HeldImport(**item) for item in body["imports"]),
-        )
+        return await self._call("GET", "/v1/streams", EngineInventory)
 
     async def hold_part(self, stream_id: str, kv_tokens: int) -> None:
         """Hold memory for a prompt that runs on a group of engines.
@@ -141,8 +141,8 @@
             Of the kind ``out_of_memory`` or ``exists``.
         EngineUnreachableError
         """
-        body = {"stream_id": stream_id, "kv_tokens": kv_tokens}
-        await self._call("POST", "/v1/parts", body)
+        part = HeldPart(stream_id, kv_tokens)
+        await self._call("POST", "/v1/parts", HeldPart, part)
 
     async def free_part(self, stream_id: str) -> bool:
         """Free a part; True once the engine holds nothing of it."""
@@ -155,8 +155,8 @@
         ------
         EngineUnreachableError, EngineRefusedError
         """
-        body = await self._call("POST", f"/v1/streams/{stream_id}/export", {})
-        return ExportedCache(**body)
+        path = f"/v1/streams/{stream_id}/export"
+        return await self._call("POST", path, ExportedCache, {})
 
     async def import_cache(self, cache: ExportedCache) -> None:
         """Hold an exported cache until a stream names its handle.
@@ -165,22 +165,27 @@
         ------
         EngineUnreachableError, EngineRefusedError
         """
-        await self._call("POST", "/v1/imports", attrs.asdict(cache))
+        await self._call("POST", "/v1/imports", HeldImport, cache)
 
     async def free_import(self, handle: str) -> bool:
         """Free an imported cache; True once the engine holds nothing of it."""
         return await self._free(f"/v1/imports/{handle}")
 
-    async def order(self, order: Order) -> None:
+    async def order(self, order: Order) -> Ordered:
         """Order the engine to load or unload a model, or to change its role.
 
+        Returns
+        -------
+        Ordered
+            What the engine has loaded now.
+
         Raises
         ------
         EngineRefusedError
             Of the kind ``stale_fencing`` when a higher number was seen.
         EngineUnreachableError
         """
-        await self._call("POST", "/v1/orders", attrs.asdict(order), ORDER_TIMEOUT_S)
+        return await self._call("POST", "/v1/orders", Ordered, order, ORDER_TIMEOUT_S)
 
     async def cache_events(self, from_sequence: int) -> CacheEvents:
         """Return cache events, which come late and with gaps.
@@ -189,77 +194,82 @@
         ------
         EngineUnreachableError, EngineRefusedError
         """
-        body = await self._call("GET", f"/v1/cache-events?from={from_sequence}")
-        events = tuple(CacheEvent(**event) for event in body["events"])
-        return CacheEvents(events, body["next"])
+        path = f"/v1/cache-events?from={from_sequence}"
+        return await self._call("GET", path, CacheEvents)
 
     async def _free(self, path: str) -> bool:
         try:
-            body = await self._call("DELETE", path)
+            return (await self._call("DELETE", path, Freed)).cancelled
         except EngineRefusedError as error:
             if error.status == STATUS_NOT_FOUND:
                 return True
             raise
-        return bool(body.get("cancelled"))
 
     async def _call(
-        self, method: str, path: str, body: Any = None, timeout_s: float | None = None
-    ) -> dict[str, Any]:
+        self,
+        method: str,
+        path: str,
+        kind: type[Answer],
+        body: Any = None,
+        timeout_s: float | None = None,
+    ) -> Answer:
         request = json_request(
             method, self._base_url + path, body, timeout_s or self._request_timeout_s
         )
         try:
             response = await fetch(request)
-        except (HTTPError, OSError) as error:
+            if response.code >= STATUS_ERRORS:
+                _raise_refused(request, response.code, response.body)
+            return decode(response.body, kind)
+        except (ExchangeError, ValueError) as error:
             raise _unreachable(request, error) from error
-        answer = decode(response)
-        if response.code >= 300:
-            raise _refused(request, response.code, answer)
-        return answer
 
     @asynccontextmanager
     async def _items(self, request: HTTPRequest) -> AsyncIterator[EngineItems]:
         async with AsyncExitStack() as stack:
             try:
-                response = await stack.enter_async_context(streamed(request))
-                if response.status != 200:
+                response = await stack.enter_async_context(
+                    streamed(request, self._request_timeout_s)
+                )
+                if response.status != STATUS_OK:
                     answer = b"".join([line async for line in response.lines()])
-                    raise _refused(request, response.status, json.loads(answer))
-            except (HTTPError, OSError, ValueError) as error:
+                    _raise_refused(request, response.status, answer)
+            except (ExchangeError, ValueError) as error:
                 raise _unreachable(request, error) from error
             yield _parsed(request, response.lines())
 
 
 async def _parsed(request: HTTPRequest, lines: AsyncIterator[bytes]) -> EngineItems:
     try:
-        async for line in lines:
-            item = json.loads(line)
-            if item.get("end"):
-                yield EngineEnd(item["total_tokens"], item["finish_reason"])
+        async for data in lines:
+            line = decode(data, StreamLine)
+            if line.end:
+                yield EngineEnd(line.total_tokens, line.finish_reason)
                 return
-            yield EngineTokens(item["sequence"], tuple(item["tokens"]))
-    except (HTTPError, OSError, ValueError) as error:
+            yield EngineTokens(line.sequence, line.tokens)
+    except (ExchangeError, ValueError) as error:
         raise _unreachable(request, error) from error
-    raise _unreachable(request, "the stream stopped without its end")
-
-
-def _known(kind: type, body: dict[str, Any]) -> dict[str, Any]:
-    names = attrs.fields_dict(kind)
-    return {name: value for name, value in body.items() if name in names}
+    raise _unreachable(request, ValueError("the stream stopped without its end"))
 
 
 def _unreachable(
-    request: HTTPRequest, cause: Exception | str
+    request: HTTPRequest, cause: ExchangeError | ValueError
 ) -> EngineUnreachableError:
-    return EngineUnreachableError(f"{request.method} {request.url} failed: {cause}.")
+    if isinstance(cause, ExchangeError):
+        return EngineUnreachableError(
+            cause.message, not_run=isinstance(cause, NotSentError)
+        )
+    return EngineUnreachableError(f"{request.method} {request.url}: {cause}.")
 
 
-def _refused(
-    request: HTTPRequest, status: int, answer: dict[str, Any]
-) -> EngineRefusedError:
-    kind_name = str(answer.get("kind", "unknown"))
-    return EngineRefusedError(
+def _raise_refused(request: HTTPRequest, status: int, answer: bytes) -> NoReturn:
+    """Raise the refusal that an answer names.
+
+    An error that names no kind is no refusal: it is a `ValueError`.
+    """
+    kind_name = decode(answer, Refusal).kind
+    raise EngineRefusedError(
         kind_name,
-        f"{request.method} {request.url} answered {status} {kind_name}.",
+        f"{request.method} {request.url} answered {status} '{kind_name}'.",
         status,
     )
--- a/src/sorrelhoist/clients/engine_messages.py
+++ b/src/sorrelhoist/clients/engine_messages.py
@@ -56,6 +56,17 @@
     finish_reason: str
 
 
+@attrs.frozen
+class StreamLine:
+    """One line of a stream: tokens, or the end."""
+
+    sequence: int = 0
+    tokens: tuple[str, ...] = ()
+    end: bool = False
+    total_tokens: int = 0
+    finish_reason: str = ""
+
+
 @attrs.frozen
 class EngineStatus:
     """The engine's own report, `report_age_ms` old."""
@@ -70,6 +81,7 @@
     prefill_tokens_per_s: float
     report_age_ms: int
     highest_fencing: int
+    role: str = ""
 
 
 @attrs.frozen
@@ -128,6 +140,22 @@
     role: str = ""
 
 
+@attrs.frozen
+class Ordered:
+    """What an engine has loaded after an order."""
+
+    model: str
+    version: str
+    role: str
+
+
+@attrs.frozen
+class Freed:
+    """Whether the engine holds nothing of it any more."""
+
+    cancelled: bool
+
+
 @attrs.frozen
 class CacheEvent:
     """A block of a prompt was stored in the prefix cache, or left it."""
@@ -139,7 +167,7 @@
 
 @attrs.frozen
 class CacheEvents:
-    """Events, and the sequence number to ask for next."""
+    """Events, and the sequence number to ask for `next`."""
 
     events: tuple[CacheEvent, ...]
-    next_sequence: int
+    next: int
--- a/src/sorrelhoist/clients/exceptions.py
+++ b/src/sorrelhoist/clients/exceptions.py
@@ -8,6 +8,27 @@
 )
 
 
+class ExchangeError(SorrelhoistError):
+    """Root of the errors of one HTTP exchange."""
+
+    kind = "exchange"
+    http_status = 502
+
+
+class NotSentError(ExchangeError):
+    """No connection was made: nothing was sent."""
+
+    kind = "not_sent"
+    default_remedy = "Check that the address is right and something listens there."
+
+
+class NoAnswerError(ExchangeError):
+    """There is no whole answer; what was asked may have taken effect."""
+
+    kind = "no_answer"
+    default_remedy = "Find out whether it took effect before sending it again."
+
+
 class EngineError(SorrelhoistError):
     """Root of the errors of an engine's client."""
 
@@ -17,9 +38,9 @@
 
 
 class EngineUnreachableError(EngineError):
-    """The engine can't be reached, or cut the connection.
+    """The engine can't be reached, cut the connection, or broke the protocol.
 
-    What was asked of it may have taken effect.
+    What was asked of it may have taken effect, unless `not_run` is true.
     """
 
     kind = "engine_unreachable"
--- a/src/sorrelhoist/clients/hosts.py
+++ b/src/sorrelhoist/clients/hosts.py
@@ -1,9 +1,9 @@
 """Client of the platform's list of hosts, which lags."""
 
 import attrs
-from tornado.httpclient import HTTPError
 
 from ..exceptions import PlatformError
+from .exceptions import ExchangeError
 from .http import decode, fetch, json_request
 
 
@@ -35,6 +35,11 @@
     state: str
 
 
+@attrs.frozen
+class _Hosts:
+    hosts: list[PlatformHost]
+
+
 class HostList:
     """Read the platform's list of hosts.
 
@@ -57,7 +62,10 @@
         """
         try:
             response = await fetch(json_request("GET", self._url))
-            hosts = decode(response)["hosts"]
-            return [PlatformHost(**host) for host in hosts]
-        except (HTTPError, OSError, KeyError, TypeError) as error:
-            raise PlatformError(f"The host list does not answer: {error!r}.") from error
+            return decode(response.body, _Hosts).hosts
+        except ExchangeError as error:
+            raise PlatformError(f"No list of hosts: {error.message}") from error
+        except ValueError as error:
+            raise PlatformError(
+                f"Status {response.code} and no list of hosts: {error}."
+            ) from error
--- a/src/sorrelhoist/clients/log.py
+++ b/src/sorrelhoist/clients/log.py
@@ -1,19 +1,23 @@
 """Client of the platform's append-only log."""
 
 import attrs
-from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPResponse
 
 from ..exceptions import LogUnavailableError
 from .exceptions import (
     AppendOutcomeUnknownError,
+    ExchangeError,
     LogRateLimitedError,
+    NoAnswerError,
     OffsetExpiredError,
 )
-from .http import REQUEST_TIMEOUT_S, Exchange, decode, fetch, json_request
+from .http import REQUEST_TIMEOUT_S, Answer, decode, fetch, json_request
 
 RETRY_AFTER_S = 1.0
+STATUS_OK = 200
 STATUS_RANGE_EXPIRED = 416
 STATUS_RATE_LIMITED = 429
+STATUS_UNAVAILABLE = 503
 
 
 @attrs.frozen
@@ -52,6 +56,16 @@
     next_offset: int
 
 
+@attrs.frozen
+class _Append:
+    records: list[str]
+
+
+@attrs.frozen
+class _Expired:
+    first_offset: int
+
+
 class LogClient:
     """Append to and read one topic.
 
@@ -87,11 +101,17 @@
             If nothing was appended.
         """
         request = json_request(
-            "POST", self._url, {"records": values}, self._request_timeout_s
+            "POST", self._url, _Append(values), self._request_timeout_s
         )
-        response = await self._append(request)
-        body = self._checked(response)
-        return Appended(int(body["first_offset"]), int(body["next_offset"]))
+        try:
+            response = await fetch(request)
+        except NoAnswerError as error:
+            raise self._unknown(error.message) from error
+        except ExchangeError as error:
+            raise self._unavailable(error.message) from error
+        if response.code == STATUS_OK:
+            return self._decoded_append(response)
+        raise self._refused(response)
 
     async def read(
         self, from_offset: int, limit: int = 500, wait_s: float = 0.0
@@ -119,53 +139,53 @@
             If the log doesn't answer.
         """
         url = f"{self._url}?from={from_offset}&limit={limit}&wait_s={wait_s}"
-        request = json_request(
-            "GET", url, request_timeout_s=self._request_timeout_s + wait_s
-        )
+        request = json_request("GET", url, timeout_s=self._request_timeout_s + wait_s)
         try:
             response = await fetch(request)
-        except (HTTPError, OSError) as error:
-            raise self._unavailable(str(error)) from error
-        body = self._checked(response)
-        return LogPage(
-            tuple(LogRecord(**record) for record in body["records"]),
-            int(body["first_offset"]),
-            int(body["next_offset"]),
-        )
+        except ExchangeError as error:
+            raise self._unavailable(error.message) from error
+        if response.code != STATUS_OK:
+            raise self._refused(response)
+        return self._decoded(response, LogPage)
 
-    async def _append(self, request: HTTPRequest) -> HTTPResponse:
-        exchange = Exchange()
+    def _decoded_append(self, response: HTTPResponse) -> Appended:
         try:
-            return await exchange.fetch(request)
-        except (HTTPError, OSError) as error:
-            if not exchange.connected:
-                raise self._unavailable(str(error)) from error
-            raise AppendOutcomeUnknownError(
-                f"An append to '{self.topic}' was not answered: {error}."
-            ) from error
-        finally:
-            exchange.close()
-
-    def _checked(self, response: HTTPResponse) -> dict:
-        body = decode(response)
+            return decode(response.body, Appended)
+        except ValueError as error:
+            raise self._unknown(str(error)) from error
+
+    def _decoded(self, response: HTTPResponse, kind: type[Answer]) -> Answer:
+        try:
+            return decode(response.body, kind)
+        except ValueError as error:
+            raise self._unavailable(str(error)) from error
+
+    def _refused(self, response: HTTPResponse) -> LogUnavailableError:
         if response.code == STATUS_RANGE_EXPIRED:
-            raise OffsetExpiredError(
-                int(body["first_offset"]),
-                f"The log '{self.topic}' keeps nothing before {body['first_offset']}.",
+            first_offset = self._decoded(response, _Expired).first_offset
+            return OffsetExpiredError(
+                first_offset,
+                f"The log '{self.topic}' keeps nothing before {first_offset}.",
             )
         if response.code == STATUS_RATE_LIMITED:
-            raise LogRateLimitedError(
+            return LogRateLimitedError(
                 f"The log '{self.topic}' takes no more appends now.",
                 not_run=True,
                 retry_after_s=RETRY_AFTER_S,
             )
-        if response.code != 200 or "next_offset" not in body:
-            raise self._unavailable(f"status {response.code}")
-        return body
+        if response.code == STATUS_UNAVAILABLE:
+            return self._unavailable("it is in an outage")
+        # A status that the interface doesn't name proves nothing.
+        return self._unknown(f"it answered with status {response.code}")
+
+    def _unknown(self, cause: str) -> AppendOutcomeUnknownError:
+        return AppendOutcomeUnknownError(
+            f"It is unknown whether the log '{self.topic}' took it: {cause}"
+        )
 
     def _unavailable(self, cause: str) -> LogUnavailableError:
         return LogUnavailableError(
-            f"The log '{self.topic}' does not answer: {cause}.",
+            f"The log '{self.topic}' does not answer: {cause}",
             not_run=True,
             retry_after_s=RETRY_AFTER_S,
         )
--- a/src/sorrelhoist/clients/plain_service.py
+++ b/src/sorrelhoist/clients/plain_service.py
@@ -1,14 +1,23 @@
 """Client of a plain service, whose calls may not be repeated."""
 
+from urllib.parse import quote
+
 import attrs
-from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPResponse
 
-from .exceptions import ServiceNotReachedError, ServiceOutcomeUnknownError
-from .http import CONNECT_TIMEOUT_S, Exchange, decode, fetch, json_request
+from .exceptions import (
+    ExchangeError,
+    NoAnswerError,
+    ServiceNotReachedError,
+    ServiceOutcomeUnknownError,
+)
+from .http import decode, fetch, json_request, plain_request
 
 KEY_HEADER = "Idempotency-Key"
 WORKSPACE_HEADER = "X-Workspace"
-LOOKUP_TIMEOUT_S = 5.0
+METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
+READ_TIMEOUT_S = 5.0
+STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 
 
@@ -77,16 +86,20 @@
         ServiceOutcomeUnknownError
             If the call may have run and there is no whole answer.
         """
-        request = self._request(method, path, timeout_s)
+        has_body = body or method in METHODS_WITH_BODY
+        request = plain_request(
+            method, self._base_url + path, body if has_body else None, timeout_s
+        )
         request.headers[KEY_HEADER] = key
         request.headers[WORKSPACE_HEADER] = workspace
-        if body or method in ("POST", "PUT", "PATCH"):
-            request.body = body
+        if has_body:
             request.headers["Content-Type"] = content_type
-        response = await self._send(request)
-        return PlainReply(
-            response.code, response.headers.get("Content-Type", ""), response.body
-        )
+        try:
+            return _reply(await fetch(request))
+        except NoAnswerError as error:
+            raise ServiceOutcomeUnknownError(error.message) from error
+        except ExchangeError as error:
+            raise ServiceNotReachedError(error.message, not_run=True) from error
 
     async def lookup(self, key: str) -> PlainReply | None:
         """Return the recorded answer of a key, or None if there is none.
@@ -96,15 +109,12 @@
         ServiceNotReachedError
             If the service doesn't answer, or answers with an error.
         """
-        request = json_request(
-            "GET", f"{self._base_url}/lookup/{key}", None, LOOKUP_TIMEOUT_S
-        )
-        response = await self._read(request)
+        response = await self._read(f"/lookup/{quote(key, safe='')}")
         if response.code == STATUS_NOT_FOUND:
             return None
-        if response.code != 200:
+        if response.code != STATUS_OK:
             raise ServiceNotReachedError(f"A look-up answered {response.code}.")
-        return PlainReply(200, response.headers.get("Content-Type", ""), response.body)
+        return _reply(response)
 
     async def status(self) -> PlainStatus:
         """Return the service's own report.
@@ -114,42 +124,22 @@
         ServiceNotReachedError
             If the service doesn't answer.
         """
-        request = self._request("GET", "/status", LOOKUP_TIMEOUT_S)
-        body = decode(await self._read(request))
-        if "boot_id" not in body:
-            raise ServiceNotReachedError("The service's status can't be read.")
-        return PlainStatus(str(body["boot_id"]), str(body["state"]))
-
-    def _request(self, method: str, path: str, timeout_s: float) -> HTTPRequest:
-        return HTTPRequest(
-            self._base_url + path,
-            method=method,
-            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
-            request_timeout=timeout_s,
-            allow_nonstandard_methods=True,
-            follow_redirects=False,
-            decompress_response=False,
-        )
-
-    async def _send(self, request: HTTPRequest) -> HTTPResponse:
-        exchange = Exchange()
+        response = await self._read("/status")
         try:
-            return await exchange.fetch(request)
-        except (HTTPError, OSError) as error:
-            if not exchange.connected:
-                raise ServiceNotReachedError(
-                    f"The service can't be reached: {error}.", not_run=True
-                ) from error
-            raise ServiceOutcomeUnknownError(
-                f"The service did not answer: {error}."
+            return decode(response.body, PlainStatus)
+        except ValueError as error:
+            raise ServiceNotReachedError(
+                f"Status {response.code} and no report: {error}."
             ) from error
-        finally:
-            exchange.close()
 
-    async def _read(self, request: HTTPRequest) -> HTTPResponse:
+    async def _read(self, path: str) -> HTTPResponse:
+        request = json_request("GET", self._base_url + path, None, READ_TIMEOUT_S)
         try:
             return await fetch(request)
-        except (HTTPError, OSError) as error:
-            raise ServiceNotReachedError(
-                f"The service can't be reached: {error}."
-            ) from error
+        except ExchangeError as error:
+            raise ServiceNotReachedError(error.message) from error
+
+
+def _reply(response: HTTPResponse) -> PlainReply:
+    content_type = response.headers.get("Content-Type", "")
+    return PlainReply(response.code, content_type, response.body)
--- a/src/sorrelhoist/clients/weights.py
+++ b/src/sorrelhoist/clients/weights.py
@@ -1,10 +1,10 @@
 """Client of the platform's rate-limited weight store."""
 
 import attrs
-from tornado.httpclient import HTTPError
+from tornado.httpclient import HTTPResponse
 
 from ..exceptions import PlatformError
-from .exceptions import WeightsRateLimitedError
+from .exceptions import ExchangeError, WeightsRateLimitedError
 from .http import decode, fetch, json_request
 
 STATUS_RATE_LIMITED = 429
@@ -21,6 +21,11 @@
     size_bytes: int
 
 
+@attrs.frozen
+class _Handed:
+    bytes: int
+
+
 class WeightStore:
     """Load weights.
 
@@ -44,21 +49,26 @@
             If the store doesn't answer.
         """
         url = f"{self._url}/{model}/{version}"
-        request = json_request("GET", url, request_timeout_s=LOAD_TIMEOUT_S)
+        request = json_request("GET", url, timeout_s=LOAD_TIMEOUT_S)
         try:
             response = await fetch(request)
-        except (HTTPError, OSError) as error:
+        except ExchangeError as error:
+            raise PlatformError(f"No weights: {error.message}") from error
+        if response.code == STATUS_RATE_LIMITED:
+            raise _rate_limited(response, f"{model} {version}")
+        try:
+            size_bytes = decode(response.body, _Handed).bytes
+        except ValueError as error:
             raise PlatformError(
-                f"The weight store does not answer: {error}."
+                f"Status {response.code} and no weights: {error}."
             ) from error
-        if response.code == STATUS_RATE_LIMITED:
-            raise WeightsRateLimitedError(
-                f"The weight store is over its rate for {model} {version}.",
-                not_run=True,
-                retry_after_s=float(
-                    response.headers.get("Retry-After", DEFAULT_RETRY_AFTER_S)
-                ),
-            )
-        if response.code != 200:
-            raise PlatformError(f"The weight store answered {response.code}.")
-        return Weights(model, version, int(decode(response)["bytes"]))
+        return Weights(model, version, size_bytes)
+
+
+def _rate_limited(response: HTTPResponse, what: str) -> WeightsRateLimitedError:
+    retry_after_s = response.headers.get("Retry-After", DEFAULT_RETRY_AFTER_S)
+    return WeightsRateLimitedError(
+        f"The weight store is over its rate; {what} was not loaded.",
+        not_run=True,
+        retry_after_s=float(retry_after_s),
+    )
