--- a/src/sorrelhoist/clients/log.py
+++ b/src/sorrelhoist/clients/log.py
@@ -1,5 +1,7 @@
 """Client of the platform's append-only log."""
 
+from collections.abc import Callable
+
 import attrs
 from tornado.httpclient import HTTPResponse
 
@@ -111,7 +113,7 @@
             raise self._unavailable(error.message) from error
         if response.code == STATUS_OK:
             return self._decoded_append(response)
-        raise self._refused(response)
+        raise self._refused(response, self._unknown)
 
     async def read(
         self, from_offset: int, limit: int = 500, wait_s: float = 0.0
@@ -145,7 +147,7 @@
         except ExchangeError as error:
             raise self._unavailable(error.message) from error
         if response.code != STATUS_OK:
-            raise self._refused(response)
+            raise self._refused(response, self._unavailable)
         return self._decoded(response, LogPage)
 
     def _decoded_append(self, response: HTTPResponse) -> Appended:
@@ -160,7 +162,9 @@
         except ValueError as error:
             raise self._unavailable(str(error)) from error
 
-    def _refused(self, response: HTTPResponse) -> LogUnavailableError:
+    def _refused(
+        self, response: HTTPResponse, other: Callable[[str], LogUnavailableError]
+    ) -> LogUnavailableError:
         if response.code == STATUS_RANGE_EXPIRED:
             first_offset = self._decoded(response, _Expired).first_offset
             return OffsetExpiredError(
@@ -176,7 +180,7 @@
         if response.code == STATUS_UNAVAILABLE:
             return self._unavailable("it is in an outage")
         # A status that the interface doesn't name proves nothing.
-        return self._unknown(f"it answered with status {response.code}")
+        return other(f"it answered with status {response.code}")
 
     def _unknown(self, cause: str) -> AppendOutcomeUnknownError:
         return AppendOutcomeUnknownError(
--- a/src/sorrelhoist/standins/commands.py
+++ b/src/sorrelhoist/standins/commands.py
@@ -1,7 +1,9 @@
 """Commands that run the stand-ins as processes."""
 
 import asyncio
+import inspect
 import json
+import re
 import signal
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
@@ -26,13 +28,18 @@
 
 def _options_of(kind: type) -> Callable[[Command], Command]:
     """Offer each field of an options class as an option of the command."""
+    helps = _parameter_helps(kind)
 
     def decorate(command: Command) -> Command:
         for field in reversed(attrs.fields(kind)):
             name = field.name.replace("_", "-")
             flag = f"--{name}/--no-{name}" if field.type is bool else f"--{name}"
             command = click.option(
-                flag, type=field.type, default=field.default, show_default=True
+                flag,
+                type=field.type,
+                default=field.default,
+                show_default=True,
+                help=helps.get(field.name),
             )(command)
         command = click.option("--address", default=LOOPBACK, show_default=True)(
             command
@@ -42,6 +49,17 @@
     return decorate
 
 
+def _parameter_helps(kind: type) -> dict[str, str]:
+    """Read the descriptions of the parameters in a class's docstring."""
+    section = (inspect.getdoc(kind) or "").partition("----------\n")[2]
+    entries = re.findall(r"^(\w[^\n]*?) : [^\n]*\n((?:    [^\n]*\n?)+)", section, re.M)
+    return {
+        name: " ".join(text.split())
+        for names, text in entries
+        for name in names.split(", ")
+    }
+
+
 async def _serve(runner: Runner, options: Any, port: int, address: str) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/sorrelhoist/standins/engine.py
+++ b/src/sorrelhoist/standins/engine.py
@@ -1,20 +1,40 @@
 """The stand-in engine: steps its batch on the loop, dies and comes back."""
 
 import asyncio
+import secrets
 import time
 from random import Random
-from typing import Any
 
 import attrs
 from returns.result import Failure, Result
 
 from . import engine_batch
-from .engine_core import Arrival, Core, Overrun, Refusal, Stream
+from .engine_core import Core, Overrun, Refusal
 from .engine_model import CostModel
-from .engine_options import EngineFaults, EngineOptions
+from .engine_options import EngineFaultChange, EngineFaults, EngineOptions
+from .engine_stream import Arrival, Stream
+from .prefix_cache import PrefixCache
 from .server import MortalServer
+from .web import change
 
-BOOT_ID_BITS = 64
+BOOT_ID_BYTES = 8
+
+
+@attrs.frozen
+class Report:
+    """The engine's status at some time."""
+
+    boot_id: str
+    state: str
+    model: str
+    version: str
+    role: str
+    kv_capacity_tokens: int
+    kv_used_tokens: int
+    running_requests: int
+    prefill_tokens_per_s: float
+    highest_fencing: int
+    report_age_ms: int = 0
 
 
 class Engine:
@@ -43,7 +63,8 @@
         self._thaw = asyncio.Event()
         self._thaw.set()
         self._waiters: dict[Stream, asyncio.Event] = {}
-        self._timers: list[asyncio.TimerHandle] = []
+        self._revival: asyncio.TimerHandle | None = None
+        self._freeze_end: asyncio.TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._report, self._report_at_s = self._snapshot(), self.now_s()
 
@@ -62,11 +83,16 @@
 
     async def stop(self) -> None:
         """Stop for good."""
-        for timer in self._timers:
-            timer.cancel()
+        for timer in (self._revival, self._freeze_end):
+            if timer is not None:
+                timer.cancel()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Readers see a core that isn't theirs, and go.
+        self.core = self._boot(cold=True)
+        self._thaw.set()
+        self.wake(list(self._waiters))
         if self._server is not None:
             await self._server.stop()
 
@@ -94,13 +120,17 @@
         if self._server is not None and self._server.alive:
             self._server.die()
             loop = asyncio.get_running_loop()
-            self._timers = [loop.call_later(self.options.restart_s, self._revive)]
+            self._revival = loop.call_later(self.options.restart_s, self._revive)
+        self._thaw.set()
         self.wake(list(self._waiters))
 
     def freeze(self, freeze_s: float) -> None:
         """Stand still for a while; 0 ends that."""
+        if self._freeze_end is not None:
+            self._freeze_end.cancel()
         self._thaw.clear()
-        asyncio.get_running_loop().call_later(freeze_s, self._thaw.set)
+        loop = asyncio.get_running_loop()
+        self._freeze_end = loop.call_later(freeze_s, self._thaw.set)
 
     async def thawed(self) -> None:
         """Wait until the engine isn't frozen."""
@@ -117,50 +147,80 @@
             if waiter is not None:
                 waiter.set()
 
-    def report(self) -> dict[str, Any]:
+    def load(self, model: str, version: str) -> None:
+        """Replace the model and cut what ran on the old one."""
+        self.wake(self.core.load(model, version, self.now_s()))
+
+    def tend(self) -> None:
+        """Let time have its effects."""
+        self.core.tend(self.now_s())
+
+    def report(self) -> Report:
         """Return the status, as old as the last snapshot."""
         if not self.options.report_lag_s:
-            self._report, self._report_at_s = self._snapshot(), self.now_s()
+            self._take_report()
         age_ms = int((self.now_s() - self._report_at_s) * 1000)
-        return {**self._report, "report_age_ms": age_ms}
+        return attrs.evolve(self._report, report_age_ms=age_ms)
+
+    def strike(self, faults: EngineFaultChange) -> None:
+        """Switch faults on or off."""
+        change(self.faults, faults)
+        if faults.cold:
+            self.core.become_cold(self.now_s())
+        if faults.freeze_s is not None:
+            self.freeze(faults.freeze_s)
+        if faults.die:
+            self.die()
 
     def _boot(self, cold: bool) -> Core:
-        boot_id = f"{self._random.getrandbits(BOOT_ID_BITS):016x}"
-        return Core.boot(boot_id, self.options, cold, self.now_s(), self._random)
+        options = self.options
+        cache = PrefixCache(
+            options.prefix_cache_tokens,
+            options.cache_event_lag_s,
+            options.cache_event_loss,
+            self._random,
+        )
+        boot_id = secrets.token_hex(BOOT_ID_BYTES)
+        return Core(
+            boot_id, options, options.model, options.version, cold, self.now_s(), cache
+        )
 
     def _revive(self) -> None:
         self.core.become_cold(self.now_s())
-        self._report, self._report_at_s = self._snapshot(), self.now_s()
+        self._take_report()
         if self._server is not None:
             self._server.revive()
 
-    def _snapshot(self) -> dict[str, Any]:
+    def _take_report(self) -> None:
+        self._report, self._report_at_s = self._snapshot(), self.now_s()
+
+    def _snapshot(self) -> Report:
         core = self.core
-        return {
-            "boot_id": core.boot_id,
-            "state": "cold" if core.cold else "serving",
-            "model": core.model,
-            "version": core.version,
-            "role": core.role,
-            "kv_capacity_tokens": self.options.kv_capacity_tokens,
-            "kv_used_tokens": core.kv_used_tokens,
-            "running_requests": len(core.running),
-            "prefill_tokens_per_s": self.options.prefill_tokens_per_s,
-            "highest_fencing": core.highest_fencing,
-        }
+        return Report(
+            boot_id=core.boot_id,
+            state="cold" if core.cold else "serving",
+            model=core.model,
+            version=core.version,
+            role=core.role,
+            kv_capacity_tokens=self.options.kv_capacity_tokens,
+            kv_used_tokens=core.kv_used_tokens,
+            running_requests=len(core.running),
+            prefill_tokens_per_s=self.options.prefill_tokens_per_s,
+            highest_fencing=core.highest_fencing,
+        )
 
     async def _report_often(self) -> None:
         while self.options.report_lag_s:
             await asyncio.sleep(self.options.report_lag_s)
             await self.thawed()
-            engine_batch.tend(self.core, self.now_s())
-            self._report, self._report_at_s = self._snapshot(), self.now_s()
+            self.tend()
+            self._take_report()
 
     async def _run(self) -> None:
         while True:
             await self.thawed()
             core = self.core
-            engine_batch.tend(core, self.now_s())
+            self.tend()
             step = engine_batch.plan(core, self.cost, self.faults.slow_factor)
             if step is None:
                 self._work.clear()
@@ -174,14 +234,3 @@
             self.wake(list(applied.moved))
             if applied.fatal:
                 self.die()
-
-
-def apply_faults(engine: Engine, faults: dict[str, Any]) -> None:
-    """Switch faults on or off."""
-    if faults.pop("die", False):
-        engine.die()
-    if faults.pop("cold", False):
-        engine.core.become_cold(engine.now_s())
-    if "freeze_s" in faults:
-        engine.freeze(float(faults.pop("freeze_s")))
-    engine.faults = attrs.evolve(engine.faults, **faults)
--- a/src/sorrelhoist/standins/engine_batch.py
+++ b/src/sorrelhoist/standins/engine_batch.py
@@ -2,8 +2,18 @@
 
 import attrs
 
-from .engine_core import Core, Step, Stream
+from .engine_core import Core
 from .engine_model import CostModel
+from .engine_stream import Stream
+
+
+@attrs.frozen
+class Step:
+    """What the batch does next, and how long that takes."""
+
+    chunks: tuple[tuple[Stream, int], ...]
+    decoding: tuple[Stream, ...]
+    duration_s: float
 
 
 @attrs.frozen
@@ -43,7 +53,7 @@
 
 
 def _batch(core: Core) -> list[Stream]:
-    running = core.running
+    running = list(core.running.values())
     free = core.options.max_running_requests - sum(one.in_batch for one in running)
     waiting = sorted((one for one in running if not one.in_batch), key=_order)
     for stream in waiting[: max(free, 0)]:
@@ -70,9 +80,9 @@
     if stream.started:
         return
     stream.started = True
-    hit_tokens = core.cache.hit_tokens(stream.blocks)
     # The last token is always computed: it gives the first output token.
-    stream.to_prefill_tokens = max(1, stream.to_prefill_tokens - hit_tokens)
+    hit_tokens = min(core.cache.hit_tokens(stream.blocks), stream.context_tokens - 1)
+    stream.computed_tokens = max(stream.computed_tokens, hit_tokens)
 
 
 def apply(core: Core, step: Step, now_s: float) -> Applied:
@@ -86,33 +96,15 @@
         if stream.ended:
             continue
         fatal = fatal or stream.fatal
-        stream.to_prefill_tokens -= tokens
+        stream.computed_tokens += tokens
         if not stream.to_prefill_tokens:
             core.cache.store(stream.blocks, now_s)
     for stream in step.decoding:
         if stream.ended:
             continue
-        if stream.next_index < stream.output_tokens:
-            stream.next_index += 1
-        if stream.next_index >= stream.output_tokens:
-            _complete(core, stream, now_s)
+        if stream.next_sequence < stream.output_tokens:
+            stream.next_sequence += 1
+        if stream.next_sequence >= stream.output_tokens:
+            core.complete(stream, now_s)
         moved.append(stream)
     return Applied(tuple(moved), fatal)
-
-
-def _complete(core: Core, stream: Stream, now_s: float) -> None:
-    core.end(stream, "stop", now_s)
-    if core.cold:
-        core.warm_work_done += 1
-
-
-def tend(core: Core, now_s: float) -> None:
-    """Leave the cold start when it is over; forget streams that ended long ago."""
-    options = core.options
-    warm_by_time = options.warm_s and now_s - core.cold_since_s >= options.warm_s
-    if core.cold and (core.warm_work_done >= options.warm_work or warm_by_time):
-        core.cold = False
-    oldest_s = now_s - options.retain_s
-    for stream in list(core.streams.values()):
-        if stream.ended_at_s is not None and stream.ended_at_s < oldest_s:
-            del core.streams[stream.stream_id]
--- a/src/sorrelhoist/standins/engine_core.py
+++ b/src/sorrelhoist/standins/engine_core.py
@@ -1,21 +1,15 @@
-"""State of the stand-in engine: memory, batch, boot; no input or output.
-
-A `Core` lives from one boot to the next.
-"""
+"""State of the stand-in engine from one boot to the next, with no input or output."""
 
 import json
-from random import Random
+from collections import ChainMap
 
 import attrs
 from returns.result import Failure, Result, Success
 
-from .engine_model import (
-    prompt_digest,
-    prompt_tokens,
-    token_text,
-)
+from .engine_model import token_text
 from .engine_options import EngineOptions
-from .prefix_cache import PrefixCache, block_hashes
+from .engine_stream import Arrival, Stream
+from .prefix_cache import PrefixCache
 
 
 @attrs.frozen
@@ -32,93 +26,34 @@
 
 
 @attrs.frozen
-class Arrival:
-    """A stream as asked for."""
+class Part:
+    """Memory held for a prompt that another engine leads."""
 
     stream_id: str
-    model: str
-    prompt: str
-    output_tokens: int
-    priority: int = 0
-    delivered: tuple[str, ...] = ()
-    group_id: str = ""
-    group_size: int = 1
-    import_handle: str = ""
+    kv_tokens: int
 
 
 @attrs.frozen
-class Import:
-    """An imported cache and what of it is prefilled."""
+class Export:
+    """A stream's cache; `data` is for the importing engine alone."""
 
     handle: str
     kv_tokens: int
-    digest: str
-    prefilled_tokens: int
-
+    data: str
 
-@attrs.define(eq=False)
-class Stream:
-    """One stream, running or ended.
 
-    Parameters
-    ----------
-    rank : int
-        Order of arrival.
-    to_prefill_tokens : int
-        Left to prefill.
-    next_index : int
-        The output token that comes next.
-    kv_tokens : int
-        Memory held; 0 once it has ended.
-    ended_at_s : float, optional
-        When it ended.
-    finish_reason : str
-        ``stop`` or ``cancelled``, once it has ended.
-    """
+@attrs.frozen
+class Import:
+    """An imported cache and what of its prompt it holds."""
 
-    stream_id: str
-    rank: int
-    digest: str
-    blocks: tuple[int, ...]
-    fatal: bool
-    context_tokens: int
-    to_prefill_tokens: int
-    output_tokens: int
-    next_index: int
+    handle: str
     kv_tokens: int
-    priority: int
-    group_size: int
-    started: bool = False
-    in_batch: bool = False
-    ended_at_s: float | None = None
-    finish_reason: str = ""
-
-    @property
-    def ended(self) -> bool:
-        """Whether it makes no more tokens."""
-        return self.ended_at_s is not None
-
-    @property
-    def state(self) -> str:
-        """Its state in one word."""
-        if self.ended:
-            return "ended"
-        if self.to_prefill_tokens:
-            return "prefill" if self.started else "waiting"
-        return "decode"
-
-    def tokens(self, first: int, last: int) -> list[str]:
-        """Return the text of tokens `first` up to, not including, `last`."""
-        return [token_text(index, self.digest) for index in range(first, last)]
+    digest: str
+    prefilled_tokens: int
 
 
-@attrs.frozen
-class Step:
-    """What the batch does next, and how long that takes."""
-
-    chunks: tuple[tuple[Stream, int], ...]
-    decoding: tuple[Stream, ...]
-    duration_s: float
+OUT_OF_MEMORY = Refusal(503, "out_of_memory")
+EXISTS = Refusal(409, "exists")
 
 
 @attrs.define(eq=False)
@@ -132,13 +67,15 @@
     options : EngineOptions
         How the engine is built.
     model, version : str
-        Loaded now.
+        Loaded now; empty when none is.
     cold : bool
         Whether it is in a cold start.
     cold_since_s : float
         When the cold start began.
     cache : PrefixCache
         Of this boot.
+    running, ended : dict of str to Stream
+        By their ids; ended ones can still be read for a while.
     """
 
     boot_id: str
@@ -149,145 +86,117 @@
     cold_since_s: float
     cache: PrefixCache
     role: str = ""
-    loading: bool = False
+    loads_running: int = 0
     highest_fencing: int = 0
-    streams: dict[str, Stream] = attrs.field(factory=dict)
-    parts: dict[str, int] = attrs.field(factory=dict)
+    running: dict[str, Stream] = attrs.field(factory=dict)
+    ended: dict[str, Stream] = attrs.field(factory=dict)
+    parts: dict[str, Part] = attrs.field(factory=dict)
     imports: dict[str, Import] = attrs.field(factory=dict)
     warm_work_done: int = 0
     _next_rank: int = 0
 
-    @classmethod
-    def boot(
-        cls, boot_id: str, options: EngineOptions, cold: bool, now_s: float, rng: Random
-    ) -> "Core":
-        """Start with empty memory."""
-        cache = PrefixCache(
-            options.prefix_cache_tokens,
-            options.cache_event_lag_s,
-            options.cache_event_loss,
-            rng,
-        )
-        return cls(boot_id, options, options.model, options.version, cold, now_s, cache)
+    @property
+    def streams(self) -> "ChainMap[str, Stream]":
+        """Running and ended streams by their ids."""
+        return ChainMap(self.running, self.ended)
 
     @property
     def kv_used_tokens(self) -> int:
         """Memory held by streams, parts and imports."""
-        streams = sum(stream.kv_tokens for stream in self.streams.values())
-        imports = sum(cache.kv_tokens for cache in self.imports.values())
-        return streams + sum(self.parts.values()) + imports
+        holders = (self.running, self.parts, self.imports)
+        return sum(one.kv_tokens for held in holders for one in held.values())
 
     @property
     def kv_free_tokens(self) -> int:
         """Memory left."""
         return self.options.kv_capacity_tokens - self.kv_used_tokens
 
-    @property
-    def running(self) -> list[Stream]:
-        """Streams that have not ended, in the order of their arrival."""
-        return [stream for stream in self.streams.values() if not stream.ended]
-
     def admit(
         self, arrival: Arrival, crash_on_text: str
     ) -> Result[Stream, Refusal | Overrun]:
         """Take a stream into memory, or refuse it."""
-        imported = self.imports.get(arrival.import_handle)
-        digest = prompt_digest(arrival.prompt)
-        refusal = self._refusal(arrival, imported, digest)
+        refusal = self._refusal(arrival)
         if refusal is not None:
             return Failure(refusal)
-        stream = self._stream(arrival, digest, crash_on_text)
-        held_tokens = 0
-        if imported is not None:
-            held_tokens = imported.kv_tokens
-            stream.to_prefill_tokens -= min(
-                imported.prefilled_tokens, stream.to_prefill_tokens
-            )
-        if stream.kv_tokens > self.kv_free_tokens + held_tokens:
-            return Failure(Refusal(503, "out_of_memory"))
+        stream = Stream.from_arrival(arrival, self._next_rank, crash_on_text)
+        imported = self.imports.get(arrival.import_handle)
+        mismatch = _mismatch(stream, arrival, imported)
+        if mismatch is not None:
+            return Failure(mismatch)
+        imported_tokens = imported.kv_tokens if imported else 0
+        if stream.kv_tokens > self.kv_free_tokens + imported_tokens:
+            return Failure(OUT_OF_MEMORY)
         if self.cold and len(self.running) >= self.options.cold_running_requests:
-            return Failure(Overrun())
-        self.imports.pop(arrival.import_handle, None)
-        self.streams[stream.stream_id] = stream
-        return Success(stream)
-
-    def _refusal(
-        self, arrival: Arrival, imported: Import | None, digest: str
-    ) -> Refusal | None:
-        if self.loading:
+            refuses = self.options.cold_refuses
+            return Failure(Refusal(503, "cold") if refuses else Overrun())
+        return Success(self._take(stream, imported))
+
+    def _refusal(self, arrival: Arrival) -> Refusal | None:
+        if self.loads_running:
             return Refusal(503, "loading")
-        if arrival.model != self.model:
+        if not self.model or arrival.model != self.model:
             return Refusal(404, "unknown_model")
         if arrival.stream_id in self.streams:
-            return Refusal(409, "exists")
-        if arrival.import_handle and imported is None:
+            return EXISTS
+        if arrival.import_handle and arrival.import_handle not in self.imports:
             return Refusal(404, "unknown_import")
-        if imported is not None and imported.digest != digest:
-            return Refusal(409, "import_mismatch")
-        delivered = [token_text(i, digest) for i in range(len(arrival.delivered))]
-        if delivered != list(arrival.delivered):
-            return Refusal(409, "delivered_mismatch")
         return None
 
-    def _stream(self, arrival: Arrival, digest: str, crash_on_text: str) -> Stream:
-        tokens = prompt_tokens(arrival.prompt)
-        total_tokens = tokens + arrival.output_tokens
+    def _take(self, stream: Stream, imported: Import | None) -> Stream:
+        if imported is not None:
+            del self.imports[imported.handle]
+            stream.computed_tokens = min(
+                imported.prefilled_tokens, stream.context_tokens
+            )
         self._next_rank += 1
-        return Stream(
-            stream_id=arrival.stream_id,
-            rank=self._next_rank,
-            digest=digest,
-            blocks=block_hashes(arrival.prompt),
-            fatal=bool(crash_on_text) and crash_on_text in arrival.prompt,
-            context_tokens=tokens,
-            to_prefill_tokens=tokens + len(arrival.delivered),
-            output_tokens=arrival.output_tokens,
-            next_index=len(arrival.delivered),
-            kv_tokens=-(-total_tokens // arrival.group_size),
-            priority=arrival.priority,
-            group_size=arrival.group_size,
-        )
-
-    def hold_part(self, stream_id: str, kv_tokens: int) -> Refusal | None:
+        self.running[stream.stream_id] = stream
+        return stream
+
+    def hold_part(self, part: Part) -> Refusal | None:
         """Hold memory for a prompt that another engine leads."""
-        if stream_id in self.parts:
-            return Refusal(409, "exists")
-        if kv_tokens > self.kv_free_tokens:
-            return Refusal(503, "out_of_memory")
-        self.parts[stream_id] = kv_tokens
+        if part.stream_id in self.parts:
+            return EXISTS
+        if part.kv_tokens > self.kv_free_tokens:
+            return OUT_OF_MEMORY
+        self.parts[part.stream_id] = part
         return None
 
-    def export(self, stream: Stream) -> str:
-        """Return the data that `hold_import` of another engine takes."""
-        prefilled_tokens = stream.context_tokens - stream.to_prefill_tokens
-        return json.dumps(
-            {
-                "digest": stream.digest,
-                "prefilled_tokens": max(prefilled_tokens, 0) + stream.next_index,
-            }
-        )
-
-    def hold_import(self, handle: str, kv_tokens: int, data: str) -> Refusal | None:
-        """Hold an exported cache until a stream names it."""
-        if handle in self.imports:
-            return Refusal(409, "exists")
-        if kv_tokens > self.kv_free_tokens:
-            return Refusal(503, "out_of_memory")
-        self.imports[handle] = Import(handle, kv_tokens, **json.loads(data))
+    def export(self, stream: Stream) -> Export:
+        """Export the cache of a running stream, which runs on."""
+        generated_tokens = stream.next_sequence - stream.first_sequence
+        data = {
+            "digest": stream.digest,
+            "prefilled_tokens": stream.computed_tokens + generated_tokens,
+        }
+        handle = f"{self.boot_id}-{stream.stream_id}"
+        return Export(handle, stream.kv_tokens, json.dumps(data))
+
+    def hold_import(self, export: Export) -> Refusal | None:
+        """Hold an exported cache until a stream names its handle."""
+        if export.handle in self.imports:
+            return EXISTS
+        if export.kv_tokens > self.kv_free_tokens:
+            return OUT_OF_MEMORY
+        try:
+            held = Import(export.handle, export.kv_tokens, **json.loads(export.data))
+        except (TypeError, ValueError):
+            return Refusal(400, "invalid")
+        self.imports[held.handle] = held
         return None
 
-    def end(self, stream: Stream, finish_reason: str, now_s: float) -> None:
-        """End a stream and free its memory."""
-        stream.kv_tokens = 0
-        stream.in_batch = False
-        stream.ended_at_s = now_s
-        stream.finish_reason = finish_reason
+    def complete(self, stream: Stream, now_s: float) -> None:
+        """End a stream that has made all its tokens."""
+        stream.end("stop", now_s)
+        self.ended[stream.stream_id] = self.running.pop(stream.stream_id)
+        if self.cold:
+            self.warm_work_done += 1
 
     def cancel(self, stream: Stream, now_s: float) -> None:
         """End a stream, if it runs, and forget it."""
         if not stream.ended:
-            self.end(stream, "cancelled", now_s)
-        self.streams.pop(stream.stream_id, None)
+            stream.end("cancelled", now_s)
+        self.running.pop(stream.stream_id, None)
+        self.ended.pop(stream.stream_id, None)
 
     def become_cold(self, now_s: float) -> None:
         """Begin a cold start."""
@@ -296,8 +205,8 @@
         self.warm_work_done = 0
 
     def load(self, model: str, version: str, now_s: float) -> list[Stream]:
-        """Replace the model; memory is emptied, and running streams are returned."""
-        cut = self.running
+        """Replace the model; memory is emptied, and what ran is returned."""
+        cut = list(self.running.values())
         for stream in cut:
             self.cancel(stream, now_s)
         self.parts.clear()
@@ -305,3 +214,27 @@
         self.model, self.version = model, version
         self.become_cold(now_s)
         return cut
+
+    def tend(self, now_s: float) -> None:
+        """End the cold start when it is over; forget what ended long ago."""
+        options = self.options
+        warm_by_time = options.warm_s and now_s - self.cold_since_s >= options.warm_s
+        if self.warm_work_done >= options.warm_work or warm_by_time:
+            self.cold = False
+        oldest_s = now_s - options.retain_s
+        # Streams end in the order of time, and so do they stand here.
+        for stream in list(self.ended.values()):
+            if stream.ended_at_s is None or stream.ended_at_s >= oldest_s:
+                break
+            del self.ended[stream.stream_id]
+
+
+def _mismatch(
+    stream: Stream, arrival: Arrival, imported: Import | None
+) -> Refusal | None:
+    if imported is not None and imported.digest != stream.digest:
+        return Refusal(409, "import_mismatch")
+    delivered = enumerate(arrival.delivered)
+    if any(text != token_text(index, stream.digest) for index, text in delivered):
+        return Refusal(409, "delivered_mismatch")
+    return None
--- a/src/sorrelhoist/standins/engine_handlers.py
+++ b/src/sorrelhoist/standins/engine_handlers.py
@@ -1,18 +1,47 @@
 """The stand-in engine's HTTP interface."""
 
 import asyncio
-import json
+from collections.abc import Iterable
 from typing import Any
 
+import attrs
 from returns.result import Failure, Success
-from tornado.iostream import StreamClosedError
 from tornado.web import Application
 
-from .engine import Engine, apply_faults
-from .engine_core import Arrival, Overrun, Refusal, Stream
+from .engine import Engine
+from .engine_core import Export, Overrun, Part, Refusal
+from .engine_feed import Feed
+from .engine_options import EngineFaultChange
+from .engine_stream import Arrival, Stream
 from .web import JsonHandler
 
-MAX_LINE_TOKENS = 256
+
+@attrs.frozen
+class Order:
+    """An order; the action tells which of the other fields count."""
+
+    fencing: int
+    action: str
+    model: str = ""
+    version: str = ""
+    role: str = ""
+
+
+@attrs.frozen
+class Held:
+    """What an import holds."""
+
+    handle: str
+    kv_tokens: int
+
+
+@attrs.frozen
+class Ordered:
+    """What is loaded after an order."""
+
+    model: str
+    version: str
+    role: str
 
 
 class EngineHandler(JsonHandler):
@@ -25,6 +54,7 @@
     async def prepare(self) -> None:
         """Wait until the engine isn't frozen."""
         await self.engine.thawed()
+        self.engine.tend()
 
     def stream_of(self, stream_id: str) -> Stream | None:
         """Return a stream, or answer that it is unknown."""
@@ -33,12 +63,12 @@
             self.refuse(404, "unknown_stream")
         return stream
 
-    def answer(self, refusal: Refusal | None, **fields: Any) -> None:
-        """Answer with a refusal, or with fields."""
+    def answer(self, refusal: Refusal | None, answer: Any = None) -> None:
+        """Answer with a refusal, or else with an answer."""
         if refusal is not None:
             self.refuse(refusal.status, refusal.kind)
         else:
-            self.reply(200, **fields)
+            self.reply_with(answer)
 
 
 class StatusHandler(EngineHandler):
@@ -46,78 +76,7 @@
 
     def get(self) -> None:
         """Return the lagging report."""
-        self.reply(200, **self.engine.report())
-
-
-class Feed:
-    """Writes one stream's lines to one reader."""
-
-    def __init__(self, handler: EngineHandler, stream: Stream, position: int) -> None:
-        self.handler = handler
-        self.engine = handler.engine
-        self.core = handler.engine.core
-        self.stream = stream
-        self.position = position
-        self.held: bytes | None = None
-
-    async def run(self) -> None:
-        """Write until the end; a reader that has gone stops it."""
-        try:
-            while not await self._advance():
-                pass
-        except StreamClosedError:
-            return
-
-    async def _advance(self) -> bool:
-        await self.engine.thawed()
-        if self.engine.core is not self.core:
-            self.handler.cut()
-            return True
-        last = min(self.stream.next_index, self.position + MAX_LINE_TOKENS)
-        if self.position < last:
-            return await self._write_tokens(last)
-        if self.stream.ended:
-            await self._write_end()
-            return True
-        await self.engine.moved(self.stream)
-        return False
-
-    async def _write_tokens(self, last: int) -> bool:
-        tokens = self.stream.tokens(self.position, last)
-        line = _line(sequence=self.position, tokens=tokens)
-        self.position = last
-        faults = self.engine.faults
-        if faults.reorder_lines > 0 and self.held is None:
-            faults.reorder_lines -= 1
-            self.held = line
-            return False
-        if faults.duplicate_lines > 0:
-            faults.duplicate_lines -= 1
-            line += line
-        await self._write(line + (self.held or b""))
-        self.held = None
-        if faults.drop_streams > 0:
-            faults.drop_streams -= 1
-            self.handler.cut()
-            return True
-        return False
-
-    async def _write_end(self) -> None:
-        end = _line(
-            end=True,
-            total_tokens=self.stream.next_index,
-            finish_reason=self.stream.finish_reason,
-        )
-        await self._write((self.held or b"") + end)
-        self.handler.finish()
-
-    async def _write(self, data: bytes) -> None:
-        self.handler.write(data)
-        await self.handler.flush()
-
-
-def _line(**fields: Any) -> bytes:
-    return json.dumps(fields).encode() + b"\n"
+        self.reply_with(self.engine.report())
 
 
 class StreamsHandler(EngineHandler):
@@ -126,43 +85,34 @@
     def get(self) -> None:
         """List all that holds memory."""
         core = self.engine.core
-        streams = [
-            {
-                "stream_id": one.stream_id,
-                "kv_tokens": one.kv_tokens,
-                "next_sequence": one.next_index,
-                "state": one.state,
-            }
-            for one in core.streams.values()
-        ]
-        parts = [
-            {"stream_id": stream_id, "kv_tokens": kv_tokens}
-            for stream_id, kv_tokens in core.parts.items()
-        ]
-        imports = [
-            {"handle": one.handle, "kv_tokens": one.kv_tokens}
-            for one in core.imports.values()
-        ]
         self.reply(
-            200, boot_id=core.boot_id, streams=streams, parts=parts, imports=imports
+            200,
+            boot_id=core.boot_id,
+            streams=_listed(
+                core.streams.values(), "stream_id", "next_sequence", "state"
+            ),
+            parts=_listed(core.parts.values(), "stream_id"),
+            imports=_listed(core.imports.values(), "handle"),
         )
 
     async def post(self) -> None:
         """Start a stream and write its lines."""
-        body = self.body()
-        body["delivered"] = tuple(body.get("delivered", ()))
-        arrival = Arrival(**body)
+        arrival = self.body(Arrival)
         match self.engine.admit(arrival):
             case Success(stream):
-                self.set_header("Content-Type", "application/x-ndjson")
-                await self.flush()
-                await Feed(self, stream, len(arrival.delivered)).run()
+                await Feed(self, self.engine, stream, len(arrival.delivered)).run()
             case Failure(Refusal() as refusal):
                 self.answer(refusal)
             case Failure(Overrun()):
                 self.cut()
 
 
+def _listed(held: Iterable[Any], *names: str) -> list[dict[str, Any]]:
+    return [
+        {name: getattr(one, name) for name in ("kv_tokens", *names)} for one in held
+    ]
+
+
 class StreamHandler(EngineHandler):
     """``/v1/streams/ID``."""
 
@@ -170,9 +120,7 @@
         """Write the lines from a sequence number on."""
         stream = self.stream_of(stream_id)
         if stream is not None:
-            self.set_header("Content-Type", "application/x-ndjson")
-            await self.flush()
-            await Feed(self, stream, int(self.get_query_argument("from", "0"))).run()
+            await Feed(self, self.engine, stream, self.number("from", 0)).run()
 
     def delete(self, stream_id: str) -> None:
         """Cancel it."""
@@ -190,16 +138,10 @@
         stream = self.stream_of(stream_id)
         if stream is None:
             return
-        core = self.engine.core
         if stream.ended:
             self.refuse(409, "ended")
-            return
-        self.reply(
-            200,
-            handle=f"{core.boot_id}-{stream_id}",
-            kv_tokens=stream.kv_tokens,
-            data=core.export(stream),
-        )
+        else:
+            self.reply_with(self.engine.core.export(stream))
 
 
 class HoldsHandler(EngineHandler):
@@ -207,12 +149,13 @@
 
     def post(self, kind: str) -> None:
         """Hold memory."""
-        body = self.body()
         core = self.engine.core
         if kind == "parts":
-            self.answer(core.hold_part(**body), held=True)
+            part = self.body(Part)
+            self.answer(core.hold_part(part), part)
         else:
-            self.answer(core.hold_import(**body), held=True)
+            export = self.body(Export)
+            self.answer(core.hold_import(export), Held(export.handle, export.kv_tokens))
 
 
 class HoldHandler(EngineHandler):
@@ -234,31 +177,36 @@
 
     async def post(self) -> None:
         """Obey an order."""
-        body = self.body()
-        fencing = int(body["fencing"])
-        core = self.engine.core
-        if not self._fenced(fencing):
+        order = self.body(Order)
+        if not self._fenced(order.fencing):
             return
-        match body["action"]:
+        match order.action:
             case "load":
-                core.loading = True
-                await asyncio.sleep(self.engine.options.load_s)
-                await self.engine.thawed()
-                core.loading = False
-                if core is not self.engine.core:
-                    self.cut()
-                    return
-                if not self._fenced(fencing):
-                    return
-                self._load(body["model"], body["version"])
+                await self._load(order)
             case "unload":
-                self._load("", "")
+                self.engine.load("", "")
+                self._done()
             case "set_role":
-                core.role = body["role"]
+                self.engine.core.role = order.role
+                self._done()
             case _:
                 self.refuse(400, "unknown_action")
-                return
-        self.reply(200, model=core.model, version=core.version, role=core.role)
+
+    async def _load(self, order: Order) -> None:
+        core = self.engine.core
+        core.loads_running += 1
+        await asyncio.sleep(self.engine.options.load_s)
+        await self.engine.thawed()
+        core.loads_running -= 1
+        if core is not self.engine.core:
+            self.cut()
+        elif self._fenced(order.fencing):
+            self.engine.load(order.model, order.version)
+            self._done()
+
+    def _done(self) -> None:
+        core = self.engine.core
+        self.reply_with(Ordered(core.model, core.version, core.role))
 
     def _fenced(self, fencing: int) -> bool:
         core = self.engine.core
@@ -270,17 +218,13 @@
         core.highest_fencing = fencing
         return True
 
-    def _load(self, model: str, version: str) -> None:
-        cut = self.engine.core.load(model, version, self.engine.now_s())
-        self.engine.wake(cut)
-
 
 class CacheEventsHandler(EngineHandler):
     """``/v1/cache-events``."""
 
     def get(self) -> None:
         """Return the events that can be read by now."""
-        from_sequence = int(self.get_query_argument("from", "1"))
+        from_sequence = self.number("from", 1)
         cache = self.engine.core.cache
         events = cache.events(from_sequence, self.engine.now_s())
         last = events[-1].sequence + 1 if events else from_sequence
@@ -306,9 +250,9 @@
 
     def post(self) -> None:
         """Switch faults on or off."""
-        faults = self.body()
+        faults = self.body(EngineFaultChange)
         self.reply(200)
-        apply_faults(self.engine, faults)
+        self.engine.strike(faults)
 
 
 def engine_application(engine: Engine) -> Application:
--- a/src/sorrelhoist/standins/engine_options.py
+++ b/src/sorrelhoist/standins/engine_options.py
@@ -21,8 +21,18 @@
         Streams in the batch; more wait on the engine.
     start_cold : bool
         Whether the first boot is cold; each later one is.
+    prefill_tokens_per_s : float
+        Of one engine.
+    decode_step_s : float
+        One output token of a batch of one.
+    decode_growth : float
+        Added share of a decode step for each further stream.
     cold_running_requests : int
         More than so many at once kill a cold engine.
+    cold_refuses : bool
+        Whether it refuses what is over that instead.
+    cold_slow_factor : float
+        Steps take so much longer in a cold start.
     warm_work : int
         Requests to complete until a cold engine serves in full.
     warm_s : float
@@ -42,7 +52,7 @@
     retain_s : float
         How long an ended stream can still be read.
     seed : int
-        For boot ids and lost events.
+        Picks the lost events.
     """
 
     model: str = "clown-large"
@@ -56,6 +66,7 @@
     max_running_requests: int = 64
     start_cold: bool = True
     cold_running_requests: int = 2
+    cold_refuses: bool = False
     cold_slow_factor: float = 3.0
     warm_work: int = 8
     warm_s: float = 0.0
@@ -75,8 +86,6 @@
 
     Parameters
     ----------
-    frozen_until_s : float
-        Nothing moves and nothing is answered before.
     slow_factor : float
         Steps take so much longer.
     crash_on_text : str
@@ -89,10 +98,34 @@
         So many lines are sent twice, or after the line that follows.
     """
 
-    frozen_until_s: float = 0.0
     slow_factor: float = 1.0
     crash_on_text: str = ""
     drop_streams: int = 0
     ignore_cancel_count: int = 0
     duplicate_lines: int = 0
     reorder_lines: int = 0
+
+
+@attrs.frozen
+class EngineFaultChange:
+    """What `POST /faults` changes; None leaves a fault as it is.
+
+    Parameters
+    ----------
+    die : bool, optional
+        The engine dies now.
+    cold : bool, optional
+        It falls back into a cold start, with no new boot id.
+    freeze_s : float, optional
+        Nothing moves and nothing is answered for so long; 0 ends that.
+    """
+
+    die: bool | None = None
+    cold: bool | None = None
+    freeze_s: float | None = None
+    slow_factor: float | None = None
+    crash_on_text: str | None = None
+    drop_streams: int | None = None
+    ignore_cancel_count: int | None = None
+    duplicate_lines: int | None = None
+    reorder_lines: int | None = None
--- a/src/sorrelhoist/standins/plain_service.py
+++ b/src/sorrelhoist/standins/plain_service.py
@@ -2,17 +2,16 @@
 
 import asyncio
 import json
+import secrets
 from collections import Counter
-from random import Random
-from typing import Any
 
 import attrs
 from tornado.web import Application
 
 from .server import MortalServer
-from .web import JsonHandler
+from .web import JsonHandler, change
 
-BOOT_ID_BITS = 64
+BOOT_ID_BYTES = 8
 
 
 @attrs.frozen
@@ -27,14 +26,11 @@
         From a death to the next boot.
     cold_s : float
         How long the status says cold after a boot.
-    seed : int
-        For boot ids.
     """
 
     lookup: bool = False
     restart_s: float = 2.0
     cold_s: float = 0.0
-    seed: int = 0
 
 
 @attrs.define
@@ -60,6 +56,33 @@
     refuse_count: int = 0
 
 
+@attrs.frozen
+class PlainServiceFaultChange:
+    """What `POST /faults` changes; None leaves a fault as it is.
+
+    Parameters
+    ----------
+    die : bool, optional
+        The service dies now.
+    """
+
+    die: bool | None = None
+    die_before_effect: bool | None = None
+    die_after_effect: bool | None = None
+    lose_answer_count: int | None = None
+    delay_s: float | None = None
+    refuse_count: int | None = None
+
+
+@attrs.frozen
+class Effect:
+    """The effect of one call; `effect` counts all of the service."""
+
+    effect: int
+    key: str
+    workspace: str
+
+
 class PlainService:
     """One plain service; its effects survive its deaths.
 
@@ -73,9 +96,7 @@
         self.options = options
         self.faults = PlainServiceFaults()
         self.effects: Counter[str] = Counter()
-        self.answers: dict[str, dict[str, Any]] = {}
-        self.workspaces: dict[str, str] = {}
-        self._random = Random(options.seed)
+        self.answers: dict[str, Effect] = {}
         self._server: MortalServer | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._boot()
@@ -98,11 +119,10 @@
         warm_at_s = self._booted_at_s + self.options.cold_s
         return "cold" if asyncio.get_running_loop().time() < warm_at_s else "serving"
 
-    def run(self, key: str, workspace: str) -> dict[str, Any]:
+    def run(self, key: str, workspace: str) -> Effect:
         """Run one effect."""
         self.effects[key] += 1
-        self.workspaces[key] = workspace
-        self.answers[key] = {"effect": self.effects.total(), "key": key}
+        self.answers[key] = Effect(self.effects.total(), key, workspace)
         return self.answers[key]
 
     def die(self) -> None:
@@ -119,7 +139,7 @@
             self._server.revive()
 
     def _boot(self) -> None:
-        self.boot_id = f"{self._random.getrandbits(BOOT_ID_BITS):016x}"
+        self.boot_id = secrets.token_hex(BOOT_ID_BYTES)
         self._booted_at_s = asyncio.get_running_loop().time()
 
 
@@ -158,7 +178,7 @@
             faults.lose_answer_count -= 1
             self.cut()
             return
-        self.reply(200, **answer)
+        self.reply_with(answer)
 
     get = post = put = delete = patch = _call
 
@@ -179,7 +199,7 @@
         if not self.service.options.lookup or key not in self.service.answers:
             self.refuse(404, "unknown")
             return
-        self.reply(200, **self.service.answers[key])
+        self.reply_with(self.service.answers[key])
 
 
 class _StatusHandler(_Handler):
@@ -195,13 +215,10 @@
 
     def post(self) -> None:
         """Switch faults on or off; ``die`` kills the service now."""
-        faults = self.body()
-        dies = faults.pop("die", False)
-        # In place: a call that waits sees the change.
-        for name, value in faults.items():
-            setattr(self.service.faults, name, value)
+        faults = self.body(PlainServiceFaultChange)
+        change(self.service.faults, faults)
         self.reply(200)
-        if dies:
+        if faults.die:
             self.service.die()
 
 
--- a/src/sorrelhoist/standins/platform_log.py
+++ b/src/sorrelhoist/standins/platform_log.py
@@ -81,11 +81,23 @@
         return 0.0
 
 
+@attrs.frozen
+class Host:
+    """One host of the platform's list; `state` is ``live`` or ``leaving``."""
+
+    host: str
+    address: str
+    peer_port: int
+    failure_domain: str
+    role: str
+    state: str
+
+
 @attrs.frozen
 class _Change:
     time_s: float
     host: str
-    entry: dict | None
+    entry: Host | None
 
 
 @attrs.define
@@ -93,13 +105,13 @@
     """The list of hosts, as it was some time ago."""
 
     _changes: "deque[_Change]" = attrs.field(factory=deque)
-    _seen: dict[str, dict] = attrs.field(factory=dict)
+    _seen: dict[str, Host] = attrs.field(factory=dict)
 
-    def change(self, host: str, entry: dict | None, now_s: float) -> None:
+    def change(self, host: str, entry: Host | None, now_s: float) -> None:
         """Set a host's entry, or remove it with None."""
         self._changes.append(_Change(now_s, host, entry))
 
-    def listed(self, until_s: float) -> list[dict]:
+    def listed(self, until_s: float) -> list[Host]:
         """Return the list with the changes made up to a time."""
         while self._changes and self._changes[0].time_s <= until_s:
             change = self._changes.popleft()
--- a/src/sorrelhoist/standins/server.py
+++ b/src/sorrelhoist/standins/server.py
@@ -1,5 +1,6 @@
 """An HTTP server that can die and come back on its port."""
 
+import asyncio
 import socket
 from typing import Any
 
@@ -46,6 +47,8 @@
         sockets = bind_sockets(port, address, backlog=BACKLOG)
         self.port: int = sockets[0].getsockname()[1]
         self._server = self._serve(sockets)
+        self._up = asyncio.Event()
+        self._up.set()
 
     @property
     def url(self) -> str:
@@ -63,6 +66,7 @@
             return
         self._server.stop()
         self._held = self._bound_socket()
+        self._up.clear()
         self._cut()
 
     def revive(self) -> None:
@@ -72,6 +76,11 @@
         held, self._held = self._held, None
         held.listen(BACKLOG)
         self._server = self._serve([held])
+        self._up.set()
+
+    async def up(self) -> None:
+        """Wait until it takes connections."""
+        await self._up.wait()
 
     async def stop(self) -> None:
         """Stop for good."""
--- a/src/sorrelhoist/standins/testing.py
+++ b/src/sorrelhoist/standins/testing.py
@@ -14,7 +14,8 @@
     PlainServiceOptions,
     plain_service_application,
 )
-from .platform import Platform, PlatformOptions, platform_application
+from .platform import Platform, PlatformOptions
+from .platform_handlers import platform_application
 from .server import MortalServer
 
 LOOPBACK = "127.0.0.1"
