--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -160,9 +160,7 @@
             reason = "The agent can't know the configuration in force."
         if not reason:
             return None
-        return NotReadyError(
-            reason, not_run=True, retry_after_s=CLOSED_RETRY_AFTER_S
-        )
+        return NotReadyError(reason, not_run=True, retry_after_s=CLOSED_RETRY_AFTER_S)
 
     def _endpoint_died(self, boot_id: str, fingerprints: list[int]) -> None:
         self.suspicions.endpoint_died(
--- a/src/sorrelhoist/agent/engine.py
+++ b/src/sorrelhoist/agent/engine.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any
 
 import attrs
 from returns.result import Failure, Success
@@ -81,9 +83,7 @@
         """Return the load that rides on every answer."""
         return load_message(self.endpoint, self.ledger.load(self.clock()))
 
-    async def grant(
-        self, request: ttypes.GrantRequest, responder: Responder
-    ) -> None:
+    async def grant(self, request: ttypes.GrantRequest, responder: Responder) -> None:
         """Decide on a request and tell the entry, at once or from the queue."""
         known = self._known(request)
         if known is not None:
@@ -186,7 +186,7 @@
             self.client, run, str(name), self.monitor.is_alive, note_first_token
         )
 
-    def _drive(self, run: Run, work) -> None:
+    def _drive(self, run: Run, work: Coroutine[Any, Any, Ended]) -> None:
         async def drive() -> None:
             ended = await work
             self._ended(run, ended)
@@ -335,7 +335,10 @@
             if grant_id not in self._cancels:
                 task = asyncio.get_running_loop().create_task(self._free(grant_id))
                 self._cancels[grant_id] = task
-                task.add_done_callback(lambda _, g=grant_id: self._cancels.pop(g, None))
+                task.add_done_callback(partial(self._cancel_done, grant_id))
+
+    def _cancel_done(self, grant_id: str, task: asyncio.Task) -> None:
+        self._cancels.pop(grant_id, None)
 
     async def _free(self, grant_id: str) -> None:
         """Cancel once; housekeeping repeats it until the engine confirms."""
--- a/src/sorrelhoist/agent/runs.py
+++ b/src/sorrelhoist/agent/runs.py
@@ -67,7 +67,7 @@
     fingerprint: int
     prompt_tokens: int
     base_sequence: int = 0
-    tokens: list[str] = attrs.field(factory=list, repr=len)
+    tokens: list[str] = attrs.field(factory=list, repr=False)
     outcome: RunEnd | RunFailure | None = None
     ended_s: float | None = None
     has_first_token: bool = False
--- a/src/sorrelhoist/cli.py
+++ b/src/sorrelhoist/cli.py
@@ -3,9 +3,15 @@
 import click
 
 from .__version__ import __version__
+from .commands.roles import agent, entry
+from .standins.commands import standin
 
 
 @click.group()
 @click.version_option(__version__)
 def main() -> None:
     """Serve prompts of very unlike lengths."""
+
+
+for command in (agent, entry, standin):
+    main.add_command(command)
--- /dev/null
+++ b/src/sorrelhoist/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line."""
--- /dev/null
+++ b/src/sorrelhoist/commands/roles.py
@@ -0,0 +1,65 @@
+"""Commands that run the two roles."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import click
+
+from ..exceptions import SettingsError
+from ..node.logs import configure_logging
+from ..settings import Settings, load_settings
+
+EXIT_BAD_SETTINGS = 2
+
+settings_option = click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="YAML file with the settings of this process.",
+)
+
+
+def _load(path: Path, role: str) -> Settings:
+    try:
+        settings = load_settings(path)
+        if settings.role != role:
+            raise SettingsError(
+                f"{path}: role is '{settings.role}'.",
+                f"Start it with 'sorrelhoist {settings.role}'.",
+            )
+    except SettingsError as error:
+        click.echo(f"error: {error}", err=True)
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+    return settings
+
+
+def _run(settings: Settings, role: Callable[[Settings], Awaitable[None]]) -> None:
+    configure_logging(settings.log_level, settings.node_id, settings.role)
+
+    async def main() -> None:
+        await role(settings)
+
+    asyncio.run(main())
+
+
+@click.command()
+@settings_option
+def entry(path: Path) -> None:
+    """Serve callers and operators."""
+    settings = _load(path, "entry")
+    # Each role imports what it needs, to stay small.
+    from ..entry.app import run_entry
+
+    _run(settings, run_entry)
+
+
+@click.command()
+@settings_option
+def agent(path: Path) -> None:
+    """Guard one endpoint."""
+    settings = _load(path, "agent")
+    from ..agent.app import run_agent
+
+    _run(settings, run_agent)
--- a/src/sorrelhoist/decisions/prompts.py
+++ b/src/sorrelhoist/decisions/prompts.py
@@ -35,7 +35,7 @@
     return value - _UNSIGNED_64 if value >= _SIGNED_64_OFFSET else value
 
 
-def profile_prompt(model: str, prompt: str, bytes_per_token: int) -> PromptProfile:
+def profile_prompt(model: str, prompt: str, bytes_per_token: float) -> PromptProfile:
     """Profile a prompt.
 
     Parameters
@@ -56,13 +56,13 @@
     """
     data = prompt.encode()
     running = xxhash.xxh3_64(model.encode())
-    hashes = []
+    hashes: list[int] = []
     for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
         if len(hashes) == MAX_PREFIX_BLOCKS:
             break
         running.update(data[start : start + BLOCK_BYTES])
         hashes.append(_signed(running.intdigest()))
-    fingerprint = xxhash.xxh3_64(data, seed=xxhash.xxh32_intdigest(model))
+    fingerprint = xxhash.xxh3_64(data, seed=xxhash.xxh32_intdigest(model.encode()))
     return PromptProfile(
         prompt_tokens=math.ceil(len(data) / bytes_per_token),
         fingerprint=_signed(fingerprint.intdigest()),
--- a/src/sorrelhoist/decisions/routing.py
+++ b/src/sorrelhoist/decisions/routing.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -171,7 +171,9 @@
         start = self._turn % len(ordered)
         return (ordered[start:] + ordered[:start])[:MAX_CANDIDATES]
 
-    def _fewest(self, targets: Sequence[Target], measure) -> list[Target]:
+    def _fewest(
+        self, targets: Sequence[Target], measure: Callable[[str], int]
+    ) -> list[Target]:
         ordered = sorted(
             targets, key=lambda target: (measure(target.endpoint), self.rng.random())
         )
--- a/src/sorrelhoist/decisions/streams.py
+++ b/src/sorrelhoist/decisions/streams.py
@@ -91,8 +91,7 @@
     def is_whole(self, end: ttypes.StreamEnd) -> bool:
         """Tell whether the answer is complete according to its end."""
         return (
-            end.request_id == self.request_id
-            and end.total_tokens == self.next_sequence
+            end.request_id == self.request_id and end.total_tokens == self.next_sequence
         )
 
 
--- a/src/sorrelhoist/entry/answers.py
+++ b/src/sorrelhoist/entry/answers.py
@@ -66,12 +66,12 @@
 
 
 def event(data: str, event_id: str) -> str:
-    """Return one server-sent event.
+    r"""Return one server-sent event.
 
     Examples
     --------
     >>> event("{}", "s.3")
-    'id: s.3\\ndata: {}\\n\\n'
+    'id: s.3\ndata: {}\n\n'
     """
     return f"id: {event_id}\ndata: {data}\n\n"
 
--- /dev/null
+++ b/src/sorrelhoist/entry/app.py
@@ -0,0 +1,301 @@
+"""The entry process: callers' and operators' HTTP."""
+
+import asyncio
+import logging
+import time
+import uuid
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, URLSpec
+
+from ..decisions.documents import Model, Workspace
+from ..decisions.prompts import PromptProfile, profile_prompt
+from ..decisions.retries import RetryBudget
+from ..decisions.routing import ExpectedFirstToken, Router, RouteRequest
+from ..decisions.suspicion import SuspicionTable
+from ..exceptions import (
+    InvalidRequestError,
+    PeerError,
+    PermissionDeniedError,
+    UnknownModelError,
+)
+from ..messages.gen import ttypes
+from ..node.dump import dump_route
+from ..node.gossip import GossipHooks
+from ..node.health import health_routes
+from ..node.metrics import EntryMetrics
+from ..node.peers import Responder
+from ..node.process import NodeProcess
+from ..node.signals import stop_requested
+from ..settings import Settings
+from .calls import AgentCaller
+from .completions import CompletionHandler, ModelsHandler, StreamHandler
+from .fleet import Fleet
+from .generation import Generation, GenerationTools
+from .grants import Ask, GrantSeeker
+from .groups import GroupReserver
+from .http import UnknownPathHandler
+from .leases import LeaseKeeper
+from .placement import Placer
+from .requests import GenerationRequest
+from .service_calls import ServiceHandler
+from .services import ServiceRouter
+
+logger = logging.getLogger(__name__)
+
+MAX_HTTP_BODY_BYTES = 1 << 40  # the handlers keep to their own, lower limit
+DRAIN_CHECK_INTERVAL_S = 0.1
+
+
+class Entry:
+    """Owns the state of an entry.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of an entry.
+    clock : callable, optional
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self, settings: Settings, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.suspicions = SuspicionTable()
+        hooks = GossipHooks(
+            suspicions=lambda: self.suspicions.to_spread(self.clock()),
+            on_suspicions=lambda heard: self.suspicions.merge(heard, self.clock()),
+        )
+        self.process = NodeProcess(settings, hooks, clock)
+        self.metrics = EntryMetrics.create(self.process.metrics.meter)
+        self.fleet = Fleet(
+            self._configuration,
+            self.process.members,
+            lambda: self.process.leaving_hosts,
+        )
+        self.router = Router(ExpectedFirstToken(), self.process.rng)
+        self.retries = RetryBudget()
+        self.services = ServiceRouter(self.fleet, self.process.pool, clock)
+        self.leases = LeaseKeeper(settings.node_id, self.process.pool, settings.lease_s)
+        self._tools = self._make_tools()
+        self.running_requests = 0
+        self.is_leaving = False
+
+    def _configuration(self):
+        replica = self.process.replica
+        return replica.configuration if replica.is_ready else None
+
+    def _make_tools(self) -> GenerationTools:
+        caller = AgentCaller(self.process.pool)
+        seeker = GrantSeeker(self.router, caller.ask, self.fleet.address_of, self.clock)
+        placer = Placer(
+            fleet=self.fleet,
+            router=self.router,
+            seeker=seeker,
+            groups=GroupReserver(seeker, caller, self.leases),
+            is_suspected=lambda print_: self.suspicions.is_suspected(
+                print_, self.clock()
+            ),
+            is_condemned=lambda print_: self.suspicions.is_condemned(
+                print_, self.clock()
+            ),
+            clock=self.clock,
+        )
+        return GenerationTools(
+            placer=placer,
+            pool=self.process.pool,
+            caller=caller,
+            leases=self.leases,
+            retries=self.retries,
+            clock=self.clock,
+            on_retry=lambda: self.metrics.retries.add(1),
+        )
+
+    # What handlers ask
+
+    @property
+    def accepting(self) -> bool:
+        """Whether new requests are taken."""
+        return not self.problem()
+
+    def problem(self) -> str:
+        """Return why no new requests are taken, or an empty text."""
+        if self.is_leaving:
+            return "The entry is shutting down."
+        if not self.process.replica.is_ready or not self.process.replica.revision:
+            return "The entry has no configuration yet."
+        return ""
+
+    def workspace_for_key(self, key_sha256: str) -> Workspace | None:
+        """Return the workspace of a caller's key."""
+        return self.process.replica.configuration.workspace_for_key(key_sha256)
+
+    def models_for(self, workspace: Workspace) -> list[Model]:
+        """Return the models that a workspace may use."""
+        models = self.process.replica.configuration.models
+        return [models[name] for name in workspace.models if name in models]
+
+    def generation(
+        self,
+        request: GenerationRequest,
+        workspace: Workspace,
+        request_id: str,
+        timeout_s: float,
+        has_key: bool,
+    ) -> Generation:
+        """Prepare the run of a request.
+
+        Raises
+        ------
+        UnknownModelError, InvalidRequestError
+            If the workspace may not use the model, or the prompt is too long.
+        """
+        model = self._model(request, workspace)
+        profile = profile_prompt(model.name, request.prompt, model.bytes_per_token)
+        self._check_length(model, profile, request)
+        ask = Ask(
+            route=RouteRequest(
+                model=model.name,
+                failure_domain=self.settings.failure_domain,
+                prompt_tokens=profile.prompt_tokens,
+                output_tokens=request.output_tokens,
+                prefix_hashes=profile.prefix_hashes,
+                is_long=profile.prompt_tokens >= model.long_prompt_tokens,
+                affinity=request_id if has_key else "",
+            ),
+            request=ttypes.GrantRequest(
+                request_id=request_id,
+                workspace=workspace.name,
+                model=model.name,
+                prompt_tokens=profile.prompt_tokens,
+                output_tokens=request.output_tokens,
+                entry_id=self.settings.node_id,
+                prefix_hashes=profile.prefix_hashes,
+                fingerprint=profile.fingerprint,
+                weight=workspace.weight,
+                group_id="",
+                kv_share_tokens=0,
+            ),
+            deadline_s=self.clock() + timeout_s,
+        )
+        return Generation(
+            self._tools,
+            ask,
+            request.prompt,
+            survives_caller=request.stream or has_key,
+        )
+
+    def _model(self, request: GenerationRequest, workspace: Workspace) -> Model:
+        model = self.process.replica.configuration.models.get(request.model)
+        if model is None or request.model not in workspace.models:
+            raise UnknownModelError(
+                f"There is no model '{request.model[:80]}' for this key.", not_run=True
+            )
+        return model
+
+    def _check_length(
+        self, model: Model, profile: PromptProfile, request: GenerationRequest
+    ) -> None:
+        tokens = profile.prompt_tokens + request.output_tokens
+        if tokens > model.context_tokens:
+            raise InvalidRequestError(
+                f"Prompt and answer take {tokens} tokens; the model reads "
+                f"{model.context_tokens}.",
+                "Send a shorter prompt or ask for fewer tokens.",
+                not_run=True,
+            )
+
+    def check_service(self, name: str, workspace: Workspace) -> bool:
+        """Return whether a service's calls may be repeated.
+
+        Raises
+        ------
+        PermissionDeniedError
+            If the workspace may not use the service.
+        """
+        service = self.process.replica.configuration.services.get(name)
+        usable = service is not None and service.type == "plain"
+        if service is None or not usable or name not in workspace.services:
+            raise PermissionDeniedError(
+                f"This key may not use a service '{name[:80]}'.", not_run=True
+            )
+        return not service.at_most_once
+
+    def request_id_for(self, workspace: Workspace, idempotency_key: str) -> str:
+        """Return the id of a repeatable request with a key, the same everywhere."""
+        name = f"{workspace.name}\n{idempotency_key}"
+        return uuid.uuid5(uuid.NAMESPACE_OID, name).hex
+
+    # The process
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator["Entry"]:
+        """Run until the block ends."""
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self.process.running(self.handle))
+            http = HTTPServer(self._application(), max_body_size=MAX_HTTP_BODY_BYTES)
+            http.listen(self.settings.http_port, address=self.settings.address)
+            stack.callback(http.stop)
+            stack.callback(asyncio.create_task(self.leases.run()).cancel)
+            yield self
+
+    async def handle(self, body: object, responder: Responder) -> None:
+        """Refuse what only agents answer."""
+        raise PeerError(f"An entry does not answer {type(body).__name__}.")
+
+    def _application(self) -> Application:
+        own = {"entry": self}
+        routes = health_routes(self.process.metrics, self.problem)
+        routes += [
+            URLSpec(
+                "/v1/chat/completions", CompletionHandler, own | {"surface": "chat"}
+            ),
+            URLSpec(
+                "/v1/completions", CompletionHandler, own | {"surface": "completions"}
+            ),
+            URLSpec("/v1/models", ModelsHandler, own),
+            URLSpec("/v1/streams/([A-Za-z0-9_-]+)", StreamHandler, own),
+            URLSpec("/v1/services/([^/]+)(/.*)?", ServiceHandler, own),
+        ]
+        routes += self._operator_routes()
+        return Application(
+            routes, default_handler_class=UnknownPathHandler, default_handler_args=own
+        )
+
+    def _operator_routes(self) -> list[URLSpec]:
+        return [dump_route(self.settings.operator_key_sha256, self.dump)]
+
+    async def drain(self) -> None:
+        """Take no new requests and let running ones end."""
+        self.is_leaving = True
+        self.process.gossip.leave()
+        deadline_s = self.clock() + self.settings.drain_timeout_s
+        while self.running_requests and self.clock() < deadline_s:
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+
+    def dump(self) -> dict:
+        """Return the state as plain data."""
+        return {
+            "process": self.process.dump(),
+            "problem": self.problem(),
+            "running_requests": self.running_requests,
+            "router": self.router.dump(),
+            "leases": self.leases.dump(),
+            "retries": self.retries.dump(),
+            "suspicions": self.suspicions.dump(),
+        }
+
+
+async def run_entry(settings: Settings) -> None:
+    """Run an entry until the process is asked to stop."""
+    entry = Entry(settings)
+    async with entry.running():
+        logger.info("entry started")
+        await stop_requested()
+        logger.info("entry draining")
+        await entry.drain()
+    logger.info("entry stopped")
--- /dev/null
+++ b/src/sorrelhoist/entry/completions.py
@@ -0,0 +1,234 @@
+"""Handlers of model requests."""
+
+import time
+from collections.abc import AsyncIterator, Iterator
+from contextlib import aclosing, contextmanager
+from typing import TYPE_CHECKING, Literal
+
+from tornado.iostream import StreamClosedError
+
+from ..decisions.streams import Delivery, StreamName, read_stream_id, sign_stream_id
+from ..exceptions import InvalidRequestError
+from .answers import DONE_EVENT, AnswerHead, event
+from .generation import Finished, Generation
+from .http import CallerHandler
+from .reattach import follow_stream
+from .requests import GenerationRequest, parse_generation, parse_timeout_s
+
+if TYPE_CHECKING:
+    from .app import Entry
+
+TIMEOUT_HEADER = "X-Request-Timeout-S"
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_LENGTH = 256
+LAST_EVENT_HEADER = "Last-Event-ID"
+
+
+class CompletionHandler(CallerHandler):
+    """``POST /v1/chat/completions`` and ``POST /v1/completions``."""
+
+    def initialize(  # type: ignore[override]
+        self, entry: "Entry", surface: Literal["chat", "completions"]
+    ) -> None:
+        """Keep which of the two it is."""
+        super().initialize(entry)
+        self._surface = surface
+
+    async def post(self) -> None:
+        """Run the request."""
+        await self.guard(self._post)
+
+    async def _post(self) -> None:
+        request = parse_generation(self._surface, self.body())
+        self._chunks.clear()
+        timeout_s = parse_timeout_s(
+            self.request.headers.get(TIMEOUT_HEADER),
+            self.entry.settings.default_deadline_s,
+        )
+        key = self._idempotency_key()
+        if key:
+            self.request_id = self.entry.request_id_for(self.workspace, key)
+            self.set_header("X-Request-Id", self.request_id)
+        generation = self.entry.generation(
+            request, self.workspace, self.request_id, timeout_s, bool(key)
+        )
+        with self._counted():
+            await self._run(generation, request)
+
+    def _idempotency_key(self) -> str:
+        key = self.request.headers.get(KEY_HEADER, "")
+        if len(key) > MAX_KEY_LENGTH:
+            raise InvalidRequestError(
+                f"'{KEY_HEADER}' is over {MAX_KEY_LENGTH} characters.",
+                "Send a shorter key.",
+                not_run=True,
+            )
+        return key
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        entry = self.entry
+        entry.metrics.requests.add(1, {"workspace": self.workspace.name})
+        entry.running_requests += 1
+        try:
+            yield
+        finally:
+            entry.running_requests -= 1
+
+    async def _run(self, generation: Generation, request: GenerationRequest) -> None:
+        head = AnswerHead(self.request_id, int(time.time()), request)
+        writer = AnswerWriter(self, head, generation)
+        async with aclosing(generation.events()) as events:
+            await writer.write(self._timed(events))
+
+    async def _timed(
+        self, events: AsyncIterator[Delivery | Finished]
+    ) -> AsyncIterator[Delivery | Finished]:
+        started_s = self.entry.clock()
+        is_first = True
+        async for item in events:
+            if is_first:
+                is_first = False
+                self.entry.metrics.first_token.record(self.entry.clock() - started_s)
+            yield item
+
+
+class AnswerWriter:
+    """Write an answer, whole or as server-sent events.
+
+    Parameters
+    ----------
+    handler : CallerHandler
+    head : AnswerHead
+    generation : Generation
+    """
+
+    def __init__(
+        self, handler: CallerHandler, head: AnswerHead, generation: Generation
+    ) -> None:
+        self._handler = handler
+        self._head = head
+        self._generation = generation
+
+    async def write(self, events: AsyncIterator[Delivery | Finished]) -> None:
+        """Write all events of the generation."""
+        if self._head.request.stream:
+            await self._write_stream(events)
+        else:
+            await self._write_whole(events)
+
+    async def _write_whole(self, events: AsyncIterator[Delivery | Finished]) -> None:
+        async for item in events:
+            if isinstance(item, Finished):
+                tokens = self._generation.assembler.tokens
+                body = self._head.whole(
+                    "".join(tokens),
+                    item.finish_reason,
+                    item.prompt_tokens,
+                    item.total_tokens,
+                )
+                self._handler.entry.metrics.tokens.add(len(tokens))
+                self._handler.set_header("Content-Type", "application/json")
+                await self._handler.finish(body)
+
+    async def _write_stream(self, events: AsyncIterator[Delivery | Finished]) -> None:
+        handler = self._handler
+        async for item in events:
+            if not handler._headers_written:
+                handler.set_header("Content-Type", "text/event-stream")
+                handler.set_header("Cache-Control", "no-store")
+            match item:
+                case Delivery(tokens=tokens):
+                    handler.entry.metrics.tokens.add(len(tokens))
+                    handler.write(self._event("".join(tokens), None))
+                case Finished(finish_reason=reason):
+                    handler.write(self._event("", reason))
+                    handler.write(DONE_EVENT)
+            try:
+                await handler.flush()
+            except StreamClosedError:
+                return
+        await handler.finish()
+
+    def _event(self, text: str, finish_reason: str | None) -> str:
+        return event(self._head.chunk(text, finish_reason), self._event_id())
+
+    def _event_id(self) -> str:
+        generation = self._generation
+        name = StreamName(
+            generation.node_id,
+            generation.assembler.request_id,
+            self._handler.workspace.name,
+        )
+        key = self._handler.entry.settings.stream_key
+        return f"{sign_stream_id(name, key)}.{generation.assembler.next_sequence}"
+
+
+class StreamHandler(CallerHandler):
+    """``GET /v1/streams/ID`` with ``Last-Event-ID``: read on after a cut."""
+
+    async def get(self, stream_id: str) -> None:
+        """Read on where the caller's connection was cut."""
+
+        async def run() -> None:
+            await self._get(stream_id)
+
+        await self.guard(run)
+
+    async def _get(self, stream_id: str) -> None:
+        name = self._name(stream_id)
+        sequence = self._sequence()
+        self.request_id = name.request_id
+        self.set_header("Content-Type", "text/event-stream")
+        deadline_s = self.entry.clock() + self.entry.settings.default_deadline_s
+        async for item in follow_stream(self.entry, name, sequence, deadline_s):
+            self.write(item)
+            await self.flush()
+        await self.finish()
+
+    def _name(self, stream_id: str) -> StreamName:
+        result = read_stream_id(stream_id, self.entry.settings.stream_key)
+        name = result.value_or(None)
+        if name is None or name.workspace != self.workspace.name:
+            raise InvalidRequestError(
+                "The stream id is not valid.",
+                "Send the id of the last event that you received.",
+                not_run=True,
+            )
+        return name
+
+    def _sequence(self) -> int:
+        text = self.request.headers.get(LAST_EVENT_HEADER, "0").rpartition(".")[2]
+        if not text.isdigit():
+            raise InvalidRequestError(
+                f"'{LAST_EVENT_HEADER}' has no sequence number.",
+                "Send the id of the last event that you received.",
+                not_run=True,
+            )
+        return int(text)
+
+
+class ModelsHandler(CallerHandler):
+    """``GET /v1/models``."""
+
+    async def get(self) -> None:
+        """List the models that the key may use."""
+
+        async def run() -> None:
+            models = self.entry.models_for(self.workspace)
+            self.finish(
+                {
+                    "object": "list",
+                    "data": [
+                        {
+                            "id": model.name,
+                            "object": "model",
+                            "created": 0,
+                            "owned_by": "sorrelhoist",
+                        }
+                        for model in models
+                    ],
+                }
+            )
+
+        await self.guard(run)
--- a/src/sorrelhoist/entry/generation.py
+++ b/src/sorrelhoist/entry/generation.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import AsyncExitStack, aclosing
+from types import TracebackType
 
 import attrs
 
@@ -14,7 +15,6 @@
     EndpointFailedError,
     OverloadedError,
     PeerError,
-
 )
 from ..messages.gen import ttypes
 from ..node.peers import PeerAddress, PeerPool
@@ -28,6 +28,11 @@
 
 MAX_ATTACHES = 3
 MAX_RESUME_WAIT_S = 0.5
+ExitCallback = Callable[
+    [type[BaseException] | None, BaseException | None, TracebackType | None],
+    Awaitable[bool],
+]
+
 # A planned move costs the budget for retries nothing.
 PLANNED_KINDS = frozenset({"leaving", "domain_out", "moved"})
 
@@ -91,7 +96,7 @@
 
     tools: GenerationTools
     ask: Ask
-    prompt: str = attrs.field(repr=len)
+    prompt: str = attrs.field(repr=False)
     survives_caller: bool = False
     assembler: StreamAssembler = attrs.field(init=False)
     node_id: str = attrs.field(init=False, default="")
@@ -101,7 +106,7 @@
     def __attrs_post_init__(self) -> None:
         self.assembler = StreamAssembler(self.ask.request.request_id)
 
-    async def events(self) -> AsyncIterator[Delivery | Finished]:
+    async def events(self) -> AsyncGenerator[Delivery | Finished, None]:
         """Run the request.
 
         Yields
@@ -164,7 +169,7 @@
 
     async def _attempt(
         self, placement: Placement
-    ) -> AsyncIterator[Delivery | Finished | Broken]:
+    ) -> AsyncGenerator[Delivery | Finished | Broken, None]:
         async with AsyncExitStack() as stack:
             address, opening = self._open(placement, stack)
             for _ in range(MAX_ATTACHES):
@@ -204,8 +209,12 @@
         stack.push_async_exit(self._give_back(held))
         self._lost.append(stack.enter_context(self.tools.leases.holding(held)))
 
-    def _give_back(self, held: HeldGrant):
-        async def give_back(kind, error, traceback) -> bool:
+    def _give_back(self, held: HeldGrant) -> ExitCallback:
+        async def give_back(
+            kind: type[BaseException] | None,
+            error: BaseException | None,
+            traceback: TracebackType | None,
+        ) -> bool:
             gone = kind is not None and issubclass(
                 kind, asyncio.CancelledError | GeneratorExit
             )
@@ -235,7 +244,7 @@
 
     async def _read(
         self, address: PeerAddress, opening: object
-    ) -> AsyncIterator[Delivery | Finished | Broken]:
+    ) -> AsyncGenerator[Delivery | Finished | Broken, None]:
         async with self.tools.pool.open(address, opening) as receive:
             while True:
                 event = self._take_in(await self._next(receive))
@@ -246,7 +255,7 @@
                 if isinstance(event, Finished | Broken):
                     return
 
-    async def _next(self, receive) -> object:
+    async def _next(self, receive: Callable[[], Awaitable]) -> object:
         left_s = self.ask.deadline_s - self.tools.clock()
         if left_s <= 0:
             raise self._too_late()
@@ -287,5 +296,3 @@
                 return None
             case _:
                 return delivery
-
-
--- a/src/sorrelhoist/entry/groups.py
+++ b/src/sorrelhoist/entry/groups.py
@@ -172,7 +172,9 @@
         request.kv_share_tokens = share
         return attrs.evolve(ask, request=request)
 
-    async def _hold_part(self, ask: Ask, held: HeldGrant, members: list[HeldGrant]) -> None:
+    async def _hold_part(
+        self, ask: Ask, held: HeldGrant, members: list[HeldGrant]
+    ) -> None:
         submit = ttypes.Submit(
             grant_id=held.grant.grant_id,
             request_id=ask.request.request_id,
--- a/src/sorrelhoist/entry/http.py
+++ b/src/sorrelhoist/entry/http.py
@@ -1,5 +1,6 @@
 """What all HTTP handlers of callers share: keys, limits on bodies, typed errors."""
 
+import asyncio
 import hashlib
 import logging
 import math
@@ -52,7 +53,7 @@
         self.request_id = uuid.uuid4().hex
         self._chunks: list[bytes] = []
         self._received_bytes = 0
-        self._running: Any = None
+        self._running: asyncio.Task | None = None
 
     def set_default_headers(self) -> None:
         """Name no server software."""
@@ -102,6 +103,12 @@
             return
         self._chunks.append(chunk)
 
+    def on_connection_close(self) -> None:
+        """Stop work for a caller who has gone."""
+        super().on_connection_close()
+        if self._running is not None:
+            self._running.cancel()
+
     def body(self) -> bytes:
         """Return the whole body."""
         return b"".join(self._chunks)
@@ -127,8 +134,11 @@
         """
         if self._finished:
             return
+        self._running = asyncio.current_task()
         try:
             await run()
+        except asyncio.CancelledError:
+            logger.info("caller has gone", extra={"request_id": self.request_id})
         except SorrelhoistError as error:
             self._answer_error(error)
         except Exception:
--- a/src/sorrelhoist/entry/requests.py
+++ b/src/sorrelhoist/entry/requests.py
@@ -30,7 +30,7 @@
 
     surface: Literal["chat", "completions"]
     model: str
-    prompt: str = attrs.field(repr=len)
+    prompt: str = attrs.field(repr=False)
     output_tokens: int
     stream: bool
 
--- a/src/sorrelhoist/entry/services.py
+++ b/src/sorrelhoist/entry/services.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -119,7 +119,7 @@
         except (PeerError, TimeoutError) as error:
             raise self._unknown() from error
 
-    async def _reply(self, receive) -> object:
+    async def _reply(self, receive: Callable[[], Awaitable]) -> object:
         while True:
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
                 reply = await receive()
--- a/src/sorrelhoist/node/dump.py
+++ b/src/sorrelhoist/node/dump.py
@@ -43,14 +43,14 @@
         if not is_operator_key(key.strip(), self._keys):
             error = AuthenticationError("This needs an operator's key.")
             self.set_status(error.http_status)
-            self.finish(json.dumps({"error": {"kind": error.kind, "message": str(error)}}))
+            self.finish(
+                json.dumps({"error": {"kind": error.kind, "message": str(error)}})
+            )
             return
         self.finish(json.dumps(self._dump(), default=str))
 
 
-def dump_route(
-    operator_key_sha256: Sequence[str], dump: Callable[[], dict]
-) -> URLSpec:
+def dump_route(operator_key_sha256: Sequence[str], dump: Callable[[], dict]) -> URLSpec:
     """Return the route of the dump."""
     return URLSpec(
         DUMP_PATH,
--- a/src/sorrelhoist/node/health.py
+++ b/src/sorrelhoist/node/health.py
@@ -46,9 +46,7 @@
         self.finish(json.dumps({"ready": not problem, "problem": problem}))
 
 
-def health_routes(
-    metrics: ProcessMetrics, problem: Callable[[], str]
-) -> list[URLSpec]:
+def health_routes(metrics: ProcessMetrics, problem: Callable[[], str]) -> list[URLSpec]:
     """Return the routes of these handlers.
 
     Parameters
