--- /dev/null
+++ b/src/sorrelhoist/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' commands, one module per group."""
--- /dev/null
+++ b/src/sorrelhoist/commands/operator_text.py
@@ -0,0 +1,138 @@
+"""Texts for people, made from what the operators' interface answers."""
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+from ..decisions.documents import DocumentKey, DocumentsDiff, DocumentSet
+
+MAX_LISTED = 20
+
+
+def diff_lines(
+    old: DocumentSet, new: DocumentSet, difference: DocumentsDiff
+) -> Iterator[str]:
+    """Describe a difference, one line per document and per changed key.
+
+    Parameters
+    ----------
+    old, new : DocumentSet
+        What is in force, and what would be.
+    difference : DocumentsDiff
+        Between the two.
+
+    Yields
+    ------
+    str
+    """
+    for key in sorted(difference.changed.texts):
+        if key in old.texts:
+            yield f"~ {key}"
+            yield from _changed_keys(key, old, new)
+        else:
+            yield f"+ {key}"
+    for key in difference.removed:
+        yield f"- {key}"
+
+
+def _changed_keys(
+    key: DocumentKey, old: DocumentSet, new: DocumentSet
+) -> Iterator[str]:
+    before = json.loads(old.texts[key])
+    after = json.loads(new.texts[key])
+    for name in sorted({*before, *after}):
+        if before.get(name) != after.get(name):
+            yield f"    {name}: {before.get(name)!r} -> {after.get(name)!r}"
+
+
+def apply_lines(report: Mapping[str, Any]) -> Iterator[str]:
+    """Describe what became of an apply."""
+    apply_id = report.get("apply_id", "")
+    if report.get("outcome") != "accepted":
+        yield f"unknown yet: {report.get('message', '')} (apply id {apply_id})"
+        yield f"  remedy: {report.get('remedy', '')}"
+    else:
+        word = "already in force" if report.get("is_unchanged") else "accepted"
+        offset = report.get("effective_offset")
+        yield f"{word}: revision {report.get('revision')} at offset {offset}"
+    if "confirmed" in report:
+        unconfirmed = report.get("unconfirmed", [])
+        count = len(report["confirmed"])
+        yield f"  in force on this entry and {count} other processes"
+        if unconfirmed:
+            yield f"  not confirmed by {len(unconfirmed)}: {_listed(unconfirmed)}"
+
+
+def status_lines(status: Mapping[str, Any]) -> Iterator[str]:
+    """Describe the status: the verdict first, then what it rests on.
+
+    Parameters
+    ----------
+    status : mapping
+        The body of ``GET /operator/v1/status``.
+
+    Yields
+    ------
+    str
+    """
+    alarms = status.get("alarms", [])
+    idle = status.get("endpoints_not_serving", [])
+    if is_healthy(status):
+        yield "healthy"
+    else:
+        yield f"NOT healthy: {len(alarms)} alarms, {len(idle)} endpoints not serving"
+    for alarm in alarms:
+        yield f"  {alarm.get('kind')}: {alarm.get('message')}"
+        yield f"    remedy: {alarm.get('remedy')}"
+    yield ""
+    yield from _member_lines(status.get("members", []))
+    configuration = status.get("configuration", {})
+    yield (
+        f"configuration: revision {configuration.get('revision')} "
+        f"at offset {configuration.get('effective_offset')}"
+    )
+    yield from _behind_lines(status)
+    for endpoint in idle[:MAX_LISTED]:
+        yield (
+            f"endpoint {endpoint.get('name')} in {endpoint.get('failure_domain')}: "
+            f"{endpoint.get('phase')}"
+        )
+    if len(idle) > MAX_LISTED:
+        yield f"... and {len(idle) - MAX_LISTED} more endpoints not serving"
+
+
+def is_healthy(status: Mapping[str, Any]) -> bool:
+    """Whether nothing calls for an operator."""
+    has_alarms = bool(status.get("alarms"))
+    return bool(status.get("healthy", not has_alarms)) and not has_alarms
+
+
+def _member_lines(members: Sequence[Mapping[str, Any]]) -> Iterator[str]:
+    by_domain: dict[str, Counter[tuple[str, str]]] = defaultdict(Counter)
+    for member in members:
+        role_and_state = (str(member.get("role")), str(member.get("state")))
+        by_domain[str(member.get("failure_domain"))][role_and_state] += 1
+    for domain, counts in sorted(by_domain.items()):
+        parts = [
+            f"{count} {role} {state}" for (role, state), count in sorted(counts.items())
+        ]
+        yield f"{domain}: {', '.join(parts)}"
+
+
+def _behind_lines(status: Mapping[str, Any]) -> Iterator[str]:
+    current = status.get("configuration", {}).get("effective_offset", 0) or 0
+    behind = [
+        str(member.get("node_id"))
+        for member in status.get("members", [])
+        if member.get("configuration_offset") is not None
+        and member["configuration_offset"] < current
+    ]
+    if behind:
+        yield f"  older configuration on {len(behind)}: {_listed(behind)}"
+
+
+def _listed(names: Sequence[str]) -> str:
+    shown = ", ".join(names[:MAX_LISTED])
+    rest = len(names) - MAX_LISTED
+    return f"{shown} and {rest} more" if rest > 0 else shown
--- a/src/sorrelhoist/decisions/configuration.py
+++ b/src/sorrelhoist/decisions/configuration.py
@@ -13,21 +13,25 @@
     AcceptedChange,
     Change,
     Checkpoint,
+    Record,
+    Restart,
     decode_record,
 )
 from .documents import DocumentSet
 
 MAX_HISTORY_CHANGES = 64
 MAX_VERDICTS = 1024
+NO_REVISION = 0
 
 
 @attrs.frozen
 class Accepted:
-    """A change is in force from its offset on."""
+    """A change is in force from its offset on, with the digest it led to."""
 
     apply_id: str
     offset: int
     revision: int
+    digest: str
 
 
 @attrs.frozen
@@ -39,7 +43,7 @@
     apply_id : str
         The losing change.
     base_revision : int
-        The revision that it started from.
+        The revision that it started from; 0 for a restart.
     winning_revision : int
         The revision in force when the losing change was read.
     winning_apply_id : str
@@ -70,6 +74,11 @@
 Verdict = Accepted | Conflict | Damaged
 
 
+def accepted_verdict(change: AcceptedChange) -> Accepted:
+    """Return the verdict on a change of the history."""
+    return Accepted(change.apply_id, change.offset, change.revision, change.digest)
+
+
 @attrs.define
 class ConfigurationFold:
     """State of one reader of the log.
@@ -82,7 +91,7 @@
     state: Checkpoint = attrs.field(factory=Checkpoint)
     unreadable_records: int = 0
     differing_checkpoints: int = 0
-    _waiting: dict[int, Change | Checkpoint | None] = attrs.field(factory=dict)
+    _waiting: dict[int, Record | None] = attrs.field(factory=dict)
     _verdicts: OrderedDict[str, Verdict] = attrs.field(factory=OrderedDict)
 
     @property
@@ -127,8 +136,11 @@
         self._waiting[offset] = record
         if record is None:
             self.unreadable_records += 1
-        if isinstance(record, Checkpoint) and self._joins(record, offset):
-            self.adopt(record)
+        match record:
+            case Checkpoint() if self._joins(record, offset):
+                self.adopt(record)
+            case Restart():
+                self._restart(offset, record)
         self._drain()
         return self.state.effective_offset > before
 
@@ -162,7 +174,7 @@
         """Return what became of a change that was proposed recently."""
         for accepted in self.state.history:
             if accepted.apply_id == apply_id:
-                return Accepted(apply_id, accepted.offset, accepted.revision)
+                return accepted_verdict(accepted)
         return self._verdicts.get(apply_id, UnknownYet(apply_id))
 
     def verdict_from_base(
@@ -178,9 +190,15 @@
             return verdict
         for accepted in self.state.history:
             if accepted.revision == base_revision + 1:
-                return self._conflict(apply_id, base_revision)
+                return self.conflict(apply_id, base_revision)
         return verdict
 
+    def conflict(self, apply_id: str, base_revision: int) -> Conflict:
+        """Return the rejection of a change whose base is not in force."""
+        history = self.state.history
+        winner = history[-1].apply_id if history else ""
+        return Conflict(apply_id, base_revision, self.state.revision, winner)
+
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
         return {
@@ -195,6 +213,12 @@
             "recent": [attrs.asdict(item) for item in self.state.history[-3:]],
         }
 
+    def _restart(self, offset: int, restart: Restart) -> None:
+        if restart.expected_offset == offset:
+            self.adopt(restart.state_at(offset))
+        else:
+            self._remember(self.conflict(restart.apply_id, NO_REVISION))
+
     def _joins(self, checkpoint: Checkpoint, offset: int) -> bool:
         """Whether all records between a checkpoint and its own offset are known."""
         start = max(checkpoint.as_of_offset, self.state.as_of_offset) + 1
@@ -208,7 +232,7 @@
             if offset == self.state.as_of_offset + 1:
                 self._fold(offset, record)
 
-    def _fold(self, offset: int, record: Change | Checkpoint | None) -> None:
+    def _fold(self, offset: int, record: Record | None) -> None:
         self.state = attrs.evolve(self.state, as_of_offset=offset)
         match record:
             case Change():
@@ -224,19 +248,16 @@
 
     def _decide(self, offset: int, change: Change) -> Verdict:
         if change.base_revision != self.state.revision:
-            return self._conflict(change.apply_id, change.base_revision)
+            return self.conflict(change.apply_id, change.base_revision)
         documents = self.state.documents.patched(change.diff)
         if documents.digest != change.digest:
             return Damaged(change.apply_id, offset)
-        accepted = AcceptedChange(change.revision, offset, change.apply_id)
+        accepted = AcceptedChange(
+            change.revision, offset, change.apply_id, change.digest
+        )
         history = (*self.state.history, accepted)[-MAX_HISTORY_CHANGES:]
         self.state = Checkpoint(offset, offset, change.revision, documents, history)
-        return Accepted(change.apply_id, offset, change.revision)
-
-    def _conflict(self, apply_id: str, base_revision: int) -> Conflict:
-        history = self.state.history
-        winner = history[-1].apply_id if history else ""
-        return Conflict(apply_id, base_revision, self.state.revision, winner)
+        return accepted_verdict(accepted)
 
     def _remember(self, verdict: Verdict) -> None:
         self._verdicts[verdict.apply_id] = verdict
--- a/src/sorrelhoist/decisions/configuration_checkpoints.py
+++ b/src/sorrelhoist/decisions/configuration_checkpoints.py
@@ -6,12 +6,13 @@
 
 import attrs
 
-from .configuration_records import Checkpoint, decode_record
+from .configuration_records import Checkpoint, Restart, decode_record
 
 MAX_RECORDS_AFTER_CHECKPOINT = 500
 FOLLOWER_FRACTIONS = (0.3, 0.5)
 OTHER_FRACTIONS = (0.6, 0.75)
 CHECKPOINT_MARK = '"record":"checkpoint"'
+RESTART_MARK = '"record":"restart"'
 
 
 @attrs.frozen
@@ -66,11 +67,13 @@
             return
         self.next_offset = offset + 1
         self._kept.append(Kept(offset, now_s - age_s))
-        if CHECKPOINT_MARK not in text:
+        if CHECKPOINT_MARK not in text and RESTART_MARK not in text:
             return
-        record = decode_record(text)
-        if isinstance(record, Checkpoint) and record.as_of_offset < offset:
-            self._advance(record.as_of_offset)
+        match decode_record(text):
+            case Checkpoint(as_of_offset=as_of_offset) if as_of_offset < offset:
+                self._advance(as_of_offset)
+            case Restart(expected_offset=expected_offset) if expected_offset == offset:
+                self._advance(offset - 1)
 
     def is_due(self, first_offset: int, is_follower: bool, now_s: float) -> bool:
         """Whether to append a checkpoint now.
--- a/src/sorrelhoist/decisions/configuration_parsing.py
+++ b/src/sorrelhoist/decisions/configuration_parsing.py
@@ -153,14 +153,14 @@
     documents: list[SourceDocument] = []
     for source in sources:
         _read_text(source, documents, found)
-    return _parse(documents, found, _STRICT)
+    return _parse_whole(documents, found)
 
 
 def parse_documents(
     documents: Iterable[SourceDocument],
 ) -> Result[Configuration, Problems]:
     """Parse plain documents of a whole set, refusing unknown keys and kinds."""
-    return _parse(documents, [], _STRICT)
+    return _parse_whole(list(documents), [])
 
 
 def parse_accepted(
@@ -197,6 +197,14 @@
     documents.extend(number_documents(source.file, present))
 
 
+def _parse_whole(
+    documents: list[SourceDocument], found: list[Problem]
+) -> Result[Configuration, Problems]:
+    if not documents and not found:
+        found.append(problems.EmptySet(Place("set"), "There are no documents."))
+    return _parse(documents, found, _STRICT)
+
+
 def _parse(
     documents: Iterable[SourceDocument],
     found: list[Problem],
--- a/src/sorrelhoist/decisions/configuration_problems.py
+++ b/src/sorrelhoist/decisions/configuration_problems.py
@@ -52,6 +52,17 @@
     def __str__(self) -> str:
         return f"{self.place}: {self.detail} {self.remedy}"
 
+    def to_plain(self) -> dict[str, str]:
+        """Return the problem as plain data."""
+        return {
+            "kind": self.kind,
+            "file": self.place.file,
+            "document": self.place.document,
+            "key": self.place.key,
+            "message": self.detail,
+            "remedy": self.remedy,
+        }
+
 
 class UnreadableText(Problem):
     """A text is not YAML, or repeats a key."""
@@ -60,6 +71,13 @@
     remedy = "Correct the YAML."
 
 
+class EmptySet(Problem):
+    """A set has no documents; applying it would remove everything."""
+
+    kind = "empty_set"
+    remedy = "Check the folder; to end all service, set the failure domains to out."
+
+
 class UnknownKind(Problem):
     """A document has no known kind."""
 
@@ -136,9 +154,16 @@
     def __str__(self) -> str:
         return "\n".join(str(item) for item in self.items)
 
+    def to_plain(self) -> list[dict[str, str]]:
+        """Return the problems as plain data."""
+        return [item.to_plain() for item in self.items]
+
     def to_error(self) -> DocumentError:
         """Return the exception that reports all of them."""
+        return DocumentError(f"{self.headline}\n{self}\n", not_run=True)
+
+    @property
+    def headline(self) -> str:
+        """How many there are."""
         count = len(self.items)
-        noun = "problem" if count == 1 else "problems"
-        error = DocumentError(f"{count} {noun} found:\n{self}\n", not_run=True)
-        return error
+        return "1 problem found." if count == 1 else f"{count} problems found."
--- a/src/sorrelhoist/decisions/configuration_records.py
+++ b/src/sorrelhoist/decisions/configuration_records.py
@@ -40,11 +40,12 @@
 
 @attrs.frozen
 class AcceptedChange:
-    """One step in the history of accepted changes."""
+    """One step in the history of accepted changes, with the digest it led to."""
 
     revision: int
     offset: int
     apply_id: str
+    digest: str
 
 
 @attrs.frozen
@@ -77,7 +78,39 @@
         return self.documents.digest
 
 
-Record = Change | Checkpoint
+@attrs.frozen
+class Restart:
+    """A whole set that counts whatever came before.
+
+    The way out when the log has expired past its last checkpoint and no process
+    has the configuration any more.
+
+    Parameters
+    ----------
+    apply_id : str
+        Names the verdict.
+    expected_offset : int
+        It only counts at this offset: one that is appended late, by a process
+        that was paused, must not undo what was accepted meanwhile.
+    documents : DocumentSet
+        The whole set.
+    """
+
+    apply_id: str
+    expected_offset: int
+    documents: DocumentSet
+
+    def state_at(self, offset: int) -> Checkpoint:
+        """Return the state that it makes, the same for every reader.
+
+        The offset is also the revision: no earlier revision can be as high.
+        """
+        digest = self.documents.digest
+        accepted = AcceptedChange(offset, offset, self.apply_id, digest)
+        return Checkpoint(offset, offset, offset, self.documents, (accepted,))
+
+
+Record = Change | Checkpoint | Restart
 
 
 def encode_record(record: Record) -> str:
@@ -87,6 +120,8 @@
             return _encode_change(record)
         case Checkpoint():
             return _encode_checkpoint(record)
+        case Restart():
+            return _encode_restart(record)
 
 
 def decode_record(text: str) -> Record | None:
@@ -99,7 +134,7 @@
 
     Returns
     -------
-    Change or Checkpoint or None
+    Record or None
         None for anything that is no well-formed record; each reader takes the
         same decision on the same text.
     """
@@ -110,6 +145,8 @@
                 return _decode_change(data)
             case "checkpoint":
                 return _decode_checkpoint(data)
+            case "restart":
+                return _decode_restart(data)
     except _READ_ERRORS:
         return None
     return None
@@ -172,11 +209,30 @@
     return checkpoint if is_ordered and is_whole else None
 
 
+def _encode_restart(restart: Restart) -> str:
+    data = {
+        "record": "restart",
+        "apply_id": restart.apply_id,
+        "expected_offset": restart.expected_offset,
+        "documents": restart.documents.to_plain(),
+        "digest": restart.documents.digest,
+    }
+    return canonical_json(data)
+
+
+def _decode_restart(data: Mapping[str, Any]) -> Restart | None:
+    documents = _decode_documents(data["documents"])
+    expected_offset = _count(data["expected_offset"])
+    restart = Restart(_text(data["apply_id"]), expected_offset, documents)
+    return restart if documents.digest == data["digest"] else None
+
+
 def _decode_accepted(data: Mapping[str, Any]) -> AcceptedChange:
     return AcceptedChange(
         revision=_count(data["revision"]),
         offset=_count(data["offset"]),
         apply_id=_text(data["apply_id"]),
+        digest=_text(data["digest"]),
     )
 
 
--- /dev/null
+++ b/src/sorrelhoist/node/configuration_exchange.py
@@ -0,0 +1,185 @@
+"""Replicas pass the newest configuration to each other."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from ..exceptions import PeerError
+from ..messages.gen import ttypes
+from .configuration_body import from_body
+from .configuration_options import PeerMember, Peers, ReplicaOptions
+from .configuration_state import ConfigurationState
+
+logger = logging.getLogger(__name__)
+
+PEERS_ASKED = 3
+
+
+class ConfigurationExchange:
+    """The side of a replica that faces its peers.
+
+    Parameters
+    ----------
+    state : ConfigurationState
+        What the replica knows.
+    peers : Peers
+        The other processes.
+    options : ReplicaOptions
+        Settings.
+    randomness : random.Random
+        Chooses peers.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        state: ConfigurationState,
+        peers: Peers,
+        options: ReplicaOptions,
+        randomness: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._options = options
+        self._randomness = randomness
+        self._clock = clock
+        self._pulls: set[asyncio.Task[None]] = set()
+
+    def on_digest(self, member: PeerMember, digest: ttypes.Digest) -> None:
+        """React to the digest that a process sent by gossip.
+
+        Parameters
+        ----------
+        member : PeerMember
+            The sender.
+        digest : Digest
+            Of the configuration that it has in force.
+        """
+        if digest.configuration_offset > self._state.effective_offset:
+            self._start(self._pull_from(member))
+            return
+        self._hear(member)
+
+    def handle(self, body: object) -> object:
+        """Answer a message of a peer.
+
+        Raises
+        ------
+        PeerError
+            If it is damaged, or none that a replica answers.
+        """
+        match body:
+            case ttypes.ConfigurationRequest():
+                return self._answer(body)
+            case ttypes.ConfigurationBody():
+                self._state.adopt(from_body(body))
+                return self._ack()
+        raise PeerError(f"A replica does not answer {type(body).__name__}.")
+
+    async def pull(self, member: PeerMember, have_offset: int) -> None:
+        """Ask a process for a configuration newer than an offset.
+
+        A process that does not answer is passed over.
+        """
+        request = ttypes.ConfigurationRequest(have_offset=have_offset)
+        try:
+            self._take(member, await self._call(member, request))
+        except PeerError as error:
+            logger.info(
+                "configuration not fetched",
+                extra={"peer": member.node_id, "error": str(error)},
+            )
+
+    async def ask_peers(self, have_offset: int) -> None:
+        """Ask a few processes, chosen at random."""
+        members = list(self._peers.members())
+        count = min(PEERS_ASKED, len(members))
+        for member in self._randomness.sample(members, count):
+            await self.pull(member, have_offset)
+
+    async def push(self, member: PeerMember) -> int:
+        """Hand the configuration to a process.
+
+        Returns
+        -------
+        int
+            What the process has in force then.
+
+        Raises
+        ------
+        PeerError
+            If it does not answer.
+        """
+        return self._acknowledged(await self._call(member, self._state.body()))
+
+    async def probe(self, member: PeerMember) -> int:
+        """Ask a process what it has in force; one that is behind catches up.
+
+        Returns
+        -------
+        int
+            Its effective offset.
+
+        Raises
+        ------
+        PeerError
+            If it does not answer.
+        """
+        offset = self._state.effective_offset
+        request = ttypes.ConfigurationRequest(have_offset=offset)
+        return self._acknowledged(await self._call(member, request))
+
+    async def close(self) -> None:
+        """Stop what runs in the background."""
+        pulls = list(self._pulls)
+        for task in pulls:
+            task.cancel()
+        await asyncio.gather(*pulls, return_exceptions=True)
+
+    async def _call(self, member: PeerMember, body: object) -> object:
+        return await self._peers.call(member, body, self._options.peer_timeout_s)
+
+    def _answer(self, request: ttypes.ConfigurationRequest) -> object:
+        offset = self._state.effective_offset
+        if offset > request.have_offset:
+            return self._state.body()
+        if request.have_offset > offset:
+            self._start(self.ask_peers(offset))
+        return self._ack()
+
+    def _ack(self) -> ttypes.ConfigurationAck:
+        return ttypes.ConfigurationAck(
+            node_id=self._options.node_id,
+            effective_offset=self._state.effective_offset,
+        )
+
+    def _take(self, member: PeerMember, reply: object) -> None:
+        offset = self._acknowledged(reply)
+        if isinstance(reply, ttypes.ConfigurationBody):
+            self._state.adopt(from_body(reply))
+        if offset <= self._state.effective_offset:
+            self._hear(member)
+
+    def _acknowledged(self, reply: object) -> int:
+        match reply:
+            case ttypes.ConfigurationBody() | ttypes.ConfigurationAck():
+                return reply.effective_offset
+        raise PeerError(f"A replica answered with {type(reply).__name__}.")
+
+    def _hear(self, member: PeerMember) -> None:
+        self._state.freshness.hear_peer(member.failure_domain, self._clock())
+
+    async def _pull_from(self, member: PeerMember) -> None:
+        await self.pull(member, self._state.effective_offset)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        if self._pulls:
+            work.close()
+            return
+        task = asyncio.get_running_loop().create_task(work)
+        self._pulls.add(task)
+        task.add_done_callback(self._pulls.discard)
