--- a/src/sorrelhoist/commands/__init__.py
+++ b/src/sorrelhoist/commands/__init__.py
@@ -1,1 +1,1 @@
-"""The commands of the command line."""
+"""The operators' commands, one module per group."""
