--- a/src/sorrelhoist/commands/configuration.py
+++ b/src/sorrelhoist/commands/configuration.py
@@ -258,7 +258,7 @@
     while report.get("outcome") != "accepted" and time.monotonic() < deadline_s:
         await asyncio.sleep(ASK_INTERVAL_S)
         try:
-            report = await client.get(f"apply/{apply_id}")
+            report = await client.get(f"apply/{report['apply_id']}")
         except PeerError as error:
             report = _unanswered(apply_id, error)
     return report
--- a/src/sorrelhoist/node/configuration_apply.py
+++ b/src/sorrelhoist/node/configuration_apply.py
@@ -12,7 +12,13 @@
 import attrs
 
 from ..clients.exceptions import AppendOutcomeUnknownError, LogRateLimitedError
-from ..decisions.configuration import Accepted, Conflict, UnknownYet, Verdict
+from ..decisions.configuration import (
+    Accepted,
+    Conflict,
+    UnknownYet,
+    Verdict,
+    accepted_verdict,
+)
 from ..decisions.configuration_confirmations import Confirmations
 from ..decisions.configuration_followers import choose_followers
 from ..decisions.configuration_records import Change, Restart, encode_record
@@ -65,7 +71,8 @@
     confirmations : Confirmations, optional
         Who holds it, if it was accepted.
     is_unchanged : bool
-        True if the set was in force before.
+        True if the set was in force before; the verdict is then on the change
+        that put it in force.
     """
 
     verdict: Verdict | UnknownYet
@@ -156,7 +163,7 @@
         fold = self._replica.state.fold
         difference = diff(fold.documents, proposal.documents)
         if difference.is_empty and fold.revision > 0:
-            verdict = Accepted(proposal.apply_id, fold.effective_offset, fold.revision)
+            verdict = accepted_verdict(fold.state.history[-1])
             return attrs.evolve(await self._report(verdict), is_unchanged=True)
         base_revision = fold.revision
         change = Change(
--- /dev/null
+++ b/tests/node/test_configuration_apply.py
@@ -0,0 +1,180 @@
+"""Applying: what the operator hears is what the log says, through every fault."""
+
+import pytest
+
+from sorrelhoist.decisions.configuration import Accepted, Conflict, UnknownYet
+from sorrelhoist.decisions.configuration_records import (
+    Change,
+    Restart,
+    encode_record,
+)
+from sorrelhoist.decisions.documents import diff
+from sorrelhoist.exceptions import (
+    KeyReusedError,
+    LogUnavailableError,
+    NotReadyError,
+)
+from tests.node.configuration_fakes import RETENTION_S, FakeNetwork, domains
+
+FIRST = domains(a="in", b="in", c="in")
+SECOND = domains(a="out", b="in", c="in")
+THIRD = domains(a="in", b="out", c="in")
+
+
+@pytest.fixture
+def network():
+    network = FakeNetwork()
+    for node_id in ("a-1", "b-1", "c-1"):
+        network.add(node_id)
+    network.step()
+    network.apply("a-1", FIRST, "first")
+    yield network
+    network.loop.close()
+
+
+def offsets(network):
+    return [replica.effective_offset for replica in network.replicas.values()]
+
+
+def test_accepted_is_in_force_everywhere(network):
+    report = network.apply("a-1", SECOND, "second")
+    assert report.is_settled
+    assert report.verdict.revision == 2
+    assert sorted(report.confirmations.confirmed) == ["b-1", "c-1"]
+    assert offsets(network) == [2, 2, 2]
+
+
+@pytest.mark.parametrize(
+    ("fault", "verdict", "records"),
+    [
+        ("rate_limited", Accepted, 2),
+        ("lost_after", Accepted, 2),
+        ("lost_before", UnknownYet, 1),
+        ("down_after", UnknownYet, 2),
+    ],
+)
+def test_fault_of_the_append(network, fault, verdict, records):
+    network.log.faults = [fault]
+    report = network.apply("a-1", SECOND, "second")
+    assert type(report.verdict) is verdict
+    assert report.is_settled == (verdict is Accepted)
+    assert len(network.log.history) == records
+
+
+def test_unknown_yet_is_resolved_when_the_log_is_back(network):
+    network.log.faults = ["down_after"]
+    network.apply("a-1", SECOND, "second")
+    network.log.is_down = False
+    report = network.apply("b-1", SECOND, "second")
+    assert report.is_settled
+    assert len(network.log.history) == 2
+    assert offsets(network) == [2, 2, 2]
+
+
+def test_repeat_after_an_append_that_never_worked_appends_again(network):
+    network.log.faults = ["lost_before"]
+    network.apply("a-1", SECOND, "second")
+    assert network.apply("a-1", SECOND, "second").is_settled
+    assert len(network.log.history) == 2
+
+
+def test_lost_append_is_settled_once_another_change_took_its_base(network):
+    network.log.faults = ["lost_before"]
+    network.apply("a-1", SECOND, "second")
+    network.apply("b-1", THIRD, "third")
+    fold = network.replicas["a-1"].state.fold
+    verdict = fold.verdict_from_base("second", 1)
+    assert verdict == Conflict("second", 1, 2, "third")
+
+
+def test_outage_before_the_append_runs_nothing(network):
+    network.log.is_down = True
+    with pytest.raises(LogUnavailableError) as caught:
+        network.apply("a-1", SECOND, "second")
+    assert caught.value.not_run
+    assert len(network.log.history) == 1
+
+
+def test_racing_operators_get_one_winner(network):
+    report = network.apply("a-1", SECOND, "second", base_revision=1)
+    assert isinstance(report.verdict, Accepted)
+    report = network.apply("b-1", THIRD, "third", base_revision=1)
+    assert report.verdict == Conflict("third", 1, 2, "second")
+    assert len(network.log.history) == 2
+
+
+def test_race_inside_the_log_is_lost_by_the_later_record(network):
+    difference = diff(FIRST, THIRD)
+    quick = Change("quick", 1, difference, THIRD.digest)
+    network.log.racing = [encode_record(quick)]
+    report = network.apply("a-1", SECOND, "slow")
+    assert report.verdict == Conflict("slow", 1, 2, "quick")
+
+
+def test_unchanged_set_is_not_appended(network):
+    report = network.apply("b-1", FIRST, "again")
+    assert report.is_unchanged
+    assert report.is_settled
+    assert len(network.log.history) == 1
+
+
+def test_apply_id_with_another_set_is_refused(network):
+    with pytest.raises(KeyReusedError):
+        network.apply("a-1", SECOND, "first")
+
+
+def test_accepted_is_not_said_before_most_failure_domains_have_it(network):
+    network.cut.add("a-1")
+    report = network.apply("a-1", SECOND, "second")
+    assert isinstance(report.verdict, Accepted)
+    assert not report.is_settled
+    assert sorted(report.confirmations.missing) == ["b-1", "c-1"]
+    network.cut.clear()
+    assert network.apply("a-1", SECOND, "second").is_settled
+
+
+def test_log_and_entry_lost_right_after_accept_lose_nothing(network):
+    network.apply("a-1", SECOND, "second")
+    network.log.is_down = True
+    network.replicas.pop("a-1")
+    network.add("d-1")
+    network.step("d-1")
+    assert not network.replicas["d-1"].configuration.is_domain_in("a")
+
+
+def test_large_fleet_is_handed_the_set_by_followers(network):
+    for number in range(30):
+        for domain in "abc":
+            network.add(f"{domain}-x{number}")
+    network.step()
+    report = network.apply("a-1", SECOND, "second")
+    assert report.is_settled
+    assert not report.confirmations.missing
+    assert set(offsets(network)) == {2}
+
+
+def test_restart_is_the_way_out_of_a_lost_configuration(network):
+    network.pass_time(2 * RETENTION_S)
+    network.replicas.clear()
+    for node_id in ("a-2", "b-2"):
+        network.add(node_id)
+    network.step()
+    with pytest.raises(NotReadyError):
+        network.apply("a-2", SECOND, "x")
+    report = network.apply("a-2", domains(a="in", b="in"), "y", is_restart=True)
+    assert report.is_settled
+    assert network.apply("b-2", SECOND, "z", base_revision=2).verdict.revision == 3
+
+
+def test_restart_is_refused_while_a_configuration_is_in_force(network):
+    with pytest.raises(NotReadyError):
+        network.apply("a-1", SECOND, "x", is_restart=True)
+
+
+def test_restart_appended_late_does_not_count(network):
+    network.apply("a-1", SECOND, "second")
+    network.log.put([encode_record(Restart("late", 2, FIRST))])
+    network.step()
+    assert offsets(network) == [2, 2, 2]
+    fold = network.replicas["b-1"].state.fold
+    assert isinstance(fold.verdict("late"), Conflict)
--- /dev/null
+++ b/tests/node/test_configuration_fuzz.py
@@ -0,0 +1,196 @@
+"""Replicas against an oracle, under faults of log, network and processes."""
+
+import json
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from sorrelhoist.decisions.configuration import Accepted, Conflict
+from sorrelhoist.decisions.configuration_records import encode_record
+from sorrelhoist.exceptions import SorrelhoistError
+from tests.node.configuration_fakes import RETENTION_S, FakeNetwork, domains
+
+NODES = ("a-1", "a-2", "b-1", "b-2", "c-1")
+STATES = st.sampled_from(["in", "out"])
+FAULTS = st.sampled_from(["", "", "lost_before", "lost_after", "down_after"])
+NODE = st.sampled_from(NODES)
+
+
+class Oracle:
+    """Every record of the log in order, judged by the base revision alone."""
+
+    def __init__(self, history):
+        self.accepted = {}
+        self.by_id = {}
+        revision = 0
+        for offset, text in enumerate(history, start=1):
+            data = json.loads(text)
+            is_next = data.get("base_revision") == revision
+            if data["record"] != "change" or not is_next:
+                continue
+            revision += 1
+            self.accepted[offset] = (revision, data["digest"])
+            self.by_id[data["apply_id"]] = offset
+
+
+class Replicas(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.network = FakeNetwork()
+        self.highest = {}
+        self.late = []
+        self.promised = set()
+        self.rejected = set()
+        self.count = 0
+        for node_id in NODES:
+            self.network.add(node_id)
+
+    def teardown(self):
+        self.heal()
+        self.network.loop.close()
+
+    def live(self, node_id):
+        return self.network.replicas[node_id]
+
+    @rule(node=NODE, states=st.tuples(STATES, STATES, STATES), fault=FAULTS)
+    def apply(self, node, states, fault):
+        self.count += 1
+        apply_id = f"apply-{self.count}"
+        a, b, c = states
+        documents = domains(a=a, b=b, c=c, extra=f"{'in' if self.count % 2 else 'out'}")
+        self.network.log.faults = [fault]
+        try:
+            report = self.network.apply(node, documents, apply_id)
+        except SorrelhoistError:
+            assert apply_id not in Oracle(self.network.log.history).by_id
+            return
+        finally:
+            self.network.log.faults = []
+        if isinstance(report.verdict, Conflict):
+            self.rejected.add(apply_id)
+        if isinstance(report.verdict, Accepted) and report.is_settled:
+            self.promised.add(report.verdict.offset)
+
+    @rule(node=NODE)
+    def step(self, node):
+        self.network.step(node)
+
+    @rule(sender=NODE, receiver=NODE)
+    def gossip(self, sender, receiver):
+        if sender != receiver:
+            self.network.gossip(sender, receiver)
+
+    @rule(node=NODE)
+    def pause_before_checkpoint(self, node):
+        if self.live(node).is_ready:
+            self.late.append(encode_record(self.live(node).state.fold.state))
+
+    @precondition(lambda self: self.late and not self.network.log.is_down)
+    @rule(data=st.data())
+    def append_late_checkpoint(self, data):
+        text = data.draw(st.sampled_from(self.late))
+        self.network.log.put([text])
+
+    @rule(node=NODE, receiver=NODE)
+    def deliver_late_body(self, node, receiver):
+        body = self.live(node).state.body()
+        if self.live(node).effective_offset:
+            self.network.gossip(node, receiver)
+            self.live(receiver).handle(body)
+
+    @rule(node=NODE, other=NODE)
+    def race_with_old_base(self, node, other):
+        texts = [t for t in self.network.log.history if '"record":"change"' in t]
+        if texts and not self.network.log.is_down:
+            data = json.loads(texts[-1])
+            data["apply_id"] += "-copy"
+            self.network.log.put([json.dumps(data)])
+
+    @rule(text=st.sampled_from(["{}", '{"record": 1}', '{"record":"change"}']))
+    def put_junk(self, text):
+        if not self.network.log.is_down:
+            self.network.log.put([json.dumps({"record": "junk", "text": text})])
+
+    @rule()
+    def toggle_outage(self):
+        self.network.log.is_down = not self.network.log.is_down
+
+    @rule(node=NODE)
+    def toggle_cut(self, node):
+        self.network.cut ^= {node}
+
+    @rule(node=NODE)
+    def replace_process(self, node):
+        others = [item for name, item in self.network.replicas.items() if name != node]
+        if max(item.effective_offset for item in others) >= max(
+            self.promised, default=0
+        ):
+            self.network.add(node)
+            self.highest.pop(node, None)
+
+    @rule(part=st.sampled_from([0.1, 0.35]))
+    def pass_time(self, part):
+        """Time passes; processes that run keep their checkpoints meanwhile."""
+        self.network.pass_time(part * RETENTION_S)
+
+    @invariant()
+    def every_reader_reaches_the_same_verdict(self):
+        oracle = Oracle(self.network.log.history)
+        for node_id, replica in self.network.replicas.items():
+            offset = replica.effective_offset
+            assert offset >= self.highest.get(node_id, 0)
+            self.highest[node_id] = offset
+            if offset:
+                fold = replica.state.fold
+                assert oracle.accepted[offset] == (fold.revision, fold.documents.digest)
+            assert replica.state.fold.differing_checkpoints == 0
+        assert self.promised <= oracle.accepted.keys()
+        assert not self.rejected & oracle.by_id.keys()
+
+    def heal(self):
+        """Without faults all converge, and nothing accepted is lost."""
+        network = self.network
+        network.log.is_down = False
+        network.cut.clear()
+        for _ in range(4):
+            network.step()
+            for sender in NODES:
+                for receiver in NODES:
+                    if sender != receiver:
+                        network.gossip(sender, receiver)
+        self.every_reader_reaches_the_same_verdict()
+        offsets = {replica.effective_offset for replica in network.replicas.values()}
+        assert len(offsets) == 1
+        assert offsets.pop() >= max(self.promised, default=0)
+
+
+TestReplicasFuzz = Replicas.TestCase
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_same_log_read_in_any_order_fuzz(seed):
+    """Folds that get the records shuffled end like one that reads in order."""
+    import random
+
+    from sorrelhoist.decisions.configuration import ConfigurationFold
+
+    network = FakeNetwork()
+    network.add("a-1")
+    randomness = random.Random(seed)
+    for number in range(30):
+        state = randomness.choice(["in", "out"])
+        network.apply(
+            "a-1", domains(a=state, b=f"{'in' if number % 3 else 'out'}"), f"{number}"
+        )
+    history = list(enumerate(network.log.history, start=1))
+    shuffled = ConfigurationFold()
+    for offset, text in randomness.sample(history * 2, 2 * len(history)):
+        shuffled.apply(offset, text)
+    assert shuffled.state == network.replicas["a-1"].state.fold.state
+    network.loop.close()
