--- a/src/sorrelhoist/decisions/configuration_alarms.py
+++ b/src/sorrelhoist/decisions/configuration_alarms.py
@@ -96,8 +96,8 @@
     has_gap = not fold.reaches(view.next_offset)
     if view.went_back:
         alarms.append(_LOG_WENT_BACK)
-    if has_gap and not is_ready and view.failures == 0:
-        alarms.append(_CONFIGURATION_LOST)
+    if has_gap and view.failures == 0:
+        alarms.append(_GAP if is_ready else _CONFIGURATION_LOST)
     elif not is_ready:
         alarms.append(_NO_CONFIGURATION)
     if problem:
@@ -122,6 +122,12 @@
     "The log has expired past its last checkpoint, and no peer has the configuration.",
     "If no process is ready, apply the files with --restart.",
 )
+_GAP = Alarm(
+    "configuration_gap",
+    "Log records expired before they were read, and no peer has read them; "
+    "the configuration in force may be outdated.",
+    "If it lasts and no process lacks this alarm, apply the files with --restart.",
+)
 _NO_CONFIGURATION = Alarm(
     "no_configuration",
     "Neither the log nor a peer has given a configuration yet.",
--- a/src/sorrelhoist/node/configuration_apply.py
+++ b/src/sorrelhoist/node/configuration_apply.py
@@ -50,8 +50,8 @@
     base_revision : int, optional
         What the caller compared the set with; by default what is in force.
     is_restart : bool
-        Put the set in force whatever came before; refused while a
-        configuration is in force.
+        Put the set in force whatever came before; refused while what came
+        before is known.
     """
 
     apply_id: str
@@ -175,9 +175,9 @@
         )
 
     async def _restart(self, proposal: Proposal) -> ApplyReport:
-        if self._replica.is_ready:
+        if self._replica.is_caught_up:
             raise NotReadyError(
-                "A configuration is in force, which a restart would undo.",
+                "The configuration in force is known; a restart would undo it.",
                 "Apply without --restart.",
                 not_run=True,
             )
@@ -298,7 +298,7 @@
 
 def _not_ready() -> NotReadyError:
     return NotReadyError(
-        "This process does not know the configuration in force.",
+        "This process does not know for sure which configuration is in force.",
         "Ask another entry, or look at the alarms in the status.",
         not_run=True,
     )
--- a/tests/node/test_configuration_fuzz.py
+++ b/tests/node/test_configuration_fuzz.py
@@ -1,6 +1,7 @@
 """Replicas against an oracle, under faults of log, network and processes."""
 
 import json
+import random
 
 import pytest
 from hypothesis import strategies as st
@@ -11,7 +12,11 @@
     rule,
 )
 
-from sorrelhoist.decisions.configuration import Accepted, Conflict
+from sorrelhoist.decisions.configuration import (
+    Accepted,
+    ConfigurationFold,
+    Conflict,
+)
 from sorrelhoist.decisions.configuration_records import encode_record
 from sorrelhoist.exceptions import SorrelhoistError
 from tests.node.configuration_fakes import RETENTION_S, FakeNetwork, domains
@@ -31,10 +36,11 @@
         revision = 0
         for offset, text in enumerate(history, start=1):
             data = json.loads(text)
-            is_next = data.get("base_revision") == revision
-            if data["record"] != "change" or not is_next:
+            is_change = data.get("base_revision") == revision
+            is_restart = data.get("expected_offset") == offset
+            if not is_change and not is_restart:
                 continue
-            revision += 1
+            revision = offset if is_restart else revision + 1
             self.accepted[offset] = (revision, data["digest"])
             self.by_id[data["apply_id"]] = offset
 
@@ -77,6 +83,15 @@
         if isinstance(report.verdict, Accepted) and report.is_settled:
             self.promised.add(report.verdict.offset)
 
+    @rule(node=NODE)
+    def restart(self, node):
+        self.count += 1
+        documents = domains(restarted="in")
+        try:
+            self.network.apply(node, documents, f"apply-{self.count}", is_restart=True)
+        except SorrelhoistError:
+            return
+
     @rule(node=NODE)
     def step(self, node):
         self.network.step(node)
@@ -168,6 +183,8 @@
         offsets = {replica.effective_offset for replica in network.replicas.values()}
         assert len(offsets) == 1
         assert offsets.pop() >= max(self.promised, default=0)
+        caught_up = {replica.is_caught_up for replica in network.replicas.values()}
+        assert len(caught_up) == 1
 
 
 TestReplicasFuzz = Replicas.TestCase
@@ -176,10 +193,6 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_same_log_read_in_any_order_fuzz(seed):
     """Folds that get the records shuffled end like one that reads in order."""
-    import random
-
-    from sorrelhoist.decisions.configuration import ConfigurationFold
-
     network = FakeNetwork()
     network.add("a-1")
     randomness = random.Random(seed)
