--- a/src/sorrelhoist/decisions/configuration.py
+++ b/src/sorrelhoist/decisions/configuration.py
@@ -138,7 +138,7 @@
             self.unreadable_records += 1
         match record:
             case Checkpoint() if self._joins(record, offset):
-                self.adopt(record)
+                self._advance(record)
             case Restart():
                 self._restart(offset, record)
         self._drain()
@@ -158,11 +158,8 @@
             Whether another configuration is in force now.
         """
         self._compare(checkpoint)
-        is_ahead = checkpoint.as_of_offset > self.state.as_of_offset
-        if not is_ahead or checkpoint.effective_offset < self.state.effective_offset:
-            return False
         before = self.state.effective_offset
-        self.state = checkpoint
+        self._advance(checkpoint)
         self._drain()
         return self.state.effective_offset > before
 
@@ -213,9 +210,14 @@
             "recent": [attrs.asdict(item) for item in self.state.history[-3:]],
         }
 
+    def _advance(self, checkpoint: Checkpoint) -> None:
+        is_ahead = checkpoint.as_of_offset > self.state.as_of_offset
+        if is_ahead and checkpoint.effective_offset >= self.state.effective_offset:
+            self.state = checkpoint
+
     def _restart(self, offset: int, restart: Restart) -> None:
         if restart.expected_offset == offset:
-            self.adopt(restart.state_at(offset))
+            self._advance(restart.state_at(offset))
         else:
             self._remember(self.conflict(restart.apply_id, NO_REVISION))
 
--- /dev/null
+++ b/tests/decisions/test_configuration_parsing.py
@@ -0,0 +1,154 @@
+"""Each fault of a document is reported with its kind, place and remedy."""
+
+import pytest
+from returns.result import Failure, Success
+
+from sorrelhoist.decisions.configuration_parsing import (
+    SourceText,
+    parse_accepted,
+    parse_documents,
+    parse_texts,
+)
+from sorrelhoist.decisions.documents import DocumentSet
+
+KEY = "a" * 64
+DOMAIN = "kind: FailureDomain\nname: d\n"
+MODEL = """kind: Model
+name: m
+version: "3"
+context_tokens: 1000
+long_prompt_tokens: 100
+"""
+SERVICE = 'kind: Service\nname: s\ntype: model\nmodels: [{name: m, version: "3"}]\n'
+PLAIN = "kind: Service\nname: p\ntype: plain\nat_most_once: true\n"
+WORKSPACE = f"kind: Workspace\nname: w\nkey_sha256: [{KEY}]\nmodels: [m]\n"
+ENDPOINT = """kind: Endpoint
+name: e
+failure_domain: d
+service: s
+model: m
+kv_capacity_tokens: 10
+prefill_tokens_per_s: 10
+max_running_requests: 4
+"""
+WHOLE = [DOMAIN, MODEL, SERVICE, PLAIN, WORKSPACE, ENDPOINT]
+
+
+def parse(*documents):
+    return parse_texts([SourceText("file.yaml", "---\n".join(documents))])
+
+
+def test_whole_set_is_indexed():
+    configuration = parse(*WHOLE).unwrap()
+    assert configuration.workspace_for_key(KEY).name == "w"
+    assert configuration.workspace_for_key("b" * 64) is None
+    assert configuration.is_domain_in("d")
+    assert not configuration.is_domain_in("unknown")
+    (endpoint,) = configuration.endpoints_for_model("m")
+    assert configuration.endpoints_for_service("s") == (endpoint,)
+    assert configuration.model_for_endpoint(endpoint).version == "3"
+    assert configuration.endpoints_for_model("x") == ()
+
+
+def test_newest_version_stands_for_a_model():
+    newer = MODEL.replace('"3"', '"10"')
+    assert parse(newer, MODEL).unwrap().models["m"].version == "10"
+
+
+def test_digest_does_not_depend_on_order_or_files():
+    one = parse(*WHOLE).unwrap()
+    other = parse_texts(SourceText(str(i), text) for i, text in enumerate(WHOLE[::-1]))
+    assert one.digest == other.unwrap().digest
+
+
+def test_plain_form_is_stable():
+    plain = parse(*WHOLE).unwrap().plain
+    again = parse_accepted(plain.to_plain()).unwrap()
+    assert again.plain == plain
+
+
+def test_newer_release_is_understood_but_not_accepted_from_operators():
+    data = parse(*WHOLE).unwrap().plain.to_plain()
+    data[0]["colour"] = "red"
+    newer = [*data, {"kind": "Colour", "name": "x"}]
+    assert isinstance(parse_accepted(newer), Success)
+    plain = DocumentSet.from_plain(newer)
+    assert len(plain.texts) == len(newer)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "kind", "key"),
+    [
+        ("type: model", "type: modell", "wrong_type", "type"),
+        ('version: "3"\ncontext', "version: 3\ncontext", "wrong_type", "version"),
+        ("_tokens: 1000\n", "_tokens: 1k\n", "wrong_type", "context_tokens"),
+        ("_tokens: 1000\n", "_tokens: 1.5\n", "wrong_type", "context_tokens"),
+        ("_tokens: 1000\n", "_tokens: true\n", "wrong_type", "context_tokens"),
+        ("_tokens: 1000\n", "_tokens: 1.0e+300\n", "wrong_type", "context_tokens"),
+        ("_tokens: 1000\n", "_tokens: -1\n", "out_of_range", "context_tokens"),
+        ("_tokens: 1000\n", f"_tokens: {2**60}\n", "wrong_type", "context_tokens"),
+        ("_tokens: 1000\n", "_tokens: 50\n", "inconsistent", "long_prompt_tokens"),
+        ("context_tokens: 1000\n", "", "missing_key", "context_tokens"),
+        ("context_tokens", "context_tokenz", "unknown_key", "context_tokenz"),
+        ("models: [m]", "models: m", "wrong_type", "models"),
+        ("models: [m]", "models: [m]\nweight: .nan", "wrong_type", "weight"),
+        ("models: [m]", "models: [m]\nweight: 0", "out_of_range", "weight"),
+        ("models: [m]", "models: [x]", "unknown_reference", "models"),
+        ("models: [m]", "services: [x]", "unknown_reference", "services"),
+        (KEY, "sesame", "out_of_range", "key_sha256"),
+        ("name: w", "name: w/w", "out_of_range", "name"),
+        ("[{name: m,", "[{name: x,", "unknown_reference", "models"),
+        ("[{name: m, ", "[{", "missing_key", "models.0.name"),
+        ('[{name: m, version: "3"}]', "[m]", "wrong_type", "models.0"),
+        ('models: [{name: m, version: "3"}]', "", "inconsistent", "models"),
+        ("type: model\n", "type: model\nlookup: true\n", "inconsistent", "lookup"),
+        ("failure_domain: d", "failure_domain: x", "unknown_reference", None),
+        ("service: s", "service: x", "unknown_reference", "service"),
+        ("service: s", "service: p", "inconsistent", "model"),
+        ("model: m\n", "", "unknown_reference", "model"),
+        ("kv_capacity_tokens: 10\n", "", "out_of_range", "kv_capacity_tokens"),
+        ("max_running_requests: 4", "cold_running_requests: 9", "inconsistent", None),
+        ("kind: Endpoint", "kind: Endpoit", "unknown_kind", ""),
+        ("name: d\n", "name: d\nname: e\n", "unreadable_text", ""),
+        ("name: d\n", "name: [\n", "unreadable_text", ""),
+        ("kind: FailureDomain\nname: d\n", "[1, 2]\n", "unknown_kind", ""),
+        (WORKSPACE, WORKSPACE + "---\n" + WORKSPACE, "duplicate", ""),
+        (
+            WORKSPACE,
+            WORKSPACE + "---\n" + WORKSPACE.replace("name: w", "name: v"),
+            "duplicate",
+            "key_sha256",
+        ),
+    ],
+)
+def test_fault(old, new, kind, key):
+    text = "---\n".join(WHOLE)
+    assert old in text
+    problems = parse(text.replace(old, new, 1)).failure().items
+    found = [item for item in problems if item.kind == kind]
+    assert found, problems
+    assert found[0].place.file == "file.yaml"
+    assert key is None or found[0].place.key == key
+    assert found[0].remedy in str(found[0])
+
+
+def test_all_problems_of_all_files_are_reported():
+    sources = [
+        SourceText("one.yaml", MODEL.replace('"3"', "3") + "foo: 1\n"),
+        SourceText("two.yaml", "- ["),
+        SourceText("three.yaml", DOMAIN + "state: maybe\n"),
+    ]
+    problems = parse_texts(sources).failure()
+    kinds = [item.kind for item in problems.items]
+    assert kinds == ["unreadable_text", "wrong_type", "unknown_key", "wrong_type"]
+    assert problems.headline == "4 problems found."
+
+
+def test_references_are_not_judged_while_documents_are_unreadable():
+    problems = parse(*WHOLE[2:], "kind: Model\nname: m\n").failure().items
+    assert {item.kind for item in problems} == {"missing_key"}
+
+
+def test_empty_set_is_refused():
+    assert isinstance(parse_documents([]), Failure)
+    assert parse("# nothing\n").failure().items[0].kind == "empty_set"
