--- a/src/sorrelhoist/node/configuration_apply.py
+++ b/src/sorrelhoist/node/configuration_apply.py
@@ -12,7 +12,13 @@
 import attrs
 
 from ..clients.exceptions import AppendOutcomeUnknownError, LogRateLimitedError
-from ..decisions.configuration import Accepted, Conflict, UnknownYet, Verdict
+from ..decisions.configuration import (
+    Accepted,
+    Conflict,
+    UnknownYet,
+    Verdict,
+    accepted_verdict,
+)
 from ..decisions.configuration_confirmations import Confirmations
 from ..decisions.configuration_followers import choose_followers
 from ..decisions.configuration_records import Change, Restart, encode_record
@@ -44,8 +50,8 @@
     base_revision : int, optional
         What the caller compared the set with; by default what is in force.
     is_restart : bool
-        Put the set in force whatever came before; refused while a
-        configuration is in force.
+        Put the set in force whatever came before; refused while what came
+        before is known.
     """
 
     apply_id: str
@@ -65,7 +71,8 @@
     confirmations : Confirmations, optional
         Who holds it, if it was accepted.
     is_unchanged : bool
-        True if the set was in force before.
+        True if the set was in force before; the verdict is then on the change
+        that put it in force.
     """
 
     verdict: Verdict | UnknownYet
@@ -156,7 +163,7 @@
         fold = self._replica.state.fold
         difference = diff(fold.documents, proposal.documents)
         if difference.is_empty and fold.revision > 0:
-            verdict = Accepted(proposal.apply_id, fold.effective_offset, fold.revision)
+            verdict = accepted_verdict(fold.state.history[-1])
             return attrs.evolve(await self._report(verdict), is_unchanged=True)
         base_revision = fold.revision
         change = Change(
@@ -168,9 +175,9 @@
         )
 
     async def _restart(self, proposal: Proposal) -> ApplyReport:
-        if self._replica.is_ready:
+        if self._replica.is_caught_up:
             raise NotReadyError(
-                "A configuration is in force, which a restart would undo.",
+                "The configuration in force is known; a restart would undo it.",
                 "Apply without --restart.",
                 not_run=True,
             )
@@ -291,7 +298,7 @@
 
 def _not_ready() -> NotReadyError:
     return NotReadyError(
-        "This process does not know the configuration in force.",
+        "This process does not know for sure which configuration is in force.",
         "Ask another entry, or look at the alarms in the status.",
         not_run=True,
     )
