The whole path, thin, as separate processes

Entries take callers' HTTP and route to agents by framed thrift; each agent guards one engine or plain service by its ledger or its claims; the configuration is applied through the operators' HTTP and folded from the log. Suspicion is not joined yet.

--- a/src/sorrelhoist/bench/fleet.py
+++ b/src/sorrelhoist/bench/fleet.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
@@ -88,6 +88,7 @@
     body: object = None,
     headers: dict[str, str] | None = None,
     timeout_s: float = 60.0,
+    on_chunk: Callable[[bytes], None] | None = None,
 ) -> HTTPResponse:
     """Make one HTTP call; errors come back as responses."""
     data = None
@@ -101,6 +102,7 @@
         request_timeout=timeout_s,
         raise_error=False,
         allow_nonstandard_methods=True,
+        streaming_callback=on_chunk,
     )
 
 
@@ -168,7 +170,7 @@
         port = free_port()
         arguments = ["standin", kind, "--port", str(port), *options]
         child = self._spawn(name, arguments, port, 0)
-        await self._wait_for(child, "/")
+        await self._wait_for(child, "/status")
         return child
 
     async def start_role(self, role: str, name: str, extra: dict, domain: str) -> Child:
@@ -224,6 +226,18 @@
             if child.peer_port and (not names or child.name in names):
                 await self._wait_for(child, "/readyz", 200)
 
+    async def wait_joined(self) -> None:
+        """Wait until the first entry sees all entries and agents."""
+        wanted = sum(1 for child in self.children.values() if child.peer_port)
+        url = self.entries()[0].url + "/operator/v1/status"
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                status = json.loads((await fetch(url, headers=operator_headers())).body)
+                alive = [m for m in status["members"] if m["state"] == "alive"]
+                if len(alive) >= wanted:
+                    return
+                await asyncio.sleep(POLL_INTERVAL_S)
+
     async def apply(self, documents: list[dict] | None = None) -> HTTPResponse:
         """Apply a configuration through the first entry."""
         return await fetch(
@@ -277,6 +291,7 @@
                 await fleet.start_role("entry", f"entry-{number + 1}", {}, domain)
             for child in fleet.entries():
                 await fleet._wait_for(child, "/healthz", 200)
+            await fleet.wait_joined()
             applied = await fleet.apply()
             if applied.code != 200:
                 raise RuntimeError(f"apply failed: {applied.body!r}")
--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -14,7 +14,6 @@
 from ..decisions.prompts import PromptProfile, profile_prompt
 from ..decisions.retries import RetryBudget
 from ..decisions.routing import ExpectedFirstToken, Router, RouteRequest
-from ..decisions.suspicion import SuspicionTable
 from ..exceptions import (
     InvalidRequestError,
     PeerError,
@@ -22,8 +21,7 @@
     UnknownModelError,
 )
 from ..messages.gen import ttypes
-from ..node.dump import dump_route
-from ..node.gossip import GossipHooks
+from ..node.configuration_apply import ConfigurationApplier
 from ..node.health import health_routes
 from ..node.metrics import EntryMetrics
 from ..node.peers import Responder
@@ -38,10 +36,12 @@
 from .groups import GroupReserver
 from .http import UnknownPathHandler
 from .leases import LeaseKeeper
+from .operators import OperatorServices, operator_handlers
 from .placement import Placer
 from .requests import GenerationRequest
 from .service_calls import ServiceHandler
 from .services import ServiceRouter
+from .status import system_status
 
 logger = logging.getLogger(__name__)
 
@@ -65,12 +65,7 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.suspicions = SuspicionTable()
-        hooks = GossipHooks(
-            suspicions=lambda: self.suspicions.to_spread(self.clock()),
-            on_suspicions=lambda heard: self.suspicions.merge(heard, self.clock()),
-        )
-        self.process = NodeProcess(settings, hooks, clock)
+        self.process = NodeProcess(settings, clock=clock)
         self.metrics = EntryMetrics.create(self.process.metrics.meter)
         self.fleet = Fleet(
             self._configuration,
@@ -97,12 +92,8 @@
             router=self.router,
             seeker=seeker,
             groups=GroupReserver(seeker, caller, self.leases),
-            is_suspected=lambda print_: self.suspicions.is_suspected(
-                print_, self.clock()
-            ),
-            is_condemned=lambda print_: self.suspicions.is_condemned(
-                print_, self.clock()
-            ),
+            is_suspected=lambda print_: False,
+            is_condemned=lambda print_: False,
             clock=self.clock,
         )
         return GenerationTools(
@@ -126,7 +117,7 @@
         """Return why no new requests are taken, or an empty text."""
         if self.is_leaving:
             return "The entry is shutting down."
-        if not self.process.replica.is_ready or not self.process.replica.revision:
+        if not self.process.replica.is_ready or not self.process.replica.state.revision:
             return "The entry has no configuration yet."
         return ""
 
@@ -267,7 +258,15 @@
         )
 
     def _operator_routes(self) -> list[URLSpec]:
-        return [dump_route(self.settings.operator_key_sha256, self.dump)]
+        replica = self.process.replica
+        services = OperatorServices(
+            replica=replica,
+            applier=ConfigurationApplier(replica),
+            key_sha256=self.settings.operator_key_sha256,
+            status=lambda: system_status(self.process, self.router),
+            dump=self.dump,
+        )
+        return operator_handlers(services)
 
     async def drain(self) -> None:
         """Take no new requests and let running ones end."""
@@ -286,7 +285,6 @@
             "router": self.router.dump(),
             "leases": self.leases.dump(),
             "retries": self.retries.dump(),
-            "suspicions": self.suspicions.dump(),
         }
 
 
