--- /dev/null
+++ b/tests/decisions/test_slow_start.py
@@ -0,0 +1,49 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sorrelhoist.decisions.slow_start import SlowStart
+
+
+def make():
+    return SlowStart(2, 250, 16, 2000)
+
+
+def test_doubles_with_each_allowance_of_completed_work():
+    start = make()
+    sizes = []
+    while not start.full:
+        allowed = start.allowed_requests
+        for _ in range(allowed):
+            start.completed(10, allowed, 10 * allowed)
+        sizes.append(start.allowed_requests)
+    assert sizes[0] in (4, 5) and len(sizes) <= 4
+
+
+def test_work_that_never_came_near_the_allowance_proves_nothing():
+    start = make()
+    for _ in range(100):
+        start.completed(10, 4, 40)
+    assert start.allowed_requests < 16
+
+
+def test_trouble_halves_down_to_the_floor():
+    start = make()
+    while not start.full:
+        start.completed(1000, 16, 2000)
+    sizes = []
+    for _ in range(4):
+        start.troubled()
+        sizes.append((start.allowed_requests, start.allowed_tokens))
+    assert sizes == [(8, 1000), (4, 500), (2, 250), (2, 250)]
+
+
+@given(st.lists(st.one_of(st.none(), st.integers(0, 5000))))
+def test_fuzz_stays_between_floor_and_ceiling(events):
+    start = make()
+    for tokens in events:
+        if tokens is None:
+            start.troubled()
+        else:
+            start.completed(tokens, 16, 2000)
+        assert 2 <= start.allowed_requests <= 16
+        assert 250 <= start.allowed_tokens <= 2000
