Claims: fault table through the real shell

asyncio.wait_for in Python 3.11 swallows a cancellation that comes together with the result, so that a stopped agent went on reading for ever; asyncio.timeout takes its place.

--- a/src/sorrelhoist/agent/claims_follower.py
+++ b/src/sorrelhoist/agent/claims_follower.py
@@ -149,7 +149,8 @@
 
     async def _wait_for_move(self, timeout_s: float) -> bool:
         try:
-            await asyncio.wait_for(self._moved.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._moved.wait()
         except TimeoutError:
             return False
         return True
--- a/src/sorrelhoist/agent/claims_runner.py
+++ b/src/sorrelhoist/agent/claims_runner.py
@@ -188,8 +188,8 @@
     ) -> Event:
         self.counters.service_calls += 1
         try:
-            sent = send(self.service, call, key, timeout_s)
-            reply = await asyncio.wait_for(sent, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                reply = await send(self.service, call, key, timeout_s)
         except ServiceNotReachedError as error:
             return NotReached(error.message)
         except Exception as error:
@@ -198,7 +198,8 @@
 
     async def _look_up(self, key: str, timeout_s: float) -> Event:
         try:
-            reply = await asyncio.wait_for(self.service.lookup(key), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                reply = await self.service.lookup(key)
         except (SorrelhoistError, TimeoutError, OSError):
             return LookedUp(None)
         if reply is None:
@@ -208,8 +209,8 @@
     async def _read_outcome(self, offset: int, until_s: float) -> Event:
         while (left_s := until_s - self.clock()) > 0:
             try:
-                read = self.follower.read_outcome(offset)
-                return OutcomeRead(await asyncio.wait_for(read, left_s))
+                async with asyncio.timeout(left_s):
+                    return OutcomeRead(await self.follower.read_outcome(offset))
             except (SorrelhoistError, TimeoutError):
                 await asyncio.sleep(min(READ_RETRY_S, left_s))
         return OutcomeRead(None)
--- a/tests/agent/claims_world.py
+++ b/tests/agent/claims_world.py
@@ -19,7 +19,7 @@
 from sorrelhoist.clients.log import Appended, LogPage, LogRecord
 from sorrelhoist.clients.plain_service import PlainReply
 from sorrelhoist.decisions.claims_records import Claimant
-from sorrelhoist.exceptions import LogUnavailableError, SorrelhoistError
+from sorrelhoist.exceptions import LogUnavailableError, NotReadyError, SorrelhoistError
 from sorrelhoist.messages.gen import ttypes
 
 WALL_OFFSET_S = 1.7e9
@@ -27,6 +27,8 @@
 PAUSE_S = 30.0
 LOG_DELAY_S = 0.01
 FOREVER_S = 1e6
+# Refused before the log was read: nothing is known of other agents' calls.
+UNCLAIMED = (LogUnavailableError, NotReadyError)
 
 
 @attrs.define
@@ -81,6 +83,9 @@
         for attempt, answer in self.answers.items():
             if isinstance(answer, SorrelhoistError) and answer.not_run:
                 assert attempt not in ran, (attempt, answer)
+            if isinstance(answer, ttypes.ServiceReply):
+                assert answer.body == b"ran deposit", answer
+                assert self.effects, answer
 
 
 class Agent:
@@ -143,6 +148,8 @@
             return None
         answer = task.exception() or task.result()
         self.world.answers[attempt] = answer
+        if getattr(answer, "not_run", False) and not isinstance(answer, UNCLAIMED):
+            assert not self.world.effects_of(key), answer
         return answer
 
     async def ready(self):
@@ -187,7 +194,8 @@
             raise OffsetExpiredError(world.first_offset, "gone")
         if from_offset > len(world.records) and wait_s:
             try:
-                await asyncio.wait_for(world.appended.wait(), wait_s)
+                async with asyncio.timeout(wait_s):
+                    await world.appended.wait()
             except TimeoutError:
                 pass
         if world.log_down:
