Tests of the operators' interface and commands

Found by them: a lone surrogate in a document was answered with status 500; it is now a problem of the document, and error bodies are plain ASCII.

--- a/src/sorrelhoist/decisions/configuration_parsing.py
+++ b/src/sorrelhoist/decisions/configuration_parsing.py
@@ -99,9 +99,19 @@
 def _structure_exact(value: object, target: type) -> object:
     if type(value) is not target:
         raise TypeError(f"{value!r} is not {TYPE_NAMES[target]}.")
+    if isinstance(value, str) and not _is_encodable(value):
+        raise ValueError(f"{value!r} is not valid Unicode.")
     return value
 
 
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _structure_choice(value: object, target: Any) -> object:
     choices = get_args(target)
     if value not in choices:
--- a/src/sorrelhoist/entry/operators.py
+++ b/src/sorrelhoist/entry/operators.py
@@ -134,7 +134,7 @@
         self.set_status(status)
         self.set_header("Content-Type", "application/json; charset=UTF-8")
         self.set_header("Cache-Control", "no-store")
-        self.finish(json.dumps(data, ensure_ascii=False))
+        self.finish(json.dumps(data))
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Write the error that left a handler."""
@@ -146,7 +146,7 @@
         if error.retry_after_s is not None:
             self.set_header("Retry-After", str(math.ceil(error.retry_after_s)))
         self.set_header("Content-Type", "application/json; charset=UTF-8")
-        self.finish(json.dumps({"error": error_body(error)}, ensure_ascii=False))
+        self.finish(json.dumps({"error": error_body(error)}))
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log only what is not a typed error."""
--- /dev/null
+++ b/tests/commands/test_configuration.py
@@ -0,0 +1,138 @@
+"""The operators' commands: texts, JSON and exit codes."""
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from sorrelhoist.commands import configuration as commands
+from tests.entry.operators_fakes import KEY, running_operators
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+DEMO = str(EXAMPLES / "kasparek-demo")
+SMALL = "kind: FailureDomain\nname: praha-a\n"
+ALARM = {"kind": "stale", "message": "It is stale.", "remedy": "Mend the network."}
+
+
+def invoke(command, *arguments, env=None):
+    return CliRunner().invoke(command, arguments, env=env)
+
+
+def remote(*calls, prepare=None, key=KEY):
+    """Run commands against one entry; return their results."""
+
+    async def run():
+        async with running_operators(verdict_timeout_s=0.0) as fake:
+            await fake.replica.refresh()
+            if prepare:
+                prepare(fake)
+            env = {"SORRELHOIST_ADDRESS": fake.address, "SORRELHOIST_OPERATOR_KEY": key}
+            results = []
+            for command, *arguments in calls:
+                work = asyncio.to_thread(invoke, command, *arguments, env=env)
+                results.append(await work)
+            return results
+
+    return asyncio.run(run())
+
+
+@pytest.fixture
+def small(tmp_path):
+    (tmp_path / "one.yaml").write_text(SMALL)
+    return str(tmp_path)
+
+
+def test_validate():
+    result = invoke(commands.validate, DEMO)
+    assert (result.exit_code, result.output) == (0, "valid: 16 documents\n")
+
+
+def test_validate_reports_all_problems(tmp_path):
+    (tmp_path / "one.yaml").write_text(SMALL + "state: x\nfoo: 1\n")
+    result = invoke(commands.validate, str(tmp_path), "--output", "json")
+    assert result.exit_code == 1
+    kinds = [item["kind"] for item in json.loads(result.output)["problems"]]
+    assert kinds == ["wrong_type", "unknown_key"]
+
+
+def test_missing_folder_is_no_verdict():
+    assert invoke(commands.validate, "no-such-folder").exit_code == 2
+
+
+def test_apply_diff_and_get(small):
+    first, same, other, got = remote(
+        (commands.apply_command, small),
+        (commands.diff_command, small),
+        (commands.diff_command, DEMO),
+        (commands.get_command,),
+    )
+    assert first.exit_code == 0, first.output
+    assert first.output.startswith("accepted: revision 1 at offset 1")
+    assert (same.exit_code, same.output) == (0, "no difference\n")
+    assert other.exit_code == 1
+    assert "+ Workspace kasparek-desk" in other.output
+    assert "region: '' -> 'cz-central'" in other.output
+    assert "name: praha-a" in got.output
+
+
+def test_rejected_apply(small):
+    _, rejected = remote(
+        (commands.apply_command, small),
+        (commands.apply_command, small, "--base-revision", "0", "--apply-id", "x"),
+    )
+    assert rejected.exit_code == 1
+    assert "remedy:" in rejected.output
+
+
+def test_unknown_verdict_tells_how_to_ask_again(small):
+    def lose(fake):
+        fake.log.faults = ["lost_before"]
+
+    calls = [(commands.apply_command, small, "--apply-id", "x", "--wait-s", "0")]
+    (result,) = remote(*calls, prepare=lose)
+    assert result.exit_code == 2
+    assert "unknown yet" in result.output
+    assert "apply id x" in result.output
+
+
+@pytest.mark.parametrize(
+    ("status", "exit_code", "text"),
+    [
+        ({"alarms": []}, 0, "healthy\n"),
+        ({"alarms": [ALARM]}, 1, "remedy: Mend the network."),
+        ({"healthy": False, "alarms": []}, 1, "NOT healthy"),
+        (
+            {
+                "alarms": [],
+                "configuration": {"effective_offset": 9},
+                "members": [
+                    {
+                        "node_id": "n1",
+                        "role": "agent",
+                        "failure_domain": "praha-a",
+                        "state": "alive",
+                        "configuration_offset": 8,
+                    }
+                ],
+            },
+            0,
+            "older configuration on 1: n1",
+        ),
+    ],
+)
+def test_status(status, exit_code, text):
+    (result,) = remote((commands.status,), prepare=lambda f: f.status.update(status))
+    assert result.exit_code == exit_code
+    assert text in result.output
+
+
+def test_wrong_key_is_no_verdict():
+    results = remote((commands.status,), (commands.get_command,), key="wrong")
+    assert [result.exit_code for result in results] == [2, 2]
+
+
+def test_entry_that_does_not_answer_is_no_verdict(small):
+    arguments = [small, "--address", "127.0.0.1:1", "--wait-s", "0"]
+    assert invoke(commands.apply_command, *arguments).exit_code == 2
--- a/tests/decisions/test_configuration_parsing.py
+++ b/tests/decisions/test_configuration_parsing.py
@@ -95,6 +95,7 @@
         ("models: [m]", "models: [m]\nweight: 0", "out_of_range", "weight"),
         ("models: [m]", "models: [x]", "unknown_reference", "models"),
         ("models: [m]", "services: [x]", "unknown_reference", "services"),
+        ("name: d\n", 'name: d\nregion: "\\ud800"\n', "wrong_type", "region"),
         (KEY, "sesame", "out_of_range", "key_sha256"),
         ("name: w", "name: w/w", "out_of_range", "name"),
         ("[{name: m,", "[{name: x,", "unknown_reference", "models"),
