--- /dev/null
+++ b/src/sorrelhoist/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments behind the choices in the design."""
--- /dev/null
+++ b/src/sorrelhoist/bench/experiments/membership.py
@@ -0,0 +1,168 @@
+"""Measure the membership in virtual time: its cost, and how fast news spread.
+
+Run it by ``python -m sorrelhoist.bench.experiments.membership``.
+"""
+
+import random
+from collections.abc import Callable
+from functools import partial
+
+import attrs
+import click
+
+from ...decisions.membership_options import MembershipOptions
+from ...decisions.membership_records import MemberState
+from .virtual_network import VirtualNetwork, make_member
+
+SIZES = (25, 100, 400, 1660)
+STEADY_S = 20.0
+LIMIT_S = 300.0
+DOMAINS = 3
+
+
+@attrs.frozen
+class Rates:
+    """Sent by each member on average; as much is received."""
+
+    datagrams_per_s: float
+    datagram_bytes_per_s: float
+    sync_bytes_per_s: float
+
+
+def started(count: int, seed: int) -> VirtualNetwork:
+    """Make a network whose members know each other already."""
+    network = VirtualNetwork(random.Random(seed))
+    members = [make_member(index) for index in range(count)]
+    for index in range(count):
+        network.start(index).preload(members, network.now_s)
+    network.run(5.0)
+    return network
+
+
+def measured(network: VirtualNetwork, run: Callable[[], float]) -> tuple[float, Rates]:
+    """Run something; return its virtual seconds and the rates meanwhile."""
+    datagrams, sent = network.sent_datagrams, network.sent_bytes
+    synced = network.sync_bytes
+    duration_s = run()
+    scale = len(network.tables) * max(duration_s, 1.0)
+    rates = Rates(
+        (network.sent_datagrams - datagrams) / scale,
+        (network.sent_bytes - sent) / scale,
+        (network.sync_bytes - synced) / scale,
+    )
+    return duration_s, rates
+
+
+def report(name: str, count: int, seconds_s: float, rates: Rates) -> None:
+    """Print one line."""
+    click.echo(
+        f"{count:5d} {name:24s} {seconds_s:7.1f} s"
+        f" {rates.datagrams_per_s:6.2f} datagrams/s"
+        f" {rates.datagram_bytes_per_s:7.0f} B/s"
+        f" {rates.sync_bytes_per_s:7.0f} B/s in syncs"
+    )
+
+
+def steady(network: VirtualNetwork) -> float:
+    """Let time pass without a change."""
+    network.run(STEADY_S)
+    return STEADY_S
+
+
+def holds(network: VirtualNetwork, node_id: str, *states: MemberState) -> bool:
+    """Whether each running member holds a node to be in one of the states."""
+    return all(
+        (known := table.get(node_id)) is not None and known.state in states
+        for table in network.tables.values()
+    )
+
+
+def first_death(network: VirtualNetwork, index: int) -> float:
+    """Let a member die; return the time until the first other is sure."""
+    network.stop(index)
+    node_id = make_member(index).node_id
+
+    def seen() -> bool:
+        return any(
+            (known := table.get(node_id)) is not None and not known.is_up
+            for table in network.tables.values()
+        )
+
+    return network.run_until(seen, LIMIT_S)
+
+
+def last_death(network: VirtualNetwork, index: int) -> float:
+    """Return the time until all others are sure that a member died."""
+    node_id = make_member(index).node_id
+    return network.run_until(lambda: holds(network, node_id, MemberState.DEAD), LIMIT_S)
+
+
+def join(network: VirtualNetwork, index: int) -> float:
+    """Start a member; return the time until all know it."""
+    network.start(index)
+    node_id = make_member(index).node_id
+    return network.run_until(
+        lambda: holds(network, node_id, MemberState.ALIVE), LIMIT_S
+    )
+
+
+def leave(network: VirtualNetwork, index: int) -> float:
+    """Let a member leave; return the time until all know."""
+    table = network.table(index)
+    network.perform(table.me.peer_address, table.leave(network.now_s))
+    node_id = make_member(index).node_id
+    return network.run_until(lambda: holds(network, node_id, MemberState.LEFT), LIMIT_S)
+
+
+def domain_death(network: VirtualNetwork, count: int) -> float:
+    """Let a failure domain die at once; return the time until all agree."""
+    for index in range(DOMAINS + 2, count, DOMAINS):
+        network.stop(index)
+    return network.run_until(network.agreed, 4 * LIMIT_S)
+
+
+def cut(network: VirtualNetwork) -> float:
+    """Cut the network in halves until each has given the other up."""
+    for number, address in enumerate(network.tables):
+        network.sides[address] = number % 2
+    network.run(LIMIT_S)
+    return LIMIT_S
+
+
+def heal(network: VirtualNetwork) -> float:
+    """Join the halves again; return the time until all agree."""
+    network.sides.clear()
+    return network.run_until(network.agreed, 4 * LIMIT_S)
+
+
+STEPS: dict[str, Callable[[VirtualNetwork, int], float]] = {
+    "steady": lambda network, count: steady(network),
+    "death, until the first": lambda network, count: first_death(network, 3),
+    "from there to the last": lambda network, count: last_death(network, 3),
+    "join": lambda network, count: join(network, count),
+    "leave": lambda network, count: leave(network, 4),
+    "a domain dies": domain_death,
+}
+PARTITION_STEPS: dict[str, Callable[[VirtualNetwork, int], float]] = {
+    "partition": lambda network, count: cut(network),
+    "partition heals": lambda network, count: heal(network),
+}
+
+
+@click.command()
+@click.option("--size", "sizes", multiple=True, type=int, default=SIZES)
+@click.option("--seed", default=1)
+@click.option("--partition/--no-partition", default=False)
+def main(sizes: tuple[int, ...], seed: int, partition: bool) -> None:
+    """Print the figures for each size of the fleet."""
+    click.echo(f"options: {MembershipOptions()}")
+    for count in sizes:
+        network = started(count, seed)
+        steps = STEPS | (PARTITION_STEPS if partition else {})
+        for name, step in steps.items():
+            seconds_s, rates = measured(network, partial(step, network, count))
+            report(name, count, seconds_s, rates)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sorrelhoist/decisions/membership.py
+++ b/src/sorrelhoist/decisions/membership.py
@@ -131,6 +131,11 @@
         """Whether the platform's list shows the member's host as leaving."""
         return member.host in self._leaving_hosts
 
+    def preload(self, members: Iterable[Member], now_s: float) -> None:
+        """Take in records that came from elsewhere, without spreading them."""
+        for member in members:
+            self._store.merge(member, now_s, synced=True, spread=False)
+
     def update_me(self, **changes: object) -> None:
         """Change fields of the own record, such as `models`, and spread it."""
         me = attrs.evolve(self.me, **changes)  # type: ignore[arg-type]
--- a/src/sorrelhoist/decisions/membership_options.py
+++ b/src/sorrelhoist/decisions/membership_options.py
@@ -57,7 +57,7 @@
     suspicion_factor: float = 4.0
     retransmit_factor: float = 4.0
     gossip_fanout: int = 2
-    update_bytes_per_s: float = 2500.0
+    update_bytes_per_s: float = 3000.0
     datagram_update_bytes: int = MAX_DATAGRAM_BYTES - BODY_RESERVE_BYTES
     reconnect_interval_s: float = 30.0
     sync_interval_s: float = 30.0
--- a/src/sorrelhoist/decisions/membership_records.py
+++ b/src/sorrelhoist/decisions/membership_records.py
@@ -10,8 +10,10 @@
 MAX_MODELS = 64
 MAX_PORT = 65535
 MAX_INCARNATION = 2**62
-FIELD_OVERHEAD_BYTES = 4
-INTEGER_BYTES = 10
+FIELD_OVERHEAD_BYTES = 3
+PORT_FIELD_BYTES = 4
+STRUCT_BYTES = 4
+BITS_PER_BYTE = 7
 
 
 class MemberState(StrEnum):
@@ -141,7 +143,9 @@
     texts.append(member.state)
     texts.extend(member.models or ())
     size = sum(len(text.encode()) + FIELD_OVERHEAD_BYTES for text in texts if text)
-    return size + 2 * INTEGER_BYTES
+    size += PORT_FIELD_BYTES * sum(map(bool, (member.peer_port, member.http_port)))
+    incarnation_bytes = 1 + member.incarnation.bit_length() // BITS_PER_BYTE
+    return size + FIELD_OVERHEAD_BYTES + incarnation_bytes + STRUCT_BYTES
 
 
 def from_wire(wire: ttypes.Member) -> Member | None:
