--- a/src/sorrelhoist/decisions/claims_fold.py
+++ b/src/sorrelhoist/decisions/claims_fold.py
@@ -78,6 +78,7 @@
     max_keys: int = DEFAULT_MAX_KEYS
     next_offset: int = FIRST_OFFSET
     _floor_s: float | None = None
+    _first_to_come: bool = False
     _keys: AgingIndex[Open | Done] = attrs.field(init=False)
     _closed: AgingIndex[Void | Verdict] = attrs.field(init=False)
 
@@ -92,10 +93,12 @@
         from_offset : int
             The offset of the next record.
         floor_s : float
-            Claims that were recorded before this time may be missing.
+            The present time. Claims that were recorded before it, or before the
+            first record that is folded, may be missing.
         """
         self.next_offset = from_offset
         self._floor_s = floor_s
+        self._first_to_come = True
         self._clear()
 
     def add(self, offset: int, recorded_at_s: float, value: str) -> bool:
@@ -118,6 +121,7 @@
         if offset != self.next_offset:
             return False
         self.next_offset = offset + 1
+        self._lower_floor(recorded_at_s)
         record = decode_record(value)
         if record is not None:
             self._fold(record, offset, recorded_at_s)
@@ -168,6 +172,11 @@
         self._keys = AgingIndex(self.window.retention_s)
         self._closed = AgingIndex(self.window.retention_s)
 
+    def _lower_floor(self, recorded_at_s: float) -> None:
+        if self._first_to_come and self._floor_s is not None:
+            self._floor_s = min(self._floor_s, recorded_at_s)
+        self._first_to_come = False
+
     def _fold(self, record: ClaimRecord, offset: int, recorded_at_s: float) -> None:
         match record:
             case Claim():
--- a/tests/agent/claims_world.py
+++ b/tests/agent/claims_world.py
@@ -132,7 +132,7 @@
         """Call; record the answer under an attempt of its own."""
         attempt = (self.node_id, len(self.world.answers))
         self.world.answers[attempt] = None
-        first = self.attempts.setdefault(key, attempt)
+        self.attempts.setdefault(key, []).append(attempt)
         self.deadlines_s[attempt] = self.world.now_s + budget_s
         call = ttypes.ServiceCall(
             request_id="r",
@@ -147,8 +147,7 @@
         )
         task = asyncio.get_running_loop().create_task(self.calls.call(call))
         await asyncio.wait({task, self.life}, return_when="FIRST_COMPLETED")
-        if first == attempt:
-            self.attempts.pop(key)
+        self.attempts[key].remove(attempt)
         if not task.done() or task.cancelled():
             task.cancel()
             return None
@@ -221,7 +220,7 @@
     # The plain service's client.
 
     async def call(self, method, path, key, workspace, body, content_type, timeout_s):
-        attempt = self.attempts[key]
+        attempt = self.attempts[key][0]
         assert self.world.now_s < self.deadlines_s[attempt], "called too late"
         fault = await self._fault("call")
         if fault == "refused":
