--- a/src/sorrelhoist/decisions/configuration_checks.py
+++ b/src/sorrelhoist/decisions/configuration_checks.py
@@ -16,8 +16,6 @@
     Model,
     Service,
     Workspace,
-    document_key,
-    to_plain,
 )
 
 Placed = tuple[Place, Document]
@@ -141,7 +139,7 @@
 def _check_duplicates(placed: Iterable[Placed]) -> Iterator[Problem]:
     first: dict[DocumentKey, Place] = {}
     for place, document in placed:
-        key = document_key(to_plain(document))
+        key = document.key
         if key in first:
             detail = f"{key} is also in {first[key].file}."
             yield problems.DuplicateDocument(place, detail)
--- a/src/sorrelhoist/decisions/configuration_parsing.py
+++ b/src/sorrelhoist/decisions/configuration_parsing.py
@@ -1,7 +1,8 @@
 """Parse configuration documents from text or plain data, collecting all problems."""
 
+import json
 import math
-from collections.abc import Hashable, Iterable, Iterator, Mapping
+from collections.abc import Hashable, Iterable, Iterator
 from typing import Any, Literal, get_args, get_origin
 
 import attrs
@@ -18,7 +19,7 @@
 from .configuration_checks import check_set, check_values
 from .configuration_problems import Place, Problem, Problems
 from .configuration_set import Configuration
-from .documents import DOCUMENT_CLASSES, Document
+from .documents import DOCUMENT_CLASSES, Document, DocumentKey, DocumentSet
 
 MAX_INTEGER = 2**53 - 1
 TYPE_NAMES = {
@@ -173,17 +174,45 @@
     return _parse_whole(list(documents), [])
 
 
-def parse_accepted(
-    data: Iterable[Mapping[str, Any]],
-) -> Result[Configuration, Problems]:
-    """Parse documents that are in force.
+@attrs.define
+class AcceptedParser:
+    """Parse sets that are in force, one after the other.
 
-    Kinds and keys of a newer release are passed over, so that processes of two
-    releases can run beside each other.
+    Kinds and keys of a newer release are passed over, and documents are not
+    checked against each other again, so that processes of two releases can run
+    beside each other. Documents that did not change are not parsed again.
     """
-    known = [item for item in data if item.get("kind") in DOCUMENT_CLASSES]
-    documents = number_documents("configuration", known)
-    return _parse(documents, [], _TOLERANT)
+
+    _known: dict[str, Document] = attrs.field(factory=dict)
+
+    def parse(self, documents: DocumentSet) -> Result[Configuration, Problems]:
+        """Return the configuration, or the problems of what can't be understood."""
+        parsed: dict[str, Document] = {}
+        found: list[Problem] = []
+        for key, text in documents.texts.items():
+            if key.kind in DOCUMENT_CLASSES:
+                self._parse_text(key, text, parsed, found)
+        if found:
+            return Failure(Problems.of(found))
+        self._known = parsed
+        return Success(Configuration.of(parsed.values()))
+
+    def _parse_text(
+        self,
+        key: DocumentKey,
+        text: str,
+        parsed: dict[str, Document],
+        found: list[Problem],
+    ) -> None:
+        known = self._known.get(text)
+        if known is not None:
+            parsed[text] = known
+            return
+        place = Place("configuration", str(key))
+        fresh: list[Parsed] = []
+        _structure(SourceDocument(place, json.loads(text)), _TOLERANT, fresh, found)
+        for item in fresh:
+            parsed[text] = item.document
 
 
 def number_documents(file: str, data: Iterable[object]) -> list[SourceDocument]:
--- a/src/sorrelhoist/decisions/documents.py
+++ b/src/sorrelhoist/decisions/documents.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterable, Mapping
 from functools import cached_property
+from operator import attrgetter
 from typing import Any, ClassVar, Literal
 
 import attrs
@@ -41,8 +42,22 @@
         return f"{self.kind} {self.name}"
 
 
+class _Named:
+    """What all documents have in common."""
+
+    __slots__ = ()
+
+    kind: ClassVar[str]
+    name: str
+
+    @property
+    def key(self) -> DocumentKey:
+        """Identity of the document in the set."""
+        return DocumentKey(self.kind, self.name)
+
+
 @attrs.frozen
-class FailureDomain:
+class FailureDomain(_Named):
     """Hosts that fail together, in or out of service as a whole."""
 
     kind: ClassVar[str] = "FailureDomain"
@@ -53,7 +68,7 @@
 
 
 @attrs.frozen
-class Model:
+class Model(_Named):
     """One version of a model."""
 
     kind: ClassVar[str] = "Model"
@@ -64,6 +79,11 @@
     long_prompt_tokens: int = attrs.field(metadata=_at_least(1))
     bytes_per_token: float = attrs.field(default=4.0, metadata=_above(0))
 
+    @property
+    def key(self) -> DocumentKey:
+        """Identity of the document in the set; versions are kept apart."""
+        return DocumentKey(self.kind, f"{self.name}@{self.version}")
+
 
 @attrs.frozen
 class ModelUse:
@@ -74,7 +94,7 @@
 
 
 @attrs.frozen
-class Service:
+class Service(_Named):
     """What a group of endpoints serves."""
 
     kind: ClassVar[str] = "Service"
@@ -87,7 +107,7 @@
 
 
 @attrs.frozen
-class Workspace:
+class Workspace(_Named):
     """A customer with its keys, rights and limits."""
 
     kind: ClassVar[str] = "Workspace"
@@ -103,7 +123,7 @@
 
 
 @attrs.frozen
-class Endpoint:
+class Endpoint(_Named):
     """A back end on one host, with the sizes that its agent keeps to."""
 
     kind: ClassVar[str] = "Endpoint"
@@ -176,16 +196,23 @@
     @classmethod
     def from_documents(cls, documents: Iterable[Document]) -> "DocumentSet":
         """Build the set from typed documents."""
-        return cls.from_plain(to_plain(document) for document in documents)
+        return cls(
+            {document.key: canonical_json(to_plain(document)) for document in documents}
+        )
 
     def to_plain(self) -> list[dict[str, Any]]:
         """Return the plain documents, ordered by key."""
-        return [json.loads(self.texts[key]) for key in sorted(self.texts)]
+        return [json.loads(text) for text in self._ordered]
+
+    @cached_property
+    def _ordered(self) -> list[str]:
+        keys = sorted(self.texts, key=attrgetter("kind", "name"))
+        return [self.texts[key] for key in keys]
 
     @cached_property
     def text(self) -> str:
         """Canonical JSON text of the whole set."""
-        return "[" + ",".join(self.texts[key] for key in sorted(self.texts)) + "]"
+        return "[" + ",".join(self._ordered) + "]"
 
     @cached_property
     def digest(self) -> str:
--- a/src/sorrelhoist/node/configuration.py
+++ b/src/sorrelhoist/node/configuration.py
@@ -168,7 +168,11 @@
     async def run(self) -> None:
         """Follow or poll the log, for ever."""
         while True:
-            pause_s = await self.step()
+            try:
+                pause_s = await self.step()
+            except Exception:
+                logger.exception("configuration step failed")
+                pause_s = self._jitter(self.options.retry_max_s)
             await asyncio.sleep(pause_s)
 
     async def step(self) -> float:
--- a/src/sorrelhoist/node/configuration_state.py
+++ b/src/sorrelhoist/node/configuration_state.py
@@ -8,7 +8,7 @@
 
 from ..decisions.configuration import ConfigurationFold
 from ..decisions.configuration_freshness import Freshness
-from ..decisions.configuration_parsing import parse_accepted
+from ..decisions.configuration_parsing import AcceptedParser
 from ..decisions.configuration_records import Checkpoint
 from ..decisions.configuration_set import Configuration
 from ..messages.gen import ttypes
@@ -35,6 +35,7 @@
         self.is_ready = False
         self.problem = ""
         self.effective_offset = 0
+        self._parser = AcceptedParser()
         self._listeners: list[Listener] = []
         self._packed: tuple[Checkpoint, ttypes.ConfigurationBody] | None = None
 
@@ -83,7 +84,7 @@
         if not is_first and self.fold.effective_offset == self.effective_offset:
             return
         self.effective_offset = self.fold.effective_offset
-        match parse_accepted(self.fold.documents.to_plain()):
+        match self._parser.parse(self.fold.documents):
             case Success(configuration):
                 self._put_in_force(configuration)
             case Failure(problems):
--- a/tests/decisions/test_configuration_parsing.py
+++ b/tests/decisions/test_configuration_parsing.py
@@ -1,11 +1,12 @@
 """Each fault of a document is reported with its kind, place and remedy."""
 
 import pytest
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from sorrelhoist.decisions.configuration_parsing import (
+    AcceptedParser,
     SourceText,
-    parse_accepted,
+    number_documents,
     parse_documents,
     parse_texts,
 )
@@ -63,7 +64,7 @@
 
 def test_plain_form_is_stable():
     plain = parse(*WHOLE).unwrap().plain
-    again = parse_accepted(plain.to_plain()).unwrap()
+    again = AcceptedParser().parse(plain).unwrap()
     assert again.plain == plain
 
 
@@ -71,9 +72,21 @@
     data = parse(*WHOLE).unwrap().plain.to_plain()
     data[0]["colour"] = "red"
     newer = [*data, {"kind": "Colour", "name": "x"}]
-    assert isinstance(parse_accepted(newer), Success)
     plain = DocumentSet.from_plain(newer)
     assert len(plain.texts) == len(newer)
+    configuration = AcceptedParser().parse(plain).unwrap()
+    assert len(configuration.documents) == len(data)
+    problems = parse_documents(number_documents("request", newer)).failure()
+    assert [item.kind for item in problems.items] == ["unknown_key", "unknown_kind"]
+
+
+def test_documents_that_did_not_change_are_kept():
+    parser = AcceptedParser()
+    first = parser.parse(parse(*WHOLE).unwrap().plain).unwrap()
+    changed = parse(*WHOLE[1:], DOMAIN + "state: out\n").unwrap().plain
+    second = parser.parse(changed).unwrap()
+    assert not second.is_domain_in("d")
+    assert second.models["m"] is first.models["m"]
 
 
 @pytest.mark.parametrize(
--- a/tests/node/test_configuration.py
+++ b/tests/node/test_configuration.py
@@ -182,8 +182,10 @@
     network.step()
     network.log.log = type(network.log.log)()
     network.log.put([change(DocumentSet(), 0, THIRD)])
+    network.pass_time(61.0)
     network.step()
     assert replica.effective_offset == 2
+    assert replica.is_stale(network.loop.time())
     assert "log_went_back" in [alarm.kind for alarm in replica.alarms()]
 
 
