--- a/tests/agent/claims_world.py
+++ b/tests/agent/claims_world.py
@@ -75,6 +75,10 @@
     def effects_of(self, key):
         return sum(1 for effect, _ in self.effects if effect == key)
 
+    def stop(self):
+        for task in self.background:
+            task.cancel()
+
     def check(self):
         """At most one effect per key; what was said not to have run didn't."""
         for key in {key for key, _ in self.effects}:
@@ -100,6 +104,7 @@
         self.node_id = node_id
         self.faults = {step: list(planned) for step, planned in dict(faults).items()}
         self.attempts = {}
+        self.deadlines_s = {}
         self.steps = []
         rng = random.Random(f"{node_id}{world.seed}{world.now_s}")
         self.boot_id = uuid.UUID(int=rng.getrandbits(128)).hex
@@ -127,7 +132,8 @@
         """Call; record the answer under an attempt of its own."""
         attempt = (self.node_id, len(self.world.answers))
         self.world.answers[attempt] = None
-        first = self.attempts.setdefault(key, attempt)
+        self.attempts.setdefault(key, []).append(attempt)
+        self.deadlines_s[attempt] = self.world.now_s + budget_s
         call = ttypes.ServiceCall(
             request_id="r",
             workspace="garden",
@@ -141,8 +147,7 @@
         )
         task = asyncio.get_running_loop().create_task(self.calls.call(call))
         await asyncio.wait({task, self.life}, return_when="FIRST_COMPLETED")
-        if first == attempt:
-            self.attempts.pop(key)
+        self.attempts[key].remove(attempt)
         if not task.done() or task.cancelled():
             task.cancel()
             return None
@@ -215,7 +220,8 @@
     # The plain service's client.
 
     async def call(self, method, path, key, workspace, body, content_type, timeout_s):
-        attempt = self.attempts[key]
+        attempt = self.attempts[key][0]
+        assert self.world.now_s < self.deadlines_s[attempt], "called too late"
         fault = await self._fault("call")
         if fault == "refused":
             raise ServiceNotReachedError("refused", not_run=True)
