Attempts own their leases; attached streams change owner only when orphaned

Cause: a second entry that attached to a running stream by its idempotency key took the lease from the first, whose renewals then failed and cut its caller's stream. A refusal after an earlier submit no longer says not_run.

--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -100,7 +100,7 @@
         )
         await guard.monitor.poll()
         replica.add_listener(lambda configuration: self._configure(ledger))
-        for work in (guard.run(), self._watch_staleness(ledger)):
+        for work in (guard.run(), self._watch_process(ledger)):
             stack.callback(asyncio.create_task(work).cancel)
         self.guard = guard
 
@@ -113,9 +113,14 @@
         named = self.endpoint.name in configuration.endpoints
         return named and configuration.is_domain_in(self.settings.failure_domain)
 
-    async def _watch_staleness(self, ledger: GrantLedger) -> None:
+    def _is_host_leaving(self) -> bool:
+        return self.is_leaving or self.settings.host in self.process.leaving_hosts
+
+    async def _watch_process(self, ledger: GrantLedger) -> None:
         while True:
-            ledger.set_configuration_stale(self.process.replica.is_stale(self.clock()))
+            now_s = self.clock()
+            ledger.set_configuration_stale(self.process.replica.is_stale(now_s))
+            ledger.set_leaving(self._is_host_leaving(), now_s)
             await asyncio.sleep(STALE_CHECK_INTERVAL_S)
 
     async def _guard_service(self, stack: AsyncExitStack) -> None:
@@ -143,7 +148,7 @@
         """Return why no new work is taken, or None."""
         replica = self.process.replica
         reason = ""
-        if self.is_leaving:
+        if self._is_host_leaving():
             reason = "The endpoint is leaving."
         elif not self._is_domain_in(replica.configuration):
             reason = "The endpoint's failure domain is out of service."
--- a/src/sorrelhoist/agent/engine.py
+++ b/src/sorrelhoist/agent/engine.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections import defaultdict
+from collections.abc import Callable, Coroutine, Sequence
 from functools import partial
 from typing import Any
 
@@ -12,7 +13,16 @@
 from ..clients.engine import EngineClient
 from ..clients.engine_messages import StreamSpec
 from ..clients.exceptions import EngineRefusedError, EngineUnreachableError
-from ..decisions.grants import Cancelled, Denied, GrantAsk, Granted, Queued
+from ..decisions.denials import denial
+from ..decisions.grants import (
+    Cancelled,
+    DenialKind,
+    Denied,
+    GrantAsk,
+    Granted,
+    Queued,
+)
+from ..decisions.holdings import HoldingState
 from ..decisions.ledger import GrantLedger
 from ..exceptions import KeyReusedError, PeerError
 from ..messages.gen import ttypes
@@ -38,6 +48,14 @@
     granted: Granted
 
 
+@attrs.frozen(eq=False)
+class Follower:
+    """An entry that reads a stream without its lease."""
+
+    entry_id: str
+    responder: Responder
+
+
 @attrs.define(eq=False)
 class EngineGuard:
     """All that happens to one engine goes through here.
@@ -70,6 +88,10 @@
     _parts: dict[str, str] = attrs.field(init=False, factory=dict)
     _drivers: dict[str, asyncio.Task] = attrs.field(init=False, factory=dict)
     _cancels: dict[str, asyncio.Task] = attrs.field(init=False, factory=dict)
+    _followers: dict[str, list[Follower]] = attrs.field(
+        init=False, factory=lambda: defaultdict(list)
+    )
+    _background: set[asyncio.Task] = attrs.field(init=False, factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.gatekeeper = Gatekeeper(self.ledger, self.clock)
@@ -256,15 +278,14 @@
     async def attach(self, attach: ttypes.Attach, responder: Responder) -> None:
         """Read a stream of this agent from a sequence number on."""
         run = self.runs.get(attach.request_id)
-        now_s = self.clock()
-        match self.ledger.attach(attach.request_id, attach.entry_id, now_s):
-            case Success(granted):
-                if run is None:
-                    run = self._resume_adopted(granted, attach)
-            case Failure(denied) if run is None:
-                await responder.send(denial_message(denied, self.load()))
-                return
-        assert run is not None
+        if self._may_own(attach):
+            granted = await self._own(attach.request_id, attach.entry_id, responder)
+            if run is None and granted is not None:
+                run = self._resume_adopted(granted, attach)
+        if run is None:
+            unknown = denial(attach.request_id, DenialKind.UNKNOWN_GRANT, not_run=False)
+            await responder.send(denial_message(unknown, self.load()))
+            return
         if attach.from_sequence < run.base_sequence:
             await responder.send(
                 ttypes.Denial(
@@ -276,7 +297,44 @@
                 )
             )
             return
-        await self._relay(run, attach.from_sequence, responder)
+        follower = Follower(attach.entry_id, responder)
+        followers = self._followers[attach.request_id]
+        followers.append(follower)
+        try:
+            await self._relay(run, attach.from_sequence, responder)
+        finally:
+            followers.remove(follower)
+            if not followers:
+                self._followers.pop(attach.request_id, None)
+
+    def _may_own(self, attach: ttypes.Attach) -> bool:
+        """Tell whether an entry may take over the lease: nobody else holds it."""
+        holding = self.ledger.holdings.of_request(attach.request_id)
+        if holding is None:
+            return False
+        has_lapsed = self.clock() >= holding.expires_s
+        orphaned = holding.state is HoldingState.ORPHANED
+        return orphaned or has_lapsed or holding.entry_id == attach.entry_id
+
+    async def _own(
+        self, request_id: str, entry_id: str, responder: Responder
+    ) -> Granted | None:
+        match self.ledger.attach(request_id, entry_id, self.clock()):
+            case Success(granted):
+                await responder.send(grant_message(granted, self.load()))
+                return granted
+        return None
+
+    def _hand_over(self, grant_ids: Sequence[str]) -> None:
+        """Give streams whose entry has gone to entries that read them too."""
+        for grant_id in grant_ids:
+            run = self._run_of(grant_id)
+            followers = self._followers.get(run.request_id) if run else None
+            if run is not None and followers:
+                heir = followers[0]
+                work = self._own(run.request_id, heir.entry_id, heir.responder)
+                self._background.add(task := asyncio.ensure_future(work))
+                task.add_done_callback(self._background.discard)
 
     def _resume_adopted(self, granted: Granted, attach: ttypes.Attach) -> Run:
         run = Run(
@@ -375,6 +433,7 @@
         expired = self.ledger.expired(now_s)
         for grant_id in expired.dropped:
             self._accepted.pop(grant_id, None)
+        self._hand_over(expired.orphaned)
         for grant_id in expired.to_cancel:
             logger.info("lease lapsed", extra={"grant": grant_id})
             self.metrics.lapsed_leases.add(1)
--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -28,6 +28,7 @@
 from ..node.process import NodeProcess
 from ..node.signals import stop_requested
 from ..settings import Settings
+from .attempt import AttemptTools
 from .calls import AgentCaller
 from .completions import CompletionHandler, ModelsHandler, StreamHandler
 from .fleet import Fleet
@@ -70,6 +71,7 @@
         self.fleet = Fleet(
             self._configuration,
             self.process.members,
+            self.process.all_members,
             lambda: self.process.leaving_hosts,
         )
         self.router = Router(ExpectedFirstToken(), self.process.rng)
@@ -77,6 +79,7 @@
         self.services = ServiceRouter(self.fleet, self.process.pool, clock)
         self.leases = LeaseKeeper(settings.node_id, self.process.pool, settings.lease_s)
         self._tools = self._make_tools()
+        self.attempt_tools = self._tools.attempts
         self.running_requests = 0
         self.is_leaving = False
 
@@ -96,11 +99,16 @@
             is_condemned=lambda print_: False,
             clock=self.clock,
         )
-        return GenerationTools(
-            placer=placer,
+        attempts = AttemptTools(
             pool=self.process.pool,
             caller=caller,
             leases=self.leases,
+            clock=self.clock,
+            on_load=placer.observe,
+        )
+        return GenerationTools(
+            placer=placer,
+            attempts=attempts,
             retries=self.retries,
             clock=self.clock,
             on_retry=lambda: self.metrics.retries.add(1),
--- a/src/sorrelhoist/entry/completions.py
+++ b/src/sorrelhoist/entry/completions.py
@@ -10,7 +10,8 @@
 from ..decisions.streams import Delivery, StreamName, read_stream_id, sign_stream_id
 from ..exceptions import InvalidRequestError
 from .answers import DONE_EVENT, AnswerHead, event
-from .generation import Finished, Generation
+from .attempt import Finished
+from .generation import Generation
 from .http import CallerHandler
 from .reattach import follow_stream
 from .requests import GenerationRequest, parse_generation, parse_timeout_s
@@ -180,10 +181,11 @@
         sequence = self._sequence()
         self.request_id = name.request_id
         self.set_header("Content-Type", "text/event-stream")
-        deadline_s = self.entry.clock() + self.entry.settings.default_deadline_s
-        async for item in follow_stream(self.entry, name, sequence, deadline_s):
-            self.write(item)
-            await self.flush()
+        stream_text = follow_stream(self.entry, name, sequence)
+        async with aclosing(stream_text) as events:
+            async for item in events:
+                self.write(item)
+                await self.flush()
         await self.finish()
 
     def _name(self, stream_id: str) -> StreamName:
--- a/src/sorrelhoist/entry/fleet.py
+++ b/src/sorrelhoist/entry/fleet.py
@@ -5,12 +5,10 @@
 import attrs
 
 from ..decisions.configuration_set import Configuration
+from ..decisions.membership_records import Member
 from ..decisions.routing import Target
-from ..messages.gen import ttypes
 from ..node.peers import PeerAddress
 
-ALIVE_STATES = frozenset({"alive", "suspect"})
-
 
 @attrs.define
 class Fleet:
@@ -22,22 +20,23 @@
         Returns the `Configuration` in force, or None.
     members : callable
         Returns the members that are known.
+    all_members : callable
+        Returns those too that left or died.
     leaving_hosts : callable
         Returns the names of the hosts that the platform lists as leaving.
     """
 
     configuration: Callable[[], Configuration | None]
-    members: Callable[[], Sequence[ttypes.Member]]
+    members: Callable[[], Sequence[Member]]
+    all_members: Callable[[], Sequence[Member]]
     leaving_hosts: Callable[[], Collection[str]]
 
-    def _agents(self) -> dict[str, ttypes.Member]:
+    def _agents(self) -> dict[str, Member]:
         leaving = self.leaving_hosts()
         return {
             member.endpoint: member
             for member in self.members()
-            if member.endpoint
-            and member.state in ALIVE_STATES
-            and member.host not in leaving
+            if member.endpoint and member.is_up and member.host not in leaving
         }
 
     def targets(self, model: str) -> list[Target]:
@@ -68,7 +67,7 @@
             and configuration.is_domain_in(endpoint.failure_domain)
         ]
 
-    def service_agents(self, service: str) -> list[ttypes.Member]:
+    def service_agents(self, service: str) -> list[Member]:
         """Return the agents of a plain service that may take new calls."""
         configuration = self.configuration()
         if configuration is None:
@@ -83,7 +82,7 @@
 
     def address_of(self, node_id: str) -> PeerAddress | None:
         """Return where a member listens, whatever its state."""
-        for member in self.members():
+        for member in self.all_members():
             if member.node_id == node_id:
                 return PeerAddress(member.address, member.peer_port)
         return None
--- a/src/sorrelhoist/entry/grants.py
+++ b/src/sorrelhoist/entry/grants.py
@@ -39,6 +39,11 @@
     address: PeerAddress
     grant: ttypes.Grant
 
+    @property
+    def node_id(self) -> str:
+        """The agent that runs the stream."""
+        return self.target.node_id
+
 
 @attrs.frozen
 class RunningElsewhere:
@@ -47,6 +52,11 @@
     target: Target
     address: PeerAddress
 
+    @property
+    def node_id(self) -> str:
+        """The agent that runs the stream."""
+        return self.target.node_id
+
 
 @attrs.frozen
 class Ask:
--- a/src/sorrelhoist/entry/groups.py
+++ b/src/sorrelhoist/entry/groups.py
@@ -44,6 +44,11 @@
         """The member whose endpoint runs the stream."""
         return self.members[0]
 
+    @property
+    def node_id(self) -> str:
+        """The agent that runs the stream."""
+        return self.leader.node_id
+
 
 def long_capacity_tokens(target: Target) -> int:
     """Return the memory that one long prompt may take on an endpoint."""
--- a/src/sorrelhoist/entry/placement.py
+++ b/src/sorrelhoist/entry/placement.py
@@ -1,6 +1,7 @@
 """Find a place to run a request: one endpoint, a group, or where it runs already."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import attrs
 
@@ -76,6 +77,15 @@
         if load is not None:
             self.router.observe(load, self.clock())
 
-    def failed(self, ask: Ask, failure: ttypes.StreamFailure) -> None:
-        """Take in what a failed attempt tells."""
-        self.observe(failure.load)
+    @contextmanager
+    def running(self, ask: Ask) -> Iterator[None]:
+        """Count a long request for as long as the context lasts."""
+        if not ask.route.is_long:
+            yield
+            return
+        tokens = self._kv_tokens(ask)
+        self.router.long_started(ask.route.model, tokens)
+        try:
+            yield
+        finally:
+            self.router.long_ended(ask.route.model, tokens)
--- a/src/sorrelhoist/node/process.py
+++ b/src/sorrelhoist/node/process.py
@@ -110,6 +110,10 @@
         """Return all processes that are up, this one included."""
         return () if self._gossip is None else self._gossip.table.alive()
 
+    def all_members(self) -> tuple[Member, ...]:
+        """Return all processes that are known, also those that left or died."""
+        return () if self._gossip is None else self._gossip.table.members()
+
     def others(self) -> list[Member]:
         """Return all processes that are up, but this one."""
         own = self.settings.node_id
