--- /dev/null
+++ b/tests/clients/test_engine.py
@@ -0,0 +1,390 @@
+"""The engine's client against the stand-in, fault by fault."""
+
+import asyncio
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sorrelhoist.clients.engine_messages import EngineEnd, ExportedCache, Order
+from sorrelhoist.clients.exceptions import EngineRefusedError, EngineUnreachableError
+from sorrelhoist.standins.engine_model import answer_text, prompt_digest, token_text
+from sorrelhoist.standins.testing import running_engine
+from tests.standins.support import (
+    FAST,
+    MODEL,
+    client_of,
+    get,
+    reassembled,
+    settled,
+    spec,
+    strike,
+    text_of,
+    until,
+    whole,
+)
+
+PROMPT = "a pirate party"
+FIRST = token_text(0, prompt_digest(PROMPT))
+
+
+def run(test, options=FAST, **client_options):
+    async def main():
+        async with running_engine(options) as engine:
+            await test(engine, client_of(engine, **client_options))
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("prompt", "output_tokens", "delivered"),
+    [
+        ("", 3, 0),
+        ("x", 0, 0),
+        ("Kašpárek píše", 7, 0),
+        ("hello " * 5000, 300, 0),
+        ("hello", 9, 4),
+        ("hello", 9, 9),
+    ],
+)
+def test_stream_gives_the_whole_answer(prompt, output_tokens, delivered):
+    async def test(engine, client):
+        answer = answer_text(prompt, output_tokens)
+        had = tuple(f"{word} " for word in answer.split()[:delivered])
+        async with client.stream(
+            spec("a", prompt, output_tokens, delivered=had)
+        ) as items:
+            lines, end = await whole(items)
+        assert "".join(had) + "".join(t for one in lines for t in one.tokens) == answer
+        assert not lines or lines[0].sequence == delivered
+        assert end == EngineEnd(output_tokens, "stop")
+        assert (await client.inventory()).streams[0].kv_tokens == 0
+
+    run(test)
+
+
+def test_stream_of_a_million_tokens():
+    async def test(engine, client):
+        prompt = "abcdefgh" * 500_000
+        assert await text_of(client, spec("a", prompt, 3)) == answer_text(prompt, 3)
+
+    run(test, attrs.evolve(FAST, kv_capacity_tokens=1_000_003))
+
+
+@pytest.mark.parametrize(
+    ("wanted", "kind_name"),
+    [
+        (spec("held"), "exists"),
+        (spec("a", "x" * 3800, 51), "out_of_memory"),
+        (attrs.evolve(spec(), model="other"), "unknown_model"),
+        (attrs.evolve(spec(), model=""), "unknown_model"),
+        (spec("a", PROMPT, 5, delivered=("w0-crossed ",)), "delivered_mismatch"),
+        (spec("a", import_handle="none"), "unknown_import"),
+        (spec("a", "another prompt", import_handle="h"), "import_mismatch"),
+        (spec("a", group_size=0), "invalid"),
+    ],
+)
+def test_stream_refused(wanted, kind_name):
+    async def test(engine, client):
+        async with client.stream(spec("held", PROMPT, 46)):
+            data = engine.state.core.export(engine.state.core.streams["held"]).data
+            await client.import_cache(ExportedCache("h", 0, data))
+            with pytest.raises(EngineRefusedError) as caught:
+                async with client.stream(wanted):
+                    pass
+        assert caught.value.kind_name == kind_name
+        assert caught.value.not_run
+        assert set(engine.state.core.streams) == {"held"}
+
+    # 1,000 tokens less the 50 that the held stream takes.
+    run(test, attrs.evolve(FAST, kv_capacity_tokens=1000, decode_step_s=3600.0))
+
+
+def test_memory_is_taken_up_to_the_last_token():
+    async def test(engine, client):
+        assert await text_of(client, spec("a", "x" * 3800, 50))
+
+    run(test, attrs.evolve(FAST, kv_capacity_tokens=1000))
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"drop_streams": 3},
+        {"duplicate_lines": 5},
+        {"reorder_lines": 4},
+        {"drop_streams": 2, "duplicate_lines": 2, "reorder_lines": 2},
+    ],
+)
+def test_answer_is_whole_through_line_faults(faults):
+    async def test(engine, client):
+        await strike(engine, **faults)
+        answer = await reassembled(client, spec("a", PROMPT, 2000))
+        assert answer == answer_text(PROMPT, 2000)
+        struck = [getattr(engine.state.faults, name) for name in faults]
+        assert struck == [0] * len(faults)
+
+    run(test)
+
+
+@given(st.tuples(*[st.integers(0, 6)] * 3), st.integers(0, 40), st.integers(1, 3))
+def test_fuzz_every_stream_gets_its_own_whole_answer(counts, output_tokens, streams):
+    async def test(engine, client):
+        names = ("drop_streams", "duplicate_lines", "reorder_lines")
+        await strike(engine, **dict(zip(names, counts, strict=True)))
+        specs = [spec(f"s{i}", f"prompt {i}", output_tokens) for i in range(streams)]
+        answers = await asyncio.gather(*(reassembled(client, one) for one in specs))
+        expected = [answer_text(one.prompt, output_tokens) for one in specs]
+        assert answers == expected
+
+    run(test)
+
+
+def test_reader_that_leaves_closes_its_connection_and_the_stream_runs_on():
+    async def test(engine, client):
+        async with client.stream(spec("a", PROMPT, 200)) as items:
+            await anext(items)
+        server = engine.server._server
+        await until(lambda: all(one.closed() for one in server.open_streams))
+        async with client.resume("a", 1) as items:
+            lines, _ = await whole(items)
+        tokens = [FIRST, *(token for line in lines for token in line.tokens)]
+        assert "".join(tokens) == answer_text(PROMPT, 200)
+
+    run(test)
+
+
+def test_death_cuts_streams_then_refuses_then_boots_cold():
+    async def test(engine, client):
+        before = await client.status()
+        async with client.stream(spec("a", PROMPT, 10_000)) as items:
+            await anext(items)
+            await strike(engine, die=True)
+            with pytest.raises(EngineUnreachableError) as cut:
+                await whole(items)
+            with pytest.raises(EngineUnreachableError) as refused:
+                await client.status()
+        assert (cut.value.not_run, refused.value.not_run) == (False, True)
+        engine.state._revive()
+        await engine.server.up()
+        after = await client.status()
+        assert (before.state, after.state) == ("serving", "cold")
+        assert before.boot_id != after.boot_id
+        assert (await client.inventory()).streams == ()
+
+    run(test, attrs.evolve(FAST, restart_s=3600.0))
+
+
+def test_prompt_that_kills_kills_again():
+    async def test(engine, client):
+        await strike(engine, crash_on_text="poison")
+        for deaths in (1, 2):
+            async with client.stream(spec("a", "some poison here")) as items:
+                with pytest.raises(EngineUnreachableError):
+                    await whole(items)
+            assert engine.state.deaths == deaths
+            await engine.server.up()
+        assert await text_of(client, spec("b")) == answer_text(PROMPT, 5)
+
+    run(test)
+
+
+@pytest.mark.parametrize("refuses", [False, True])
+def test_cold_start_bears_only_so_much(refuses):
+    async def test(engine, client):
+        async with client.stream(spec("a")), client.stream(spec("b")):
+            with pytest.raises(
+                EngineRefusedError if refuses else EngineUnreachableError
+            ) as caught:
+                async with client.stream(spec("c")):
+                    pass
+        assert engine.state.deaths == (0 if refuses else 1)
+        assert not refuses or caught.value.kind_name == "cold"
+
+    slow = attrs.evolve(FAST, start_cold=True, decode_step_s=3600.0)
+    run(test, attrs.evolve(slow, cold_refuses=refuses))
+
+
+def test_cold_start_ends_with_completed_work_and_comes_back_without_a_boot():
+    async def test(engine, client):
+        states = []
+        for index in range(3):
+            states.append((await client.status()).state)
+            await text_of(client, spec(f"s{index}"))
+        assert states == ["cold", "cold", "serving"]
+        boot_id = (await client.status()).boot_id
+        await strike(engine, cold=True)
+        status = await client.status()
+        assert (status.state, status.boot_id) == ("cold", boot_id)
+
+    run(test, attrs.evolve(FAST, start_cold=True, warm_work=2))
+
+
+def test_frozen_engine_answers_nothing_and_then_goes_on():
+    async def test(engine, client):
+        async with client.stream(spec("a", PROMPT, 50)) as items:
+            await anext(items)
+            await strike(engine, freeze_s=3600.0)
+            for call in (client.status(), text_of(client, spec("b"))):
+                with pytest.raises(EngineUnreachableError) as caught:
+                    await call
+                assert not caught.value.not_run
+            await strike(engine, freeze_s=0.0)
+            lines, end = await whole(items)
+        assert end.total_tokens == 50
+
+    run(test, request_timeout_s=0.05)
+
+
+def test_frozen_engine_can_be_stopped():
+    async def test(engine, client):
+        await strike(engine, freeze_s=3600.0)
+        with pytest.raises(EngineUnreachableError):
+            await client.status()
+
+    run(test, request_timeout_s=0.05)
+
+
+def test_cancel_is_confirmed_once_the_memory_is_free():
+    async def test(engine, client):
+        async with client.stream(spec("a", PROMPT, 100)) as items:
+            await strike(engine, ignore_cancel_count=1)
+            assert not await client.cancel("a")
+            assert (await client.inventory()).streams[0].kv_tokens > 0
+            assert await client.cancel("a")
+            assert (await client.status()).kv_used_tokens == 0
+            assert (await whole(items))[1].finish_reason == "cancelled"
+        assert await client.cancel("unknown")
+
+    run(test, attrs.evolve(FAST, decode_step_s=3600.0))
+
+
+def test_parts_hold_memory_until_freed():
+    async def test(engine, client):
+        await client.hold_part("g", 600)
+        for stream_id, kind_name in (("g", "exists"), ("h", "out_of_memory")):
+            with pytest.raises(EngineRefusedError) as caught:
+                await client.hold_part(stream_id, 401)
+            assert caught.value.kind_name == kind_name
+        assert (await client.inventory()).parts[0].kv_tokens == 600
+        assert await client.free_part("g")
+        assert await client.free_part("g")
+        await client.hold_part("h", 1000)
+
+    run(test, attrs.evolve(FAST, kv_capacity_tokens=1000))
+
+
+def test_leader_of_a_group_holds_its_share():
+    async def test(engine, client):
+        async with client.stream(spec("a", "x" * 4000, 1, group_size=3)):
+            assert (await client.inventory()).streams[0].kv_tokens == 334
+
+    run(test, attrs.evolve(FAST, kv_capacity_tokens=334, decode_step_s=3600.0))
+
+
+def test_exported_cache_spares_the_prefill_elsewhere():
+    async def test(engine, client):
+        async with client.stream(spec("a", PROMPT, 400)) as items:
+            first = await anext(items)
+            exported = await client.export_stream("a")
+        async with running_engine(FAST) as second:
+            other = client_of(second)
+            await other.import_cache(exported)
+            assert (await other.inventory()).imports[0].kv_tokens == exported.kv_tokens
+            moved = spec("b", PROMPT, 400, import_handle=exported.handle)
+            async with other.stream(attrs.evolve(moved, delivered=first.tokens)):
+                stream = second.state.core.streams["b"]
+                assert stream.to_prefill_tokens == 0
+                assert (await other.inventory()).imports == ()
+            await other.import_cache(exported)
+            assert await other.free_import(exported.handle)
+            assert (await other.inventory()).imports == ()
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("fencing", "numbers", "stale", "highest"),
+    [
+        (True, [5, 5, 6, 4, 6], [3], 6),
+        (False, [5, 4], [], 0),
+    ],
+)
+def test_orders_with_fencing_numbers(fencing, numbers, stale, highest):
+    async def test(engine, client):
+        refused = []
+        for index, number in enumerate(numbers):
+            try:
+                await client.order(Order(number, "set_role", role=str(index)))
+            except EngineRefusedError as error:
+                assert error.kind_name == "stale_fencing"
+                refused.append(index)
+        status = await client.status()
+        assert (refused, status.highest_fencing) == (stale, highest)
+        assert status.role == str(len(numbers) - 1)
+
+    run(test, attrs.evolve(FAST, fencing=fencing))
+
+
+def test_load_replaces_the_model_and_cuts_what_ran():
+    async def test(engine, client):
+        async with client.stream(spec("a", PROMPT, 100_000)) as items:
+            ordered = await client.order(Order(1, "load", "other", "7"))
+            assert (await whole(items))[1].finish_reason == "cancelled"
+        status = await client.status()
+        assert (ordered.model, status.version, status.state) == ("other", "7", "cold")
+        with pytest.raises(EngineRefusedError):
+            await text_of(client, spec("b"))
+        assert await text_of(client, attrs.evolve(spec("b"), model="other"))
+        await client.order(Order(2, "unload"))
+        assert (await client.status()).model == ""
+
+    run(test)
+
+
+def test_newer_order_beats_a_load_that_still_runs():
+    async def test(engine, client):
+        load = asyncio.create_task(client.order(Order(1, "load", "other", "7")))
+        await until(lambda: engine.state.core.loads_running)
+        await client.order(Order(2, "set_role", role="spare"))
+        with pytest.raises(EngineRefusedError):
+            await load
+        assert (await client.status()).model == MODEL
+
+    run(test, attrs.evolve(FAST, load_s=0.05))
+
+
+def test_cache_hits_skip_prefill_and_show_in_events():
+    async def test(engine, client):
+        prompt = "x" * 10 * 1024
+        await text_of(client, spec("a", prompt))
+        events = await client.cache_events(1)
+        assert [event.sequence for event in events.events] == list(range(1, 11))
+        assert (await client.cache_events(events.next)).events == ()
+        await text_of(client, spec("b", prompt))
+        computed = engine.state.core.streams["b"]
+        assert computed.started and computed.to_prefill_tokens == 0
+        assert engine.state.core.cache.hit_tokens(computed.blocks) == 2560
+
+    run(test)
+
+
+def test_status_lags():
+    async def test(engine, client):
+        async with client.stream(spec("a")):
+            lagging = await client.status()
+        assert lagging.running_requests == 0
+        assert len(engine.state.core.running) == 1
+
+    run(test, attrs.evolve(FAST, report_lag_s=3600.0, decode_step_s=3600.0))
+
+
+def test_drift_from_the_interface_is_refused():
+    async def test(engine, client):
+        assert "kind" in await get(f"{engine.url}/v1/cache-events?from=x")
+        with pytest.raises(AssertionError, match="invalid"):
+            await strike(engine, unheard_of=1)
+        assert await settled(lambda: engine.state.deaths) == 0
+
+    run(test)
--- /dev/null
+++ b/tests/clients/test_plain_service.py
@@ -0,0 +1,143 @@
+"""Calls that may not be repeated: what is known after each fault."""
+
+import asyncio
+import socket
+
+import pytest
+
+from sorrelhoist.clients.exceptions import (
+    ServiceNotReachedError,
+    ServiceOutcomeUnknownError,
+)
+from sorrelhoist.clients.plain_service import PlainServiceClient
+from sorrelhoist.standins.plain_service import PlainServiceOptions
+from sorrelhoist.standins.testing import running_plain_service
+from tests.standins.support import get, settled, strike, until
+
+
+def call(client, key="k", timeout_s=5.0, method="POST"):
+    return client.call(method, "/book", key, "w", b"{}", "application/json", timeout_s)
+
+
+def run(test, options=None):
+    async def main():
+        async with running_plain_service(options) as service:
+            await test(service, PlainServiceClient(service.url))
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "PUT", "PATCH", "DELETE"])
+def test_call_runs_one_effect(method):
+    async def test(service, client):
+        reply = await call(client, method=method)
+        assert (reply.status, reply.content_type) == (200, "application/json")
+        assert await get(f"{service.url}/effects") == {"k": 1}
+        assert service.state.answers["k"].workspace == "w"
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("faults", "error", "effects"),
+    [
+        ({"die": True}, ServiceNotReachedError, 0),
+        ({"die_before_effect": True}, ServiceOutcomeUnknownError, 0),
+        ({"die_after_effect": True}, ServiceOutcomeUnknownError, 1),
+        ({"lose_answer_count": 1}, ServiceOutcomeUnknownError, 1),
+    ],
+)
+def test_faults_tell_what_is_known(faults, error, effects):
+    async def test(service, client):
+        await strike(service, **faults)
+        with pytest.raises(error) as caught:
+            await call(client)
+        assert caught.value.not_run == (error is ServiceNotReachedError)
+        assert service.state.effects["k"] == effects
+
+    run(test, PlainServiceOptions(restart_s=3600.0))
+
+
+def test_refusal_is_an_answer():
+    async def test(service, client):
+        await strike(service, refuse_count=1)
+        assert (await call(client)).status == 503
+        assert service.state.effects["k"] == 0
+        assert (await call(client)).status == 200
+
+    run(test)
+
+
+def test_timeout_leaves_the_outcome_unknown_and_the_effect_comes_later():
+    async def test(service, client):
+        await strike(service, delay_s=0.2)
+        with pytest.raises(ServiceOutcomeUnknownError):
+            await call(client, timeout_s=0.05)
+        await until(lambda: service.state.effects["k"] == 1)
+
+    run(test)
+
+
+def test_timeout_while_connecting_means_nothing_was_sent():
+    async def main():
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+            port = listener.getsockname()[1]
+            fillers = [socket.socket() for _ in range(4)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", port))
+            client = PlainServiceClient(f"http://127.0.0.1:{port}")
+            with pytest.raises(ServiceNotReachedError):
+                await call(client, timeout_s=0.05)
+            for filler in fillers:
+                filler.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("spins", [0, 1])
+def test_call_cancelled_before_it_is_connected_is_never_sent(spins):
+    async def test(service, client):
+        task = asyncio.create_task(call(client))
+        for _ in range(spins):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert await settled(lambda: service.state.effects["k"]) == 0
+
+    run(test)
+
+
+def test_death_shows_as_a_new_boot_and_effects_stay():
+    async def test(service, client):
+        await call(client)
+        before = await client.status()
+        await strike(service, die=True)
+        await service.server.up()
+        after = await client.status()
+        assert before.boot_id != after.boot_id
+        assert (before.state, after.state) == ("cold", "cold")
+        assert service.state.effects["k"] == 1
+
+    run(test, PlainServiceOptions(restart_s=0.0, cold_s=3600.0))
+
+
+@pytest.mark.parametrize("lookup", [True, False])
+def test_lookup_gives_the_recorded_answer_where_it_is_offered(lookup):
+    async def test(service, client):
+        reply = await call(client, key="a b/č".encode().hex())
+        found = await client.lookup("a b/č".encode().hex())
+        assert (found.body if found else None) == (reply.body if lookup else None)
+        assert await client.lookup("a b/č?") is None
+
+    run(test, PlainServiceOptions(lookup=lookup))
+
+
+def test_reads_of_a_dead_service_fail():
+    async def test(service, client):
+        await strike(service, die=True)
+        for read in (client.status(), client.lookup("k")):
+            with pytest.raises(ServiceNotReachedError):
+                await read
+
+    run(test, PlainServiceOptions(restart_s=3600.0))
--- /dev/null
+++ b/tests/clients/test_streaming.py
@@ -0,0 +1,81 @@
+"""Bodies that are read as they come."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from sorrelhoist.clients.exceptions import NoAnswerError
+from sorrelhoist.clients.http import json_request
+from sorrelhoist.clients.streaming import streamed
+from sorrelhoist.standins.server import MortalServer
+from tests.standins.support import settled
+
+LINE = b"x" * 65_535 + b"\n"
+MANY_LINES = 4000
+
+
+def run(chunks, test, ends=True):
+    """Serve chunks, one flush each, to one reader; count what was taken."""
+    written = []
+
+    class Handler(RequestHandler):
+        async def get(self):
+            try:
+                for chunk in chunks:
+                    self.write(chunk)
+                    await self.flush()
+                    written.append(len(chunk))
+                if not ends:
+                    self.detach().close()
+            except StreamClosedError:
+                written.append("closed")
+
+    async def main():
+        routes = Application([("/", Handler)], log_function=lambda handler: None)
+        server = MortalServer(routes, 0, "127.0.0.1")
+        request = json_request("GET", f"{server.url}/", timeout_s=0.0)
+        try:
+            async with streamed(request, 5.0) as response:
+                await test(response.lines(), written)
+            await settled(lambda: len(written))
+        finally:
+            await server.stop()
+        return written
+
+    return asyncio.run(main())
+
+
+@given(st.lists(st.text("ab\n", min_size=1, max_size=6), max_size=8))
+def test_fuzz_lines_are_whole_however_they_are_cut(pieces):
+    async def test(lines, written):
+        got = [line async for line in lines]
+        expected = "".join(pieces).split("\n")
+        expected = expected if expected[-1] else expected[:-1]
+        assert got == [line.encode() for line in expected]
+
+    run([piece.encode() for piece in pieces], test)
+
+
+def test_cut_body_is_an_error_after_some_of_its_lines():
+    async def test(lines, written):
+        got = []
+        with pytest.raises(NoAnswerError):
+            async for line in lines:
+                got.append(line)
+        # What came right before the cut may be lost.
+        assert got in ([], [b"a"])
+
+    run([b"a\n"], test, ends=False)
+
+
+def test_slow_reader_holds_the_writer_back_and_closing_stops_it():
+    async def test(lines, written):
+        await anext(lines)
+        assert await settled(lambda: len(written)) < MANY_LINES
+
+    written = run([LINE] * MANY_LINES, test)
+    assert written[-1] == "closed"
