Status text for the entry's status; one rendezvous hash, key check and virtual loop

The retention that is assumed by default is one hour: a value that is too low only costs checkpoints.

--- a/src/sorrelhoist/commands/operator_text.py
+++ b/src/sorrelhoist/commands/operator_text.py
@@ -77,47 +77,45 @@
     str
     """
     alarms = status.get("alarms", [])
-    idle = status.get("endpoints_not_serving", [])
-    if is_healthy(status):
-        yield "healthy"
-    else:
-        yield f"NOT healthy: {len(alarms)} alarms, {len(idle)} endpoints not serving"
-    for alarm in alarms:
+    yield "healthy" if is_healthy(status) else f"NOT healthy: {len(alarms)} alarms"
+    for alarm in alarms[:MAX_LISTED]:
         yield f"  {alarm.get('kind')}: {alarm.get('message')}"
         yield f"    remedy: {alarm.get('remedy')}"
-    yield ""
-    yield from _member_lines(status.get("members", []))
-    configuration = status.get("configuration", {})
-    yield (
-        f"configuration: revision {configuration.get('revision')} "
-        f"at offset {configuration.get('effective_offset')}"
-    )
+    if len(alarms) > MAX_LISTED:
+        yield f"  ... and {len(alarms) - MAX_LISTED} more"
+    yield from _configuration_lines(status.get("configuration", {}))
+    yield from _domain_lines(status)
     yield from _behind_lines(status)
-    for endpoint in idle[:MAX_LISTED]:
-        yield (
-            f"endpoint {endpoint.get('name')} in {endpoint.get('failure_domain')}: "
-            f"{endpoint.get('phase')}"
-        )
-    if len(idle) > MAX_LISTED:
-        yield f"... and {len(idle) - MAX_LISTED} more endpoints not serving"
 
 
 def is_healthy(status: Mapping[str, Any]) -> bool:
     """Whether nothing calls for an operator."""
-    has_alarms = bool(status.get("alarms"))
-    return bool(status.get("healthy", not has_alarms)) and not has_alarms
+    return bool(status.get("is_healthy")) and not status.get("alarms")
+
+
+def _configuration_lines(configuration: Mapping[str, Any]) -> Iterator[str]:
+    revision = configuration.get("revision")
+    offset = configuration.get("effective_offset")
+    word = " (stale)" if configuration.get("is_stale") else ""
+    yield f"configuration: revision {revision} at offset {offset}{word}"
 
 
-def _member_lines(members: Sequence[Mapping[str, Any]]) -> Iterator[str]:
-    by_domain: dict[str, Counter[tuple[str, str]]] = defaultdict(Counter)
-    for member in members:
+def _domain_lines(status: Mapping[str, Any]) -> Iterator[str]:
+    members: dict[str, Counter[tuple[str, str]]] = defaultdict(Counter)
+    for member in status.get("members", []):
         role_and_state = (str(member.get("role")), str(member.get("state")))
-        by_domain[str(member.get("failure_domain"))][role_and_state] += 1
-    for domain, counts in sorted(by_domain.items()):
-        parts = [
-            f"{count} {role} {state}" for (role, state), count in sorted(counts.items())
+        members[str(member.get("failure_domain"))][role_and_state] += 1
+    states = {
+        domain.get("failure_domain"): domain.get("state")
+        for domain in status.get("domains", [])
+    }
+    for name in sorted({*members, *states}):
+        counts = [
+            f"{count} {role} {state}"
+            for (role, state), count in sorted(members[name].items())
         ]
-        yield f"{domain}: {', '.join(parts)}"
+        state = states.get(name, "not configured")
+        yield f"{name} ({state}): {', '.join(counts) or 'no process'}"
 
 
 def _behind_lines(status: Mapping[str, Any]) -> Iterator[str]:
--- a/src/sorrelhoist/decisions/configuration_followers.py
+++ b/src/sorrelhoist/decisions/configuration_followers.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterable
 
-import xxhash
+from .rendezvous import ranked
 
 FOLLOWERS_PER_DOMAIN = 2
+FOLLOWERS_KEY = "configuration followers"
 
 
 def choose_followers(
@@ -25,7 +26,7 @@
     Returns
     -------
     tuple of str
-        At most `count`, the highest hash first.
+        At most `count`, the best first.
 
     Examples
     --------
@@ -34,9 +35,4 @@
     >>> choose_followers(["a"])
     ('a',)
     """
-    ranked = sorted(set(node_ids), key=_weight, reverse=True)
-    return tuple(ranked[:count])
-
-
-def _weight(node_id: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(node_id.encode()), node_id
+    return tuple(ranked(FOLLOWERS_KEY, set(node_ids))[:count])
--- a/src/sorrelhoist/entry/operators.py
+++ b/src/sorrelhoist/entry/operators.py
@@ -1,7 +1,5 @@
 """The operators' HTTP interface, under ``/operator/v1/``."""
 
-import hashlib
-import hmac
 import json
 import math
 import uuid
@@ -25,6 +23,7 @@
 )
 from ..node.configuration import ConfigurationReplica
 from ..node.configuration_apply import ApplyReport, ConfigurationApplier, Proposal
+from ..node.dump import is_operator_key
 
 BEARER = "Bearer "
 MAX_APPLY_ID_LENGTH = 128
@@ -85,22 +84,6 @@
     is_restart: bool
 
 
-def is_operator_key(key: str, key_sha256: Sequence[str]) -> bool:
-    """Compare a key with all known ones in constant time.
-
-    >>> import hashlib
-    >>> is_operator_key("k", [hashlib.sha256(b"k").hexdigest()])
-    True
-    >>> is_operator_key("x", [hashlib.sha256(b"k").hexdigest()])
-    False
-    """
-    digest = hashlib.sha256(key.encode()).hexdigest().encode()
-    is_known = False
-    for known in key_sha256:
-        is_known |= hmac.compare_digest(digest, known.encode())
-    return is_known
-
-
 def operator_handlers(services: OperatorServices) -> list[URLSpec]:
     """Return the routes for a tornado application."""
     arguments = {"services": services}
--- a/src/sorrelhoist/node/configuration_options.py
+++ b/src/sorrelhoist/node/configuration_options.py
@@ -8,7 +8,7 @@
 from ..clients.log import Appended, LogPage
 from ..decisions.configuration_freshness import DEFAULT_STALE_AFTER_S
 
-DEFAULT_LOG_RETENTION_S = 24 * 3600.0
+DEFAULT_LOG_RETENTION_S = 3600.0
 
 
 class ConfigurationLog(Protocol):
@@ -54,7 +54,7 @@
     node_id, failure_domain : str
         Of the own process.
     log_retention_s : float
-        How long the log keeps a record.
+        How long the log keeps a record; too low a value only costs checkpoints.
     stale_after_s : float
         See `Freshness`.
     follow_wait_s : float
--- a/tests/commands/test_configuration.py
+++ b/tests/commands/test_configuration.py
@@ -13,6 +13,14 @@
 EXAMPLES = Path(__file__).parents[2] / "examples"
 DEMO = str(EXAMPLES / "kasparek-demo")
 SMALL = "kind: FailureDomain\nname: praha-a\n"
+MEMBER = {
+    "node_id": "n1",
+    "role": "agent",
+    "failure_domain": "praha-a",
+    "state": "alive",
+    "configuration_offset": 8,
+}
+DOMAIN = {"failure_domain": "praha-a", "state": "out"}
 ALARM = {"kind": "stale", "message": "It is stale.", "remedy": "Mend the network."}
 
 
@@ -100,24 +108,16 @@
 @pytest.mark.parametrize(
     ("status", "exit_code", "text"),
     [
-        ({"alarms": []}, 0, "healthy\n"),
-        ({"alarms": [ALARM]}, 1, "remedy: Mend the network."),
-        ({"healthy": False, "alarms": []}, 1, "NOT healthy"),
+        ({"is_healthy": True}, 0, "healthy\n"),
+        ({"is_healthy": False, "alarms": [ALARM]}, 1, "remedy: Mend the network."),
+        ({"is_healthy": False, "alarms": [ALARM] * 30}, 1, "... and 10 more"),
+        ({"is_healthy": False}, 1, "NOT healthy"),
+        ({"configuration": {"is_stale": True}}, 1, "(stale)"),
+        ({"members": [MEMBER]}, 1, "praha-a (not configured): 1 agent alive"),
+        ({"domains": [DOMAIN]}, 1, "praha-a (out): no process"),
         (
-            {
-                "alarms": [],
-                "configuration": {"effective_offset": 9},
-                "members": [
-                    {
-                        "node_id": "n1",
-                        "role": "agent",
-                        "failure_domain": "praha-a",
-                        "state": "alive",
-                        "configuration_offset": 8,
-                    }
-                ],
-            },
-            0,
+            {"members": [MEMBER], "configuration": {"effective_offset": 9}},
+            1,
             "older configuration on 1: n1",
         ),
     ],
--- a/tests/node/configuration_fakes.py
+++ b/tests/node/configuration_fakes.py
@@ -20,7 +20,7 @@
 from sorrelhoist.node.configuration_apply import ConfigurationApplier, Proposal
 from sorrelhoist.node.configuration_options import ReplicaOptions
 from sorrelhoist.standins.platform_log import Log
-from tests.virtual_time import VirtualTimeLoop
+from tests.virtual_loop import VirtualLoop
 
 RETENTION_S = 1000.0
 
@@ -43,7 +43,7 @@
     `racing` records of another process get in before the next append.
     """
 
-    loop: VirtualTimeLoop
+    loop: VirtualLoop
     log: Log = attrs.field(factory=Log)
     history: list[str] = attrs.field(factory=list)
     is_down: bool = False
@@ -93,7 +93,7 @@
     """Replicas named DOMAIN-NUMBER; those in `cut` reach no other."""
 
     def __init__(self) -> None:
-        self.loop = VirtualTimeLoop()
+        self.loop = VirtualLoop()
         self.log = FakeLog(self.loop)
         self.replicas: dict[str, ConfigurationReplica] = {}
         self.cut: set[str] = set()
--- a/tests/node/test_configuration_fuzz.py
+++ b/tests/node/test_configuration_fuzz.py
@@ -1,5 +1,6 @@
 """Replicas against an oracle, under faults of log, network and processes."""
 
+import asyncio
 import json
 import random
 
@@ -19,6 +20,7 @@
 )
 from sorrelhoist.decisions.configuration_records import encode_record
 from sorrelhoist.exceptions import SorrelhoistError
+from sorrelhoist.node.configuration_apply import ConfigurationApplier, Proposal
 from tests.node.configuration_fakes import RETENTION_S, FakeNetwork, domains
 
 NODES = ("a-1", "a-2", "b-1", "b-2", "c-1")
@@ -78,10 +80,14 @@
             return
         finally:
             self.network.log.faults = []
-        if isinstance(report.verdict, Conflict):
-            self.rejected.add(apply_id)
-        if isinstance(report.verdict, Accepted) and report.is_settled:
-            self.promised.add(report.verdict.offset)
+        self.note(report)
+
+    def note(self, report):
+        match report.verdict:
+            case Conflict(apply_id=apply_id):
+                self.rejected.add(apply_id)
+            case Accepted(offset=offset) if report.is_settled:
+                self.promised.add(offset)
 
     @rule(node=NODE)
     def restart(self, node):
@@ -119,8 +125,31 @@
             self.network.gossip(node, receiver)
             self.live(receiver).handle(body)
 
-    @rule(node=NODE, other=NODE)
-    def race_with_old_base(self, node, other):
+    @rule(nodes=st.tuples(NODE, NODE))
+    def race(self, nodes):
+        """Two operators apply at the same time."""
+        proposals = []
+        for node in nodes:
+            self.count += 1
+            documents = domains(a="in", racer=str(self.count % 2 and "in" or "out"))
+            proposals.append((node, Proposal(f"apply-{self.count}", documents)))
+
+        async def apply_all():
+            work = [
+                ConfigurationApplier(self.live(node)).apply(proposal)
+                for node, proposal in proposals
+            ]
+            return await asyncio.gather(*work, return_exceptions=True)
+
+        for report in self.network.run(apply_all()):
+            if isinstance(report, SorrelhoistError):
+                continue
+            if isinstance(report, Exception):
+                raise report
+            self.note(report)
+
+    @rule()
+    def repeat_old_record(self):
         texts = [t for t in self.network.log.history if '"record":"change"' in t]
         if texts and not self.network.log.is_down:
             data = json.loads(texts[-1])
