--- a/src/sorrelhoist/node/configuration.py
+++ b/src/sorrelhoist/node/configuration.py
@@ -123,6 +123,10 @@
         """Answer a message of a peer; see `ConfigurationExchange.handle`."""
         return self.exchange.handle(body)
 
+    def peer_offsets(self) -> dict[str, int]:
+        """Return the effective offsets of live processes, as last heard."""
+        return self.exchange.peer_offsets()
+
     def is_follower(self) -> bool:
         """Whether this process follows the log closely."""
         own = self.options
@@ -151,6 +155,7 @@
             **self.state.dump(now_s),
             "is_follower": self.is_follower(),
             "log": self._view.dump(),
+            "peer_offsets": self.peer_offsets(),
             "checkpoints": self.schedule.dump(now_s),
         }
 
--- a/src/sorrelhoist/node/configuration_apply.py
+++ b/src/sorrelhoist/node/configuration_apply.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections.abc import Sequence
 
 import attrs
 
@@ -20,20 +19,16 @@
     accepted_verdict,
 )
 from ..decisions.configuration_confirmations import Confirmations
-from ..decisions.configuration_followers import choose_followers
 from ..decisions.configuration_records import Change, Restart, encode_record
 from ..decisions.documents import DocumentSet, diff
 from ..exceptions import (
     KeyReusedError,
     LogUnavailableError,
     NotReadyError,
-    PeerError,
 )
 from .configuration import ConfigurationReplica
-from .configuration_options import PeerMember
+from .configuration_confirm import ConfigurationConfirmer
 
-MAX_PUSHES = 64
-CONCURRENT_CALLS = 32
 RETRY_INTERVAL_S = 0.2
 
 
@@ -111,7 +106,7 @@
     ) -> None:
         self._replica = replica
         self._verdict_timeout_s = verdict_timeout_s
-        self._confirm_timeout_s = confirm_timeout_s
+        self._confirmer = ConfigurationConfirmer(replica, confirm_timeout_s)
 
     async def apply(self, proposal: Proposal) -> ApplyReport:
         """Apply a set.
@@ -227,64 +222,13 @@
     async def _report(self, verdict: Verdict | UnknownYet) -> ApplyReport:
         if not isinstance(verdict, Accepted):
             return ApplyReport(verdict)
-        return ApplyReport(verdict, await self._confirm(verdict.offset))
+        return ApplyReport(verdict, await self._confirmer.confirm(verdict.offset))
 
     def _conflict(self, proposal: Proposal) -> Conflict:
         fold = self._replica.state.fold
         base_revision = proposal.base_revision or 0
         return fold.conflict(proposal.apply_id, base_revision)
 
-    async def _confirm(self, offset: int) -> Confirmations:
-        """Hand the configuration to other processes until all have it."""
-        deadline_s = self._replica.clock() + self._confirm_timeout_s
-        own = self._replica.options
-        domains = self._replica.configuration.failure_domains.keys()
-        confirmations: Confirmations[PeerMember] = Confirmations(
-            offset, own.failure_domain, frozenset(domains)
-        )
-        while True:
-            members = list(self._replica.peers.members())
-            missing = confirmations.start_round(members)
-            await self._ask(missing, confirmations, self._choose_pushes(members))
-            is_over = self._replica.clock() >= deadline_s
-            if is_over or not confirmations.missing:
-                return confirmations
-            await asyncio.sleep(RETRY_INTERVAL_S)
-
-    def _choose_pushes(self, members: Sequence[PeerMember]) -> frozenset[str]:
-        """Choose who gets the whole set; the others take it from these."""
-        node_ids = [member.node_id for member in members]
-        if len(members) <= MAX_PUSHES:
-            return frozenset(node_ids)
-        by_domain: dict[str, list[str]] = {}
-        for member in members:
-            by_domain.setdefault(member.failure_domain, []).append(member.node_id)
-        chosen = [choose_followers(group) for group in by_domain.values()]
-        return frozenset(node_id for group in chosen for node_id in group)
-
-    async def _ask(
-        self,
-        members: Sequence[PeerMember],
-        confirmations: Confirmations,
-        pushes: frozenset[str],
-    ) -> None:
-        first = [member for member in members if member.node_id in pushes]
-        others = [member for member in members if member.node_id not in pushes]
-        gate = asyncio.Semaphore(CONCURRENT_CALLS)
-        exchange = self._replica.exchange
-
-        async def ask(member: PeerMember) -> None:
-            is_push = member.node_id in pushes
-            async with gate:
-                try:
-                    call = exchange.push if is_push else exchange.probe
-                    confirmations.note(member, await call(member))
-                except PeerError:
-                    return
-
-        await asyncio.gather(*map(ask, first))
-        await asyncio.gather(*map(ask, others))
-
 
 def _check_reuse(proposal: Proposal, known: Verdict) -> None:
     is_other = isinstance(known, Accepted) and known.digest != proposal.documents.digest
--- a/src/sorrelhoist/node/configuration_exchange.py
+++ b/src/sorrelhoist/node/configuration_exchange.py
@@ -48,6 +48,7 @@
         self._randomness = randomness
         self._clock = clock
         self._pulls: set[asyncio.Task[None]] = set()
+        self._offsets: dict[str, int] = {}
 
     def on_digest(self, member: PeerMember, digest: ttypes.Digest) -> None:
         """React to the digest that a process sent by gossip.
@@ -59,6 +60,7 @@
         digest : Digest
             Of the configuration that it has in force.
         """
+        self._offsets[member.node_id] = digest.configuration_offset
         if digest.configuration_offset > self._state.effective_offset:
             self._start(self._pull_from(member))
             return
@@ -114,7 +116,7 @@
         PeerError
             If it does not answer.
         """
-        return self._acknowledged(await self._call(member, self._state.body()))
+        return await self._confirm(member, self._state.body())
 
     async def probe(self, member: PeerMember) -> int:
         """Ask a process what it has in force; one that is behind catches up.
@@ -131,7 +133,17 @@
         """
         offset = self._state.effective_offset
         request = ttypes.ConfigurationRequest(have_offset=offset)
-        return self._acknowledged(await self._call(member, request))
+        return await self._confirm(member, request)
+
+    def peer_offsets(self) -> dict[str, int]:
+        """Return the effective offsets of live processes, as last heard."""
+        live = {member.node_id for member in self._peers.members()}
+        self._offsets = {
+            node_id: offset
+            for node_id, offset in self._offsets.items()
+            if node_id in live
+        }
+        return dict(self._offsets)
 
     async def close(self) -> None:
         """Stop what runs in the background."""
@@ -140,6 +152,11 @@
             task.cancel()
         await asyncio.gather(*pulls, return_exceptions=True)
 
+    async def _confirm(self, member: PeerMember, body: object) -> int:
+        offset = self._acknowledged(await self._call(member, body))
+        self._offsets[member.node_id] = offset
+        return offset
+
     async def _call(self, member: PeerMember, body: object) -> object:
         return await self._peers.call(member, body, self._options.peer_timeout_s)
 
--- a/tests/node/test_configuration_apply.py
+++ b/tests/node/test_configuration_apply.py
@@ -42,6 +42,7 @@
     assert report.verdict.revision == 2
     assert sorted(report.confirmations.confirmed) == ["b-1", "c-1"]
     assert offsets(network) == [2, 2, 2]
+    assert network.replicas["a-1"].peer_offsets() == {"b-1": 2, "c-1": 2}
 
 
 @pytest.mark.parametrize(
