--- a/src/sorrelhoist/node/configuration_exchange.py
+++ b/src/sorrelhoist/node/configuration_exchange.py
@@ -169,9 +169,11 @@
         return self._ack()
 
     def _ack(self) -> ttypes.ConfigurationAck:
+        """Say what is in force; one that can't be understood is not."""
+        is_understood = not self._state.problem
         return ttypes.ConfigurationAck(
             node_id=self._options.node_id,
-            effective_offset=self._state.effective_offset,
+            effective_offset=self._state.effective_offset if is_understood else 0,
         )
 
     def _take(self, member: PeerMember, reply: object) -> None:
--- a/tests/node/test_configuration.py
+++ b/tests/node/test_configuration.py
@@ -83,6 +83,25 @@
     assert [replica.effective_offset for replica in network.replicas.values()] == [2, 2]
 
 
+def test_configuration_that_is_not_understood_is_not_confirmed(network):
+    replica = network.add("a-1")
+    network.step()
+    newer = DocumentSet.from_plain([{"kind": "FailureDomain", "name": "a", "state": 7}])
+    network.log.put([change(FIRST, 1, newer)])
+    network.step()
+    assert replica.configuration.is_domain_in("b")
+    assert replica.is_stale(network.loop.time())
+    assert [alarm.kind for alarm in replica.alarms()] == [
+        "configuration_not_understood"
+    ]
+    ack = replica.handle(ttypes.ConfigurationRequest(have_offset=2))
+    assert ack.effective_offset == 0
+    network.log.put([change(newer, 2, SECOND)])
+    network.step()
+    assert not replica.is_stale(network.loop.time())
+    assert not replica.configuration.is_domain_in("a")
+
+
 def test_damaged_body_is_refused(network):
     replica = network.add("a-1")
     network.step()
