Suspicion: evidence per request and death, merged as a set

Counts that are summed by gossip count a rumour again each time it returns, so the wire carries one item for each pair of request and death instead of counts (struct Suspicion changed, code generated again).

--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -2320,25 +2320,28 @@
     """
     Attributes:
      - fingerprint
-     - shared_deaths
-     - sole_deaths
+     - death_id
+     - running_requests
      - lifetime_ms
+     - cleared
 
     """
 
     __slots__ = (
         'fingerprint',
-        'shared_deaths',
-        'sole_deaths',
+        'death_id',
+        'running_requests',
         'lifetime_ms',
+        'cleared',
     )
 
 
-    def __init__(self, fingerprint=None, shared_deaths=None, sole_deaths=None, lifetime_ms=None,):
+    def __init__(self, fingerprint=None, death_id=None, running_requests=None, lifetime_ms=None, cleared=None,):
         self.fingerprint = fingerprint
-        self.shared_deaths = shared_deaths
-        self.sole_deaths = sole_deaths
+        self.death_id = death_id
+        self.running_requests = running_requests
         self.lifetime_ms = lifetime_ms
+        self.cleared = cleared
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2355,13 +2358,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.shared_deaths = iprot.readI32()
+                if ftype == TType.I64:
+                    self.death_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I32:
-                    self.sole_deaths = iprot.readI32()
+                    self.running_requests = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -2369,6 +2372,11 @@
                     self.lifetime_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.cleared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2383,18 +2391,22 @@
             oprot.writeFieldBegin('fingerprint', TType.I64, 1)
             oprot.writeI64(self.fingerprint)
             oprot.writeFieldEnd()
-        if self.shared_deaths is not None:
-            oprot.writeFieldBegin('shared_deaths', TType.I32, 2)
-            oprot.writeI32(self.shared_deaths)
+        if self.death_id is not None:
+            oprot.writeFieldBegin('death_id', TType.I64, 2)
+            oprot.writeI64(self.death_id)
             oprot.writeFieldEnd()
-        if self.sole_deaths is not None:
-            oprot.writeFieldBegin('sole_deaths', TType.I32, 3)
-            oprot.writeI32(self.sole_deaths)
+        if self.running_requests is not None:
+            oprot.writeFieldBegin('running_requests', TType.I32, 3)
+            oprot.writeI32(self.running_requests)
             oprot.writeFieldEnd()
         if self.lifetime_ms is not None:
             oprot.writeFieldBegin('lifetime_ms', TType.I64, 4)
             oprot.writeI64(self.lifetime_ms)
             oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.BOOL, 5)
+            oprot.writeBool(self.cleared)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3559,9 +3571,10 @@
 Suspicion.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'fingerprint', None, None, ),  # 1
-    (2, TType.I32, 'shared_deaths', None, None, ),  # 2
-    (3, TType.I32, 'sole_deaths', None, None, ),  # 3
+    (2, TType.I64, 'death_id', None, None, ),  # 2
+    (3, TType.I32, 'running_requests', None, None, ),  # 3
     (4, TType.I64, 'lifetime_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'cleared', None, None, ),  # 5
 )
 all_structs.append(Digest)
 Digest.thrift_spec = (
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -171,11 +171,14 @@
   14: string service_name,          // the plain service behind an agent, or empty
 }
 
+// One death of an endpoint, held against one of the requests that ran on it.
+// The pair of fingerprint and death names it, so hearing it twice counts once.
 struct Suspicion {
   1: i64 fingerprint,
-  2: i32 shared_deaths,
-  3: i32 sole_deaths,
-  4: i64 lifetime_ms,
+  2: i64 death_id,             // of the endpoint's name and boot id
+  3: i32 running_requests,     // distinct fingerprints that ran; 1 means alone
+  4: i64 lifetime_ms,          // what is left of it
+  5: bool cleared,             // the request completed since
 }
 
 // What rides on probes beside membership changes.
--- a/tests/node/test_gossip.py
+++ b/tests/node/test_gossip.py
@@ -115,7 +115,7 @@
 @pytest.mark.parametrize("count", [1, 8])
 def test_datagram_stays_under_the_bound(count):
     gossip = quiet_gossip()
-    many = [ttypes.Suspicion(i, 1, 1, 1) for i in range(count * 50)]
+    many = [ttypes.Suspicion(i, 1, 1, 1, False) for i in range(count * 50)]
     gossip._hooks = GossipHooks(suspicions=lambda: many)
     updates = [ttypes.Member(node_id="x" * 200) for _ in range(count)]
     body = ttypes.Ping("a", 1, updates, None, [], "b")
