Let others start between two solitary requests

Cause: a solitary request that waited was granted the moment the one before it ended, since its lane came first on an empty endpoint. Ruled out: a longer bound, since the wait grew with the arrivals.

--- a/src/sorrelhoist/decisions/admission.py
+++ b/src/sorrelhoist/decisions/admission.py
@@ -15,7 +15,8 @@
 from .room import Bounds, fits
 from .service_rates import ServiceRates
 
-LANE_ORDER = (Lane.ALONE, Lane.SHORT, Lane.LONG)
+LANE_ORDER = (Lane.SHORT, Lane.LONG, Lane.ALONE)
+ALONE_FIRST = (Lane.ALONE, Lane.SHORT, Lane.LONG)
 
 
 @attrs.define
@@ -24,7 +25,8 @@
 
     Short requests go before long ones. A long request that has waited out its
     patience holds the short ones to their floor until it starts; a solitary one
-    holds all others, so that neither waits for ever.
+    holds all others, so that neither waits for ever. Two solitary ones never follow
+    each other at once while others wait.
     """
 
     health: EndpointHealth
@@ -63,6 +65,8 @@
             return False
         if lane is Lane.LONG and self.queue.lanes[Lane.SHORT]:
             return False
+        if lane is Lane.ALONE and self.queue:
+            return False
         return self._fits(lane, ask.kv_tokens, now_s)
 
     def queued(self, ask: GrantAsk, lane: Lane) -> Queued:
@@ -95,7 +99,7 @@
         """Give the lane whose next request may start now, if there is one."""
         if self.health.closed() is not None:
             return None
-        for lane in LANE_ORDER:
+        for lane in ALONE_FIRST if self._alone_is_due(now_s) else LANE_ORDER:
             waiting = self.queue.lanes[lane].peek()
             if waiting is None:
                 continue
@@ -126,7 +130,7 @@
     def _bounds_for_waiting(self, now_s: float) -> Bounds:
         bounds = self.bounds()
         limits = self.health.limits
-        if self._is_impatient(Lane.ALONE, now_s, self.alone_ended_s):
+        if self._alone_is_due(now_s):
             bounds = attrs.evolve(bounds, alone_waits=True)
         if self._is_impatient(Lane.LONG, now_s):
             bounds = attrs.evolve(
@@ -136,6 +140,10 @@
             )
         return bounds
 
+    def _alone_is_due(self, now_s: float) -> bool:
+        # Others get their patience between two solitary requests.
+        return self._is_impatient(Lane.ALONE, now_s, self.alone_ended_s)
+
     def _is_impatient(
         self, lane: Lane, now_s: float, since_s: float = float("-inf")
     ) -> bool:
