--- a/tests/agent/claims_world.py
+++ b/tests/agent/claims_world.py
@@ -92,20 +92,109 @@
                 assert self.effects, answer
 
 
-class Agent:
+class LogPort:
+    """One process's client of the log, with planned faults.
+
+    ``faults`` maps a step to the faults of its next uses, in order. Steps are the
+    kinds of records, ``read``, and what subclasses add.
+    """
+
+    is_started = True
+
+    def __init__(self, world, faults=()):
+        self.world = world
+        self.faults = {step: list(planned) for step, planned in dict(faults).items()}
+        self.steps = []
+        self.killed = asyncio.Event()
+
+    async def append(self, values):
+        step = next(
+            (kind for kind in map(_kind, values) if self.faults.get(kind)),
+            _kind(values[0]),
+        )
+        fault = await self._fault(step)
+        await asyncio.sleep(LOG_DELAY_S)
+        if self.world.log_down or fault == "refused":
+            raise LogUnavailableError("down", not_run=True, retry_after_s=1.0)
+        if fault == "rate_limited":
+            raise LogRateLimitedError("slow down", retry_after_s=1.0)
+        if fault == "late":
+            self.world.later(LATE_S, lambda: self.world.put(values))
+            raise AppendOutcomeUnknownError("lost")
+        if fault == "not_sent":
+            raise AppendOutcomeUnknownError("lost")
+        appended = self.world.put(values)
+        if fault == "duplicated":
+            self.world.put(values)
+        if fault == "duplicated_late":
+            self.world.later(LATE_S, lambda: self.world.put(values))
+        if fault == "answer_lost":
+            raise AppendOutcomeUnknownError("lost")
+        await self._after(fault)
+        return appended
+
+    async def read(self, from_offset, limit=500, wait_s=0.0):
+        fault = await self._fault("read") if self.is_started else None
+        await asyncio.sleep(LOG_DELAY_S)
+        world = self.world
+        if world.log_down or fault == "refused":
+            raise LogUnavailableError("down", retry_after_s=1.0)
+        if from_offset < world.first_offset:
+            raise OffsetExpiredError(world.first_offset, "gone")
+        if from_offset > len(world.records) and wait_s:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await world.appended.wait()
+            except TimeoutError:
+                pass
+        if world.log_down:
+            raise LogUnavailableError("down", retry_after_s=1.0)
+        taken = world.records[from_offset - 1 : from_offset - 1 + limit]
+        page = [
+            LogRecord(from_offset + index, world.now_s - at_s, value)
+            for index, (at_s, value) in enumerate(taken)
+        ]
+        if fault == "duplicated":
+            page = page + page
+        if fault == "reordered":
+            page.reverse()
+        await self._after(fault)
+        return LogPage(tuple(page), world.first_offset, len(world.records) + 1)
+
+    async def _fault(self, step):
+        self.steps.append(step)
+        planned = self.faults.get(step)
+        fault = planned.pop(0) if planned else None
+        if fault == "killed_before":
+            await self._die()
+        if fault == "paused":
+            await asyncio.sleep(PAUSE_S)
+        if fault == "slow":
+            await asyncio.sleep(LATE_S)
+        return fault
+
+    async def _after(self, fault):
+        if fault == "killed_after":
+            await self._die()
+        if fault == "paused_after":
+            await asyncio.sleep(PAUSE_S)
+
+    async def _die(self):
+        self.killed.set()
+        await asyncio.sleep(FOREVER_S)
+
+
+class Agent(LogPort):
     """One agent's process: its ports to the log and the service, and a life.
 
-    ``faults`` maps a step to the faults of its next uses, in order. Steps are
-    ``claim``, ``void``, ``outcome``, ``read``, ``call`` and ``lookup``.
+    Adds the steps ``call`` and ``lookup``.
     """
 
     def __init__(self, world, node_id, faults=(), **traits):
-        self.world = world
+        super().__init__(world, faults)
         self.node_id = node_id
-        self.faults = {step: list(planned) for step, planned in dict(faults).items()}
         self.attempts = {}
         self.deadlines_s = {}
-        self.steps = []
         rng = random.Random(f"{node_id}{world.seed}{world.now_s}")
         self.boot_id = uuid.UUID(int=rng.getrandbits(128)).hex
         self.calls = ClaimedCalls(
@@ -117,9 +206,12 @@
             clock=lambda: world.now_s,
             wall_clock=world.wall_s,
         )
-        self.killed = asyncio.Event()
         self.life = asyncio.get_running_loop().create_task(self._live())
 
+    @property
+    def is_started(self):
+        return self.calls.ready
+
     async def _live(self):
         async with self.calls.running():
             await self.killed.wait()
@@ -161,62 +253,6 @@
         while not self.calls.ready:
             await asyncio.sleep(0.05)
 
-    # The log's client.
-
-    async def append(self, values):
-        step = next(
-            (kind for kind in map(_kind, values) if self.faults.get(kind)),
-            _kind(values[0]),
-        )
-        fault = await self._fault(step)
-        await asyncio.sleep(LOG_DELAY_S)
-        if self.world.log_down or fault == "refused":
-            raise LogUnavailableError("down", not_run=True, retry_after_s=1.0)
-        if fault == "rate_limited":
-            raise LogRateLimitedError("slow down", retry_after_s=1.0)
-        if fault == "late":
-            self.world.later(LATE_S, lambda: self.world.put(values))
-            raise AppendOutcomeUnknownError("lost")
-        if fault == "not_sent":
-            raise AppendOutcomeUnknownError("lost")
-        appended = self.world.put(values)
-        if fault == "duplicated":
-            self.world.put(values)
-        if fault == "duplicated_late":
-            self.world.later(LATE_S, lambda: self.world.put(values))
-        if fault == "answer_lost":
-            raise AppendOutcomeUnknownError("lost")
-        await self._after(fault)
-        return appended
-
-    async def read(self, from_offset, limit=500, wait_s=0.0):
-        fault = await self._fault("read") if self.calls.ready else None
-        await asyncio.sleep(LOG_DELAY_S)
-        world = self.world
-        if world.log_down or fault == "refused":
-            raise LogUnavailableError("down", retry_after_s=1.0)
-        if from_offset < world.first_offset:
-            raise OffsetExpiredError(world.first_offset, "gone")
-        if from_offset > len(world.records) and wait_s:
-            try:
-                async with asyncio.timeout(wait_s):
-                    await world.appended.wait()
-            except TimeoutError:
-                pass
-        if world.log_down:
-            raise LogUnavailableError("down", retry_after_s=1.0)
-        taken = world.records[from_offset - 1 : from_offset - 1 + limit]
-        page = [
-            LogRecord(from_offset + index, world.now_s - at_s, value)
-            for index, (at_s, value) in enumerate(taken)
-        ]
-        if fault == "duplicated":
-            page = page + page
-        if fault == "reordered":
-            page.reverse()
-        await self._after(fault)
-        return LogPage(tuple(page), world.first_offset, len(world.records) + 1)
-
     # The plain service's client.
 
     async def call(self, method, path, key, workspace, body, content_type, timeout_s):
@@ -244,28 +280,6 @@
             return PlainReply(200, "text/plain", b"ran deposit")
         return None
 
-    async def _fault(self, step):
-        self.steps.append(step)
-        planned = self.faults.get(step)
-        fault = planned.pop(0) if planned else None
-        if fault == "killed_before":
-            await self._die()
-        if fault == "paused":
-            await asyncio.sleep(PAUSE_S)
-        if fault == "slow":
-            await asyncio.sleep(LATE_S)
-        return fault
-
-    async def _after(self, fault):
-        if fault == "killed_after":
-            await self._die()
-        if fault == "paused_after":
-            await asyncio.sleep(PAUSE_S)
-
-    async def _die(self):
-        self.killed.set()
-        await asyncio.sleep(FOREVER_S)
-
 
 def _kind(value):
     return json.loads(value)["t"]
