--- /dev/null
+++ b/tests/decisions/test_orders.py
@@ -0,0 +1,173 @@
+"""Placement is the same everywhere; the reconciler repairs and holds back."""
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sorrelhoist.decisions.configuration_set import Configuration
+from sorrelhoist.decisions.documents import (
+    Endpoint,
+    FailureDomain,
+    Model,
+    ModelUse,
+    Service,
+)
+from sorrelhoist.decisions.orders import (
+    Announce,
+    ConfirmLease,
+    Load,
+    Nothing,
+    Observed,
+    OrderOptions,
+    Reconciler,
+)
+from sorrelhoist.decisions.orders_placement import Desired, desired_for, has_turn
+from sorrelhoist.decisions.orders_registrations import (
+    Registration,
+    decode_registration,
+    encode_registration,
+)
+from sorrelhoist.exceptions import PlatformError
+
+DOMAINS = ("praha-a", "praha-b", "kladno-c")
+WANTED = Desired("clown", "2")
+
+
+def _fleet(per_domain, models=("clown", "juggler"), fixed=""):
+    uses = tuple(ModelUse(name, "2") for name in models)
+    endpoints = [
+        Endpoint(f"{domain}-{index}", domain, "drafts", fixed)
+        for domain in DOMAINS
+        for index in range(per_domain)
+    ]
+    return Configuration.of(
+        [
+            *(FailureDomain(name) for name in DOMAINS),
+            *(Model(name, "2", 1000, 100) for name in models),
+            Service("drafts", "model", uses),
+            Service("bookings", "plain"),
+            *endpoints,
+            Endpoint("plain-1", DOMAINS[0], "bookings"),
+        ]
+    )
+
+
+def _placed(fleet, live):
+    return {name: desired_for(fleet, name, live) for name in live}
+
+
+@given(st.integers(1, 9), st.integers(1, 5), st.randoms())
+def test_fuzz_placement_is_balanced_and_stays(per_domain, count, rng):
+    fleet = _fleet(per_domain, tuple(f"m{index}" for index in range(count)))
+    live = [name for name in fleet.endpoints if name != "plain-1"]
+    before = _placed(fleet, live)
+    shuffled = rng.sample(live, len(live))
+    assert _placed(fleet, shuffled) == before
+    for domain in DOMAINS:
+        held = Counter(
+            desired.model for name, desired in before.items() if domain in name
+        )
+        counts = [held[f"m{index}"] for index in range(count)]
+        assert max(counts) - min(counts) <= 1
+    # Another domain goes: nothing moves here.
+    here = [name for name in live if DOMAINS[0] in name]
+    assert _placed(fleet, here) == {name: before[name] for name in here}
+
+
+@pytest.mark.parametrize("name", ["plain-1", "unknown"])
+def test_nothing_is_desired_of_others(name):
+    assert desired_for(_fleet(2), name, []) is None
+
+
+def test_named_model_is_kept():
+    fleet = _fleet(2, fixed="juggler")
+    assert desired_for(fleet, "praha-a-0", []) == Desired("juggler", "2")
+    assert desired_for(_fleet(2, fixed="gone"), "praha-a-0", []) is None
+
+
+def test_a_quarter_changes_at_once_and_all_come_round():
+    fleet = _fleet(4)
+    live = [name for name in fleet.endpoints if name != "plain-1"]
+    settled: set[str] = set()
+    rounds = 0
+    while len(settled) < len(live):
+        turns = [
+            name
+            for name in live
+            if name not in settled and has_turn(fleet, name, live, settled)
+        ]
+        assert 1 <= len(turns) <= 3
+        settled.update(turns)
+        rounds += 1
+    assert rounds == 4
+
+
+def _observed(version="1", highest_fencing=7, taken_at_s=500.0, model="clown"):
+    return Observed(model, version, highest_fencing, taken_at_s)
+
+
+def _reconciler(*, fences=True, registered_at_s=0.0):
+    options = OrderOptions(
+        fences, lease_s=5.0, longest_order_s=100.0, load_spread_s=0.0
+    )
+    reconciler = Reconciler(options, random.Random(0))
+    reconciler.registered(7, registered_at_s)
+    return reconciler
+
+
+@pytest.mark.parametrize(
+    ("observed", "desired", "turn", "decision"),
+    [
+        (_observed(), WANTED, True, Load("clown", "2")),
+        (_observed("2"), WANTED, True, Nothing("as desired")),
+        (_observed(), None, True, Nothing("the configuration asks for nothing")),
+        (_observed(), WANTED, False, Nothing("others change first")),
+        (_observed(model=""), WANTED, False, Load("clown", "2")),
+        (_observed("2", 6), WANTED, False, Announce("serve")),
+        (_observed("1", 8), WANTED, True, Nothing("another agent has the endpoint")),
+    ],
+)
+def test_decisions_for_an_endpoint_that_fences(observed, desired, turn, decision):
+    assert _reconciler().decide(observed, desired, turn, 500.0) == decision
+
+
+def test_successor_waits_out_lease_and_longest_order():
+    reconciler = _reconciler(fences=False)
+    observed = _observed(highest_fencing=0)
+    held = reconciler.decide(observed, WANTED, True, 110.0)
+    assert held == Nothing("orders of the agent before may still run")
+    assert reconciler.decide(observed, WANTED, True, 111.0) == ConfirmLease()
+    reconciler.lease_confirmed(111.0)
+    assert reconciler.decide(observed, WANTED, True, 112.0) == Load("clown", "2")
+    assert reconciler.may_send(115.9)
+    assert not reconciler.may_send(116.0)
+    reconciler.newer_registration()
+    assert not reconciler.may_send(112.0)
+
+
+def test_report_from_before_the_order_does_not_count():
+    reconciler = _reconciler()
+    reconciler.order_done(500.0)
+    old = reconciler.decide(_observed(taken_at_s=499.0), WANTED, True, 501.0)
+    assert old == Nothing("the report is older than the last order")
+    new = reconciler.decide(_observed(taken_at_s=500.5), WANTED, True, 501.0)
+    assert new == Load("clown", "2")
+
+
+def test_failures_back_off_and_keep_to_retry_after():
+    reconciler = _reconciler()
+    reconciler.decide(_observed(), WANTED, True, 500.0)
+    reconciler.order_failed(PlatformError("busy", retry_after_s=30.0), 500.0)
+    held = reconciler.decide(_observed(), WANTED, True, 529.0)
+    assert held == Nothing("waiting to load")
+    again = reconciler.decide(_observed(), WANTED, True, 545.0)
+    assert again == Load("clown", "2")
+
+
+@given(st.text() | st.from_type(Registration).map(encode_registration))
+def test_fuzz_registrations(text):
+    registration = decode_registration(text)
+    assert registration is None or encode_registration(registration) == text
