--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -15,9 +15,11 @@
 from ..decisions.claims_records import Claimant
 from ..decisions.configuration_set import Configuration
 from ..decisions.ledger import GrantLedger
+from ..decisions.suspicion import SuspicionTable
 from ..exceptions import NotReadyError, PeerError, SorrelhoistError
 from ..messages.gen import ttypes
 from ..node.dump import dump_route
+from ..node.gossip import GossipHooks
 from ..node.health import health_routes
 from ..node.metrics import AgentMetrics
 from ..node.peers import Responder
@@ -55,7 +57,12 @@
         self.settings = settings
         self.endpoint = settings.endpoint
         self.clock = clock
-        self.process = NodeProcess(settings, clock=clock)
+        self.suspicions = SuspicionTable()
+        hooks = GossipHooks(
+            suspicions=lambda: self.suspicions.for_gossip(self.clock()),
+            on_suspicions=lambda heard: self.suspicions.merge(heard, self.clock()),
+        )
+        self.process = NodeProcess(settings, hooks, clock)
         self.metrics = AgentMetrics.create(self.process.metrics.meter)
         self.guard: Guard | None = None
         self.is_leaving = False
@@ -95,8 +102,11 @@
             ledger=ledger,
             metrics=self.metrics,
             clock=self.clock,
-            is_suspected=lambda print_: False,
+            is_suspected=lambda print_: self.suspicions.is_suspected(
+                print_, self.clock()
+            ),
             on_death=self._endpoint_died,
+            on_completed=lambda print_: self.suspicions.completed(print_, self.clock()),
         )
         await guard.monitor.poll()
         replica.add_listener(lambda configuration: self._configure(ledger))
@@ -159,7 +169,9 @@
         return NotReadyError(reason, not_run=True, retry_after_s=CLOSED_RETRY_AFTER_S)
 
     def _endpoint_died(self, boot_id: str, fingerprints: list[int]) -> None:
-        logger.warning("endpoint died", extra={"boot_id": boot_id})
+        self.suspicions.endpoint_died(
+            self.endpoint.name, boot_id, fingerprints, self.clock()
+        )
 
     async def handle(self, body: object, responder: Responder) -> None:
         """Answer a call of an entry."""
@@ -216,6 +228,7 @@
             "endpoint": self.endpoint.name,
             "problem": self.problem(),
             "guard": None if self.guard is None else self.guard.dump(),
+            "suspicions": self.suspicions.dump(self.clock()),
         }
 
 
--- a/src/sorrelhoist/agent/engine.py
+++ b/src/sorrelhoist/agent/engine.py
@@ -72,6 +72,8 @@
         Tells whether a fingerprint must run alone.
     on_death : callable
         ``on_death(boot_id, fingerprints)`` when the engine died.
+    on_completed : callable
+        ``on_completed(fingerprint)`` when a request ran to its end.
     """
 
     endpoint: str
@@ -81,6 +83,7 @@
     clock: Callable[[], float]
     is_suspected: Callable[[int], bool]
     on_death: Callable[[str, list[int]], None]
+    on_completed: Callable[[int], None]
     runs: RunTable = attrs.field(init=False, factory=RunTable)
     gatekeeper: Gatekeeper = attrs.field(init=False)
     monitor: EngineMonitor = attrs.field(init=False)
@@ -220,6 +223,8 @@
     def _ended(self, run: Run, ended: Ended) -> None:
         now_s = self.clock()
         self.ledger.release(run.grant_id, now_s, ended.outcome)
+        if isinstance(ended.result, RunEnd):
+            self.on_completed(run.fingerprint)
         run.end(ended.result, now_s)
         self._accepted.pop(run.grant_id, None)
         self.gatekeeper.pump()
--- a/src/sorrelhoist/agent/limits.py
+++ b/src/sorrelhoist/agent/limits.py
@@ -1,7 +1,7 @@
 """The limits of an endpoint, from its documents and the settings."""
 
 from ..decisions.configuration_set import Configuration
-from ..decisions.limits import EndpointLimits
+from ..decisions.endpoint_limits import EndpointLimits
 from ..settings import Settings
 
 DEFAULT_KV_CAPACITY_TOKENS = 100_000
--- a/src/sorrelhoist/decisions/endpoint_health.py
+++ b/src/sorrelhoist/decisions/endpoint_health.py
@@ -2,9 +2,9 @@
 
 import attrs
 
+from .endpoint_limits import EndpointLimits
 from .grants import DenialKind, EndpointObservation, Lane
 from .lifecycle import EndpointLifecycle, LifecycleEvent, Phase
-from .limits import EndpointLimits
 from .room import Bounds
 from .slow_start import SlowStart
 
--- a/src/sorrelhoist/decisions/grant_book.py
+++ b/src/sorrelhoist/decisions/grant_book.py
@@ -7,6 +7,7 @@
 
 from .denials import denial
 from .endpoint_health import EndpointHealth
+from .endpoint_limits import EndpointLimits
 from .foreign_use import ForeignUse
 from .grants import (
     Cancelled,
@@ -23,7 +24,6 @@
     Outcome,
 )
 from .holdings import Holding, Holdings, HoldingState, adopted_holding, holding_for
-from .limits import EndpointLimits
 from .room import Usage, fits
 from .service_rates import ServiceRates
 
--- a/src/sorrelhoist/decisions/ledger.py
+++ b/src/sorrelhoist/decisions/ledger.py
@@ -11,10 +11,10 @@
 
 from .admission import Admission
 from .denials import denial
+from .endpoint_limits import EndpointLimits
 from .grant_book import GrantBook
 from .grants import DenialKind, Denied, GrantAsk, Granted, Lane, LoadFigures, Queued
 from .holdings import Holding, HoldingState
-from .limits import EndpointLimits
 from .queueing import Waiting, WaitingQueue
 from .retry_after import Informed, RetryAdvice
 from .room import lane_of
--- a/src/sorrelhoist/decisions/room.py
+++ b/src/sorrelhoist/decisions/room.py
@@ -2,8 +2,8 @@
 
 import attrs
 
+from .endpoint_limits import EndpointLimits
 from .grants import Lane
-from .limits import EndpointLimits
 
 
 @attrs.frozen(kw_only=True)
--- a/src/sorrelhoist/decisions/slow_start.py
+++ b/src/sorrelhoist/decisions/slow_start.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .limits import EndpointLimits
+from .endpoint_limits import EndpointLimits
 
 TROUBLE_FACTOR = 0.5
 USED_FRACTION = 0.5
--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -14,6 +14,7 @@
 from ..decisions.prompts import PromptProfile, profile_prompt
 from ..decisions.retries import RetryBudget
 from ..decisions.routing import ExpectedFirstToken, Router, RouteRequest
+from ..decisions.suspicion import SuspicionTable
 from ..exceptions import (
     InvalidRequestError,
     PeerError,
@@ -22,6 +23,7 @@
 )
 from ..messages.gen import ttypes
 from ..node.configuration_apply import ConfigurationApplier
+from ..node.gossip import GossipHooks
 from ..node.health import health_routes
 from ..node.metrics import EntryMetrics
 from ..node.peers import Responder
@@ -66,7 +68,12 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.process = NodeProcess(settings, clock=clock)
+        self.suspicions = SuspicionTable()
+        hooks = GossipHooks(
+            suspicions=lambda: self.suspicions.for_gossip(self.clock()),
+            on_suspicions=lambda heard: self.suspicions.merge(heard, self.clock()),
+        )
+        self.process = NodeProcess(settings, hooks, clock)
         self.metrics = EntryMetrics.create(self.process.metrics.meter)
         self.fleet = Fleet(
             self._configuration,
@@ -95,8 +102,13 @@
             router=self.router,
             seeker=seeker,
             groups=GroupReserver(seeker, caller, self.leases),
-            is_suspected=lambda print_: False,
-            is_condemned=lambda print_: False,
+            is_suspected=lambda print_: self.suspicions.is_suspected(
+                print_, self.clock()
+            ),
+            is_condemned=lambda print_: self.suspicions.is_condemned(
+                print_, self.clock()
+            ),
+            on_death=self._endpoint_died,
             clock=self.clock,
         )
         attempts = AttemptTools(
@@ -114,6 +126,17 @@
             on_retry=lambda: self.metrics.retries.add(1),
         )
 
+    def _endpoint_died(
+        self, endpoint: str, boot_id: str, fingerprint: int, is_sole: bool
+    ) -> None:
+        self.suspicions.endpoint_died(
+            endpoint,
+            boot_id,
+            [fingerprint],
+            self.clock(),
+            running_requests=1 if is_sole else 2,
+        )
+
     # What handlers ask
 
     @property
@@ -293,6 +316,7 @@
             "router": self.router.dump(),
             "leases": self.leases.dump(),
             "retries": self.retries.dump(),
+            "suspicions": self.suspicions.dump(self.clock()),
         }
 
 
--- a/src/sorrelhoist/entry/generation.py
+++ b/src/sorrelhoist/entry/generation.py
@@ -97,6 +97,8 @@
                         yield event
                         if isinstance(event, Finished):
                             return
+                if broken is not None:
+                    self.tools.placer.note_death(self.ask, placement, broken.failure)
                 self._spend_retry(broken)
         raise EndpointFailedError("The request failed too often.", retry_after_s=1.0)
 
--- a/src/sorrelhoist/entry/groups.py
+++ b/src/sorrelhoist/entry/groups.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from ..decisions.limits import DEFAULT_SHORT_FLOOR
+from ..decisions.endpoint_limits import DEFAULT_SHORT_FLOOR
 from ..decisions.routing import Target
 from ..exceptions import InvalidRequestError, OverloadedError, PeerError
 from ..messages.gen import ttypes
--- a/src/sorrelhoist/entry/placement.py
+++ b/src/sorrelhoist/entry/placement.py
@@ -28,6 +28,8 @@
     is_suspected, is_condemned : callable
         Tell, for a fingerprint, whether it must run alone, and whether it must
         not run at all.
+    on_death : callable
+        ``on_death(endpoint, boot_id, fingerprint, is_sole)``.
     clock : callable
         Monotonic seconds.
     """
@@ -38,6 +40,7 @@
     groups: GroupReserver
     is_suspected: Callable[[int], bool]
     is_condemned: Callable[[int], bool]
+    on_death: Callable[[str, str, int, bool], None]
     clock: Callable[[], float]
 
     async def place(self, ask: Ask) -> Placement:
@@ -77,6 +80,20 @@
         if load is not None:
             self.router.observe(load, self.clock())
 
+    def note_death(
+        self, ask: Ask, placement: Placement, failure: ttypes.StreamFailure | None
+    ) -> None:
+        """Hold an endpoint's death against the request that ran on it."""
+        if failure is None or not failure.endpoint_died:
+            return
+        if isinstance(placement, HeldGrant):
+            self.on_death(
+                placement.target.endpoint,
+                placement.grant.boot_id,
+                ask.request.fingerprint,
+                bool(failure.sole_request),
+            )
+
     @contextmanager
     def running(self, ask: Ask) -> Iterator[None]:
         """Count a long request for as long as the context lasts."""
--- a/tests/decisions/test_ledger.py
+++ b/tests/decisions/test_ledger.py
@@ -2,6 +2,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from sorrelhoist.decisions.endpoint_limits import EndpointLimits
 from sorrelhoist.decisions.grants import (
     Cancelled,
     Completed,
@@ -16,7 +17,6 @@
     Queued,
 )
 from sorrelhoist.decisions.ledger import GrantLedger
-from sorrelhoist.decisions.limits import EndpointLimits
 
 LIMITS = EndpointLimits(
     kv_capacity_tokens=1000,
--- a/tests/decisions/test_ledger_fuzz.py
+++ b/tests/decisions/test_ledger_fuzz.py
@@ -5,6 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from returns.result import Success
 
+from sorrelhoist.decisions.endpoint_limits import EndpointLimits
 from sorrelhoist.decisions.grants import (
     Cancelled,
     Completed,
@@ -19,7 +20,6 @@
 )
 from sorrelhoist.decisions.ledger import GrantLedger
 from sorrelhoist.decisions.lifecycle import Phase
-from sorrelhoist.decisions.limits import EndpointLimits
 
 LIMITS = EndpointLimits(
     kv_capacity_tokens=1000,
--- a/tests/decisions/test_ledger_liveness.py
+++ b/tests/decisions/test_ledger_liveness.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sorrelhoist.decisions.endpoint_limits import EndpointLimits
 from sorrelhoist.decisions.grants import Completed, EndpointObservation, Granted, Queued
 from sorrelhoist.decisions.ledger import GrantLedger
-from sorrelhoist.decisions.limits import EndpointLimits
 
 from .test_ledger import make_ask
 
