--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -12,9 +12,12 @@
 from ..clients.engine import EngineClient
 from ..clients.log import LogClient
 from ..clients.plain_service import PlainServiceClient
+from ..clients.weights import WeightStore
 from ..decisions.claims_records import Claimant
 from ..decisions.configuration_set import Configuration
 from ..decisions.ledger import GrantLedger
+from ..decisions.orders import OrderOptions
+from ..decisions.orders_registrations import Registration
 from ..decisions.suspicion import SuspicionTable
 from ..exceptions import NotReadyError, PeerError, SorrelhoistError
 from ..messages.gen import ttypes
@@ -29,12 +32,15 @@
 from .claims import ClaimedCalls, ServiceTraits
 from .engine import EngineGuard
 from .limits import endpoint_limits
+from .order_hooks import EngineOrderHooks
+from .orders import EndpointOrders, OrderHooks
 from .service import ServiceGuard
 
 logger = logging.getLogger(__name__)
 
 CLOSED_RETRY_AFTER_S = 1.0
 STALE_CHECK_INTERVAL_S = 0.5
+REGISTRATIONS_TOPIC = "registrations"
 
 Guard = EngineGuard | ServiceGuard
 
@@ -65,6 +71,8 @@
         self.process = NodeProcess(settings, hooks, clock)
         self.metrics = AgentMetrics.create(self.process.metrics.meter)
         self.guard: Guard | None = None
+        self.orders: EndpointOrders | None = None
+        self._order_hooks: EngineOrderHooks | None = None
         self.is_leaving = False
 
     @asynccontextmanager
@@ -110,10 +118,31 @@
         )
         await guard.monitor.poll()
         replica.add_listener(lambda configuration: self._configure(ledger))
-        for work in (guard.run(), self._watch_process(ledger)):
+        orders = self._make_orders(guard)
+        for work in (guard.run(), self._watch_process(ledger), orders.run()):
             stack.callback(asyncio.create_task(work).cancel)
         self.guard = guard
 
+    def _make_orders(self, guard: EngineGuard) -> EndpointOrders:
+        hooks = EngineOrderHooks(self.endpoint.name, self.process, guard, self.clock)
+        endpoint = self.process.replica.configuration.endpoints.get(self.endpoint.name)
+        orders = EndpointOrders(
+            Registration(
+                self.endpoint.name, self.settings.node_id, self.process.boot_id
+            ),
+            guard.client,
+            WeightStore(self.settings.platform_url),
+            LogClient(self.settings.platform_url, REGISTRATIONS_TOPIC),
+            OrderOptions(fences=endpoint is not None and endpoint.fencing),
+            OrderHooks(hooks.desired, hooks.has_turn, hooks.drained),
+            clock=self.clock,
+            rng=self.process.rng,
+        )
+        guard.monitor.on_loaded = hooks.announce
+        self._order_hooks = hooks
+        self.orders = orders
+        return orders
+
     def _configure(self, ledger: GrantLedger) -> None:
         configuration = self.process.replica.configuration
         ledger.set_limits(endpoint_limits(configuration, self.settings))
@@ -124,7 +153,9 @@
         return named and configuration.is_domain_in(self.settings.failure_domain)
 
     def _is_host_leaving(self) -> bool:
-        return self.is_leaving or self.settings.host in self.process.leaving_hosts
+        is_changing = self._order_hooks is not None and self._order_hooks.is_changing
+        is_listed = self.settings.host in self.process.leaving_hosts
+        return self.is_leaving or is_changing or is_listed
 
     async def _watch_process(self, ledger: GrantLedger) -> None:
         while True:
@@ -227,6 +258,7 @@
             "process": self.process.dump(),
             "endpoint": self.endpoint.name,
             "problem": self.problem(),
+            "orders": None if self.orders is None else self.orders.dump(),
             "guard": None if self.guard is None else self.guard.dump(),
             "suspicions": self.suspicions.dump(self.clock()),
         }
--- a/src/sorrelhoist/agent/monitor.py
+++ b/src/sorrelhoist/agent/monitor.py
@@ -67,12 +67,15 @@
         Monotonic seconds.
     on_death : callable
         ``on_death(boot_id)``, once for each boot that ended.
+    on_loaded : callable
+        ``on_loaded(model, version)`` with each report.
     """
 
     client: EngineClient
     ledger: GrantLedger
     clock: Callable[[], float]
     on_death: Callable[[str], None]
+    on_loaded: Callable[[str, str], None] = lambda model, version: None
     boot_id: str = attrs.field(init=False, default="")
     _answered_s: float = attrs.field(init=False, default=0.0)
     _adopted_boot_id: str = attrs.field(init=False, default="")
@@ -102,6 +105,7 @@
         self._answered_s = self.clock()
         self._note_boot(status.boot_id)
         self.ledger.observe(_observation(status), self._answered_s)
+        self.on_loaded(status.model, status.version)
         return True
 
     async def _adopt(self, status: EngineStatus) -> None:
--- a/src/sorrelhoist/bench/fleet.py
+++ b/src/sorrelhoist/bench/fleet.py
@@ -318,7 +318,7 @@
     name = endpoint["name"]
     is_engine = service["type"] == "model"
     if is_engine:
-        options = engine_arguments(endpoint) + list(engine_options)
+        options = engine_arguments(endpoint, service) + list(engine_options)
         backend = await fleet.start_standin(f"engine-{name}", "engine", *options)
     else:
         backend = await fleet.start_standin(f"service-{name}", "plain-service")
@@ -332,9 +332,12 @@
     await fleet.start_role("agent", f"agent-{name}", extra, endpoint["failure_domain"])
 
 
-def engine_arguments(endpoint: dict) -> list[str]:
+def engine_arguments(endpoint: dict, service: dict) -> list[str]:
     """Return the options of the stand-in for an endpoint document."""
+    versions = {use["name"]: use["version"] for use in service["models"]}
     return [
+        "--version",
+        versions[endpoint["model"]],
         "--model",
         endpoint["model"],
         "--kv-capacity-tokens",
--- a/src/sorrelhoist/decisions/limits.py
+++ b/src/sorrelhoist/decisions/limits.py
@@ -23,6 +23,8 @@
 
 # Rounding must not refuse a request that comes exactly after its Retry-After.
 ROUNDING_REQUESTS = 1e-9
+# An entry that was silent for so many reports isn't counted on.
+REPORTS_MISSED = 3
 
 
 @attrs.frozen
@@ -150,6 +152,14 @@
         for state in self._states.values():
             self._renew(state, now_s)
 
+    def set_report_interval(self, report_interval_s: float) -> None:
+        """Take the time between two reports, for all entries the same."""
+        if report_interval_s == self._report_interval_s:
+            return
+        self._report_interval_s = report_interval_s
+        for state in self._states.values():
+            state.view.report_timeout_s = REPORTS_MISSED * report_interval_s
+
     def admit(
         self, workspace: str, tokens: int, now_s: float
     ) -> Result[Admission, LimitRefusal]:
@@ -230,7 +240,7 @@
         }
 
     def _new_state(self, limit: WorkspaceLimit, now_s: float) -> _State:
-        timeout_s = 3 * self._report_interval_s
+        timeout_s = REPORTS_MISSED * self._report_interval_s
         view = DemandView(limit.requests_per_s, timeout_s)
         state = _State(limit, view, view.share(self._entries, now_s), 0.0, now_s)
         state.requests = state.capacity()
--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -4,8 +4,8 @@
 import logging
 import time
 import uuid
-from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, URLSpec
@@ -39,6 +39,7 @@
 from .groups import GroupReserver
 from .http import UnknownPathHandler
 from .leases import LeaseKeeper
+from .limit_reports import LimitKeeper
 from .operators import OperatorServices, operator_handlers
 from .placement import Placer
 from .requests import GenerationRequest
@@ -83,6 +84,10 @@
         )
         self.router = Router(ExpectedFirstToken(), self.process.rng)
         self.retries = RetryBudget()
+        self.limits = LimitKeeper(
+            settings.node_id, self.process.pool, self.process.others, clock
+        )
+        self.process.replica.add_listener(self.limits.configure)
         self.services = ServiceRouter(self.fleet, self.process.pool, clock)
         self.leases = LeaseKeeper(settings.node_id, self.process.pool, settings.lease_s)
         self._tools = self._make_tools()
@@ -247,6 +252,16 @@
             )
         return not service.at_most_once
 
+    @contextmanager
+    def counted(self, workspace: Workspace) -> Iterator[None]:
+        """Count a request as running for as long as the context lasts."""
+        self.metrics.requests.add(1, {"workspace": workspace.name})
+        self.running_requests += 1
+        try:
+            yield
+        finally:
+            self.running_requests -= 1
+
     def request_id_for(self, workspace: Workspace, idempotency_key: str) -> str:
         """Return the id of a repeatable request with a key, the same everywhere."""
         name = f"{workspace.name}\n{idempotency_key}"
@@ -262,12 +277,15 @@
             http = HTTPServer(self._application(), max_body_size=MAX_HTTP_BODY_BYTES)
             http.listen(self.settings.http_port, address=self.settings.address)
             stack.callback(http.stop)
-            stack.callback(asyncio.create_task(self.leases.run()).cancel)
+            for work in (self.leases.run(), self.limits.run()):
+                stack.callback(asyncio.create_task(work).cancel)
             yield self
 
     async def handle(self, body: object, responder: Responder) -> None:
-        """Refuse what only agents answer."""
-        raise PeerError(f"An entry does not answer {type(body).__name__}.")
+        """Answer another entry; refuse what only agents answer."""
+        if not isinstance(body, ttypes.DemandReport):
+            raise PeerError(f"An entry does not answer {type(body).__name__}.")
+        await responder.send(self.limits.hear(body))
 
     def _application(self) -> Application:
         own = {"entry": self}
@@ -315,6 +333,7 @@
             "running_requests": self.running_requests,
             "router": self.router.dump(),
             "leases": self.leases.dump(),
+            "limits": self.limits.limits.dump(),
             "retries": self.retries.dump(),
             "suspicions": self.suspicions.dump(self.clock()),
         }
--- a/src/sorrelhoist/entry/completions.py
+++ b/src/sorrelhoist/entry/completions.py
@@ -1,8 +1,8 @@
 """Handlers of model requests."""
 
 import time
-from collections.abc import AsyncIterator, Iterator
-from contextlib import aclosing, contextmanager
+from collections.abc import AsyncIterator
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Literal
 
 from tornado.iostream import StreamClosedError
@@ -53,7 +53,9 @@
         generation = self.entry.generation(
             request, self.workspace, self.request_id, timeout_s, bool(key)
         )
-        with self._counted():
+        tokens = generation.kv_tokens
+        admitted = self.entry.limits.admitted(self.workspace.name, tokens)
+        with admitted, self.entry.counted(self.workspace):
             await self._run(generation, request)
 
     def _idempotency_key(self) -> str:
@@ -66,16 +68,6 @@
             )
         return key
 
-    @contextmanager
-    def _counted(self) -> Iterator[None]:
-        entry = self.entry
-        entry.metrics.requests.add(1, {"workspace": self.workspace.name})
-        entry.running_requests += 1
-        try:
-            yield
-        finally:
-            entry.running_requests -= 1
-
     async def _run(self, generation: Generation, request: GenerationRequest) -> None:
         head = AnswerHead(self.request_id, int(time.time()), request)
         writer = AnswerWriter(self, head, generation)
--- a/src/sorrelhoist/entry/generation.py
+++ b/src/sorrelhoist/entry/generation.py
@@ -71,6 +71,11 @@
     def __attrs_post_init__(self) -> None:
         self.assembler = StreamAssembler(self.ask.request.request_id)
 
+    @property
+    def kv_tokens(self) -> int:
+        """Tokens of the prompt and the longest answer."""
+        return self.ask.request.prompt_tokens + self.ask.request.output_tokens
+
     async def events(self) -> AsyncGenerator[Delivery | Finished, None]:
         """Run the request.
 
--- a/src/sorrelhoist/entry/service_calls.py
+++ b/src/sorrelhoist/entry/service_calls.py
@@ -28,12 +28,10 @@
             body=self.body(),
             content_type=headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
         )
-        self.entry.running_requests += 1
-        try:
+        admitted = self.entry.limits.admitted(self.workspace.name, tokens=0)
+        with admitted, self.entry.counted(self.workspace):
             deadline_s = self.entry.clock() + timeout_s
             reply = await self.entry.services.call(call, repeatable, deadline_s)
-        finally:
-            self.entry.running_requests -= 1
         self._answer(reply)
 
     def _answer(self, reply: ttypes.ServiceReply) -> None:
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3145,6 +3145,237 @@
         return not (self == other)
 
 
+class Demand(object):
+    """
+    Attributes:
+     - workspace
+     - requests_per_s
+     - held_tokens
+
+    """
+
+    __slots__ = (
+        'workspace',
+        'requests_per_s',
+        'held_tokens',
+    )
+
+
+    def __init__(self, workspace=None, requests_per_s=None, held_tokens=None,):
+        self.workspace = workspace
+        self.requests_per_s = requests_per_s
+        self.held_tokens = held_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.workspace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.requests_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.held_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Demand')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.STRING, 1)
+            oprot.writeString(self.workspace.encode('utf-8') if sys.version_info[0] == 2 else self.workspace)
+            oprot.writeFieldEnd()
+        if self.requests_per_s is not None:
+            oprot.writeFieldBegin('requests_per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.requests_per_s)
+            oprot.writeFieldEnd()
+        if self.held_tokens is not None:
+            oprot.writeFieldBegin('held_tokens', TType.I64, 3)
+            oprot.writeI64(self.held_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DemandReport(object):
+    """
+    Attributes:
+     - entry_id
+     - demands
+
+    """
+
+    __slots__ = (
+        'entry_id',
+        'demands',
+    )
+
+
+    def __init__(self, entry_id=None, demands=None,):
+        self.entry_id = entry_id
+        self.demands = demands
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.entry_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Demand()
+                        _elem96.read(iprot)
+                        self.demands.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandReport')
+        if self.entry_id is not None:
+            oprot.writeFieldBegin('entry_id', TType.STRING, 1)
+            oprot.writeString(self.entry_id.encode('utf-8') if sys.version_info[0] == 2 else self.entry_id)
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter97 in self.demands:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DemandHeard(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandHeard')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -3172,6 +3403,8 @@
      - sync_request
      - sync_reply
      - queued
+     - demand_report
+     - demand_heard
 
     """
 
@@ -3200,10 +3433,12 @@
         'sync_request',
         'sync_reply',
         'queued',
+        'demand_report',
+        'demand_heard',
     )
 
 
-    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None,):
+    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None,):
         self.call_id = call_id
         self.grant_request = grant_request
         self.grant = grant
@@ -3228,6 +3463,8 @@
         self.sync_request = sync_request
         self.sync_reply = sync_reply
         self.queued = queued
+        self.demand_report = demand_report
+        self.demand_heard = demand_heard
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3381,6 +3618,18 @@
                     self.queued.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.demand_report = DemandReport()
+                    self.demand_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.demand_heard = DemandHeard()
+                    self.demand_heard.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3487,6 +3736,14 @@
             oprot.writeFieldBegin('queued', TType.STRUCT, 24)
             self.queued.write(oprot)
             oprot.writeFieldEnd()
+        if self.demand_report is not None:
+            oprot.writeFieldBegin('demand_report', TType.STRUCT, 25)
+            self.demand_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.demand_heard is not None:
+            oprot.writeFieldBegin('demand_heard', TType.STRUCT, 26)
+            self.demand_heard.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3743,6 +4000,22 @@
     None,  # 0
     (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
 )
+all_structs.append(Demand)
+Demand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'workspace', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'requests_per_s', None, None, ),  # 2
+    (3, TType.I64, 'held_tokens', None, None, ),  # 3
+)
+all_structs.append(DemandReport)
+DemandReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'entry_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'demands', (TType.STRUCT, [Demand, None], False), None, ),  # 2
+)
+all_structs.append(DemandHeard)
+DemandHeard.thrift_spec = (
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -3770,6 +4043,8 @@
     (22, TType.STRUCT, 'sync_request', [SyncRequest, None], None, ),  # 22
     (23, TType.STRUCT, 'sync_reply', [SyncReply, None], None, ),  # 23
     (24, TType.STRUCT, 'queued', [Queued, None], None, ),  # 24
+    (25, TType.STRUCT, 'demand_report', [DemandReport, None], None, ),  # 25
+    (26, TType.STRUCT, 'demand_heard', [DemandHeard, None], None, ),  # 26
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -227,6 +227,22 @@
   1: list<Member> members,
 }
 
+// What one workspace asks of one entry.
+struct Demand {
+  1: string workspace,
+  2: double requests_per_s,
+  3: i64 held_tokens,
+}
+
+// From entry to entry; workspaces without demand are left out.
+struct DemandReport {
+  1: string entry_id,
+  2: list<Demand> demands,
+}
+
+struct DemandHeard {
+}
+
 struct Envelope {
   1: i64 call_id,
   2: optional GrantRequest grant_request,
@@ -252,4 +268,6 @@
   22: optional SyncRequest sync_request,
   23: optional SyncReply sync_reply,
   24: optional Queued queued,
+  25: optional DemandReport demand_report,
+  26: optional DemandHeard demand_heard,
 }
