--- a/src/sorrelhoist/standins/engine.py
+++ b/src/sorrelhoist/standins/engine.py
@@ -18,6 +18,7 @@
 from .web import change
 
 BOOT_ID_BYTES = 8
+MAX_LATENESS_S = 0.1
 
 
 @attrs.frozen
@@ -217,6 +218,7 @@
             self._take_report()
 
     async def _run(self) -> None:
+        ends_s = self.now_s()
         while True:
             await self.thawed()
             core = self.core
@@ -225,12 +227,18 @@
             if step is None:
                 self._work.clear()
                 await self._work.wait()
+                ends_s = self.now_s()
                 continue
-            await asyncio.sleep(step.duration_s)
+            # Counted from the planned end of the last step, not from when the
+            # loop came round, so that a busy loop doesn't slow the engine.
+            ends_s = max(ends_s, self.now_s() - MAX_LATENESS_S) + step.duration_s
+            await asyncio.sleep(max(0.0, ends_s - self.now_s()))
             await self.thawed()
-            if core is not self.core:
-                continue
-            applied = engine_batch.apply(core, step, self.now_s())
-            self.wake(list(applied.moved))
-            if applied.fatal:
-                self.die()
+            if core is self.core:
+                self._apply(step)
+
+    def _apply(self, step: engine_batch.Step) -> None:
+        applied = engine_batch.apply(self.core, step, self.now_s())
+        self.wake(list(applied.moved))
+        if applied.fatal:
+            self.die()
--- a/src/sorrelhoist/standins/plain_service.py
+++ b/src/sorrelhoist/standins/plain_service.py
@@ -97,6 +97,7 @@
         self.faults = PlainServiceFaults()
         self.effects: Counter[str] = Counter()
         self.answers: dict[str, Effect] = {}
+        self.waiting_calls = 0
         self._server: MortalServer | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._boot()
@@ -130,6 +131,8 @@
         if self._server is None or not self._server.alive:
             return
         self._server.die()
+        # Calls that wait belong to the boot that ends here.
+        self._boot()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self.options.restart_s, self._revive)
 
@@ -156,7 +159,9 @@
         faults = self.service.faults
         boot_id = self.service.boot_id
         if faults.delay_s:
+            self.service.waiting_calls += 1
             await asyncio.sleep(faults.delay_s)
+            self.service.waiting_calls -= 1
         if boot_id != self.service.boot_id:
             return
         if faults.refuse_count > 0:
--- a/tests/clients/test_engine.py
+++ b/tests/clients/test_engine.py
@@ -1,6 +1,7 @@
 """The engine's client against the stand-in, fault by fault."""
 
 import asyncio
+import threading
 
 import attrs
 import pytest
@@ -380,6 +381,16 @@
     run(test, attrs.evolve(FAST, report_lag_s=3600.0, decode_step_s=3600.0))
 
 
+def test_client_starts_no_thread():
+    async def test(engine, client):
+        threads = threading.active_count()
+        await client.status()
+        await text_of(client, spec())
+        assert threading.active_count() == threads
+
+    run(test)
+
+
 def test_drift_from_the_interface_is_refused():
     async def test(engine, client):
         assert "kind" in await get(f"{engine.url}/v1/cache-events?from=x")
--- a/tests/clients/test_plain_service.py
+++ b/tests/clients/test_plain_service.py
@@ -78,6 +78,22 @@
     run(test)
 
 
+def test_death_takes_waiting_calls_with_it():
+    async def test(service, client):
+        await strike(service, delay_s=0.05)
+        waiting = asyncio.create_task(call(client, key="waiting"))
+        await until(lambda: service.state.waiting_calls)
+        await strike(service, die=True)
+        with pytest.raises(ServiceOutcomeUnknownError):
+            await waiting
+        # Begun later with the same delay, so it ends after the first would.
+        service.server.revive()
+        await call(client, key="later")
+        assert service.state.effects == {"later": 1}
+
+    run(test, PlainServiceOptions(restart_s=3600.0))
+
+
 def test_timeout_while_connecting_means_nothing_was_sent():
     async def main():
         with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
