Streaming tests feed the cuts themselves

Tornado joins small chunks, so the fuzz over HTTP never cut a line: it passed with the joining of lines taken out. It now feeds the pieces directly and fails so.

--- a/tests/clients/test_streaming.py
+++ b/tests/clients/test_streaming.py
@@ -10,7 +10,12 @@
 
 from sorrelhoist.clients.exceptions import NoAnswerError
 from sorrelhoist.clients.http import json_request
-from sorrelhoist.clients.streaming import streamed
+from sorrelhoist.clients.streaming import (
+    BUFFERED_CHUNKS,
+    StreamedResponse,
+    _Chunks,
+    streamed,
+)
 from sorrelhoist.standins.server import MortalServer
 from tests.standins.support import settled
 
@@ -44,20 +49,49 @@
             await settled(lambda: len(written))
         finally:
             await server.stop()
+        assert await settled(lambda: len(asyncio.all_tasks())) == 1
         return written
 
     return asyncio.run(main())
 
 
-@given(st.lists(st.text("ab\n", min_size=1, max_size=6), max_size=8))
+@given(st.lists(st.text("ab\n", min_size=1, max_size=6), max_size=BUFFERED_CHUNKS))
 def test_fuzz_lines_are_whole_however_they_are_cut(pieces):
-    async def test(lines, written):
-        got = [line async for line in lines]
+    async def main():
+        chunks = _Chunks(asyncio.Queue())
+        for piece in [*(piece.encode() for piece in pieces), None]:
+            await chunks.put(piece)
+        finished = asyncio.create_task(asyncio.sleep(0))
+        lines = StreamedResponse(200, chunks, finished).lines()
         expected = "".join(pieces).split("\n")
         expected = expected if expected[-1] else expected[:-1]
-        assert got == [line.encode() for line in expected]
+        assert [line.decode() async for line in lines] == expected
+
+    asyncio.run(main())
+
+
+def test_chunks_that_come_after_leaving_are_dropped():
+    async def main():
+        chunks = _Chunks()
+
+        async def fill():
+            for _ in range(3 * BUFFERED_CHUNKS):
+                await chunks.put(b"x")
+
+        filling = asyncio.create_task(fill())
+        assert await settled(chunks.queue.qsize) == BUFFERED_CHUNKS
+        chunks.close()
+        await settled(filling.done)
+        assert filling.done()
+
+    asyncio.run(main())
+
+
+def test_lines_come_one_by_one():
+    async def test(lines, written):
+        assert [line async for line in lines] == [b"a", b"b"]
 
-    run([piece.encode() for piece in pieces], test)
+    assert run([b"a", b"\nb"], test) == [1, 2]
 
 
 def test_cut_body_is_an_error_after_some_of_its_lines():
