--- a/tests/node/test_configuration_fuzz.py
+++ b/tests/node/test_configuration_fuzz.py
@@ -1,6 +1,7 @@
 """Replicas against an oracle, under faults of log, network and processes."""
 
 import asyncio
+import itertools
 import json
 import random
 
@@ -88,6 +89,14 @@
                 self.rejected.add(apply_id)
             case Accepted(offset=offset) if report.is_settled:
                 self.promised.add(offset)
+                self.check_holders(offset)
+
+    def check_holders(self, offset):
+        replicas = self.network.replicas.values()
+        holders = [item for item in replicas if item.effective_offset >= offset]
+        wanted = holders[0].configuration.failure_domains.keys()
+        held_in = {item.options.failure_domain for item in holders} & wanted
+        assert len(wanted) == 1 or 2 * len(held_in) > len(wanted)
 
     @rule(node=NODE)
     def restart(self, node):
@@ -180,9 +189,15 @@
 
     @rule(part=st.sampled_from([0.1, 0.35]))
     def pass_time(self, part):
-        """Time passes; processes that run keep their checkpoints meanwhile."""
         self.network.pass_time(part * RETENTION_S)
 
+    @rule(node=NODE)
+    def pause_past_retention(self, node):
+        """One process is paused while the others go on."""
+        for _ in range(4):
+            self.network.pass_time(0.3 * RETENTION_S)
+            self.network.step(*(name for name in NODES if name != node))
+
     @invariant()
     def every_reader_reaches_the_same_verdict(self):
         oracle = Oracle(self.network.log.history)
@@ -200,14 +215,15 @@
     def heal(self):
         """Without faults all converge, and nothing accepted is lost."""
         network = self.network
-        network.log.is_down = False
         network.cut.clear()
+        newest = max(item.effective_offset for item in network.replicas.values())
+        for _ in range(3):
+            for sender, receiver in itertools.permutations(NODES, 2):
+                network.gossip(sender, receiver)
+        assert {item.effective_offset for item in network.replicas.values()} == {newest}
+        network.log.is_down = False
         for _ in range(4):
             network.step()
-            for sender in NODES:
-                for receiver in NODES:
-                    if sender != receiver:
-                        network.gossip(sender, receiver)
         self.every_reader_reaches_the_same_verdict()
         offsets = {replica.effective_offset for replica in network.replicas.values()}
         assert len(offsets) == 1
