--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 	$(BIN)/python -m sorrelhoist bench
 
 binary: $(STAMP)
-	$(BIN)/pex . -c sorrelhoist -o dist/sorrelhoist --venv=none
+	mkdir -p dist
+	$(BIN)/pex . --constraints constraints.txt -c sorrelhoist -o dist/sorrelhoist
 
 # Needs the thrift compiler; its output is committed.
 messages:
