--- a/src/sorrelhoist/standins/engine.py
+++ b/src/sorrelhoist/standins/engine.py
@@ -89,13 +89,16 @@
                 timer.cancel()
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        results = await asyncio.gather(*self._tasks, return_exceptions=True)
         # Readers see a core that isn't theirs, and go.
         self.core = self._boot(cold=True)
         self._thaw.set()
         self.wake(list(self._waiters))
         if self._server is not None:
             await self._server.stop()
+        for result in results:
+            if isinstance(result, Exception):
+                raise result
 
     def admit(self, arrival: Arrival) -> Result[Stream, Refusal | Overrun]:
         """Take a stream, refuse it, or die of it."""
--- a/tests/clients/test_engine.py
+++ b/tests/clients/test_engine.py
@@ -34,6 +34,7 @@
     async def main():
         async with running_engine(options) as engine:
             await test(engine, client_of(engine, **client_options))
+        assert await settled(lambda: len(asyncio.all_tasks())) == 1
 
     asyncio.run(main())
 
@@ -77,7 +78,7 @@
     ("wanted", "kind_name"),
     [
         (spec("held"), "exists"),
-        (spec("a", "x" * 3800, 51), "out_of_memory"),
+        (spec("a", "x" * 3600, 51), "out_of_memory"),
         (attrs.evolve(spec(), model="other"), "unknown_model"),
         (attrs.evolve(spec(), model=""), "unknown_model"),
         (spec("a", PROMPT, 5, delivered=("w0-crossed ",)), "delivered_mismatch"),
@@ -98,7 +99,7 @@
         assert caught.value.not_run
         assert set(engine.state.core.streams) == {"held"}
 
-    # 1,000 tokens less the 50 that the held stream takes.
+    # The held stream leaves 950 tokens, one less than the large one needs.
     run(test, attrs.evolve(FAST, kv_capacity_tokens=1000, decode_step_s=3600.0))
 
 
@@ -191,6 +192,23 @@
     run(test)
 
 
+def test_step_that_a_death_overtakes_has_no_effect():
+    async def test(engine, client):
+        await strike(engine, crash_on_text="poison")
+        with pytest.raises(EngineUnreachableError):
+            async with client.stream(spec("a", "poison", 0)) as items:
+                stream = engine.state.core.streams["a"]
+                await until(lambda: stream.started)
+                await strike(engine, die=True)
+                await whole(items)
+        await engine.server.up()
+        # The engine takes this up once the old step's time is over.
+        assert await text_of(client, spec("b")) == answer_text(PROMPT, 5)
+        assert engine.state.deaths == 1
+
+    run(test, attrs.evolve(FAST, prefill_tokens_per_s=100.0))
+
+
 @pytest.mark.parametrize("refuses", [False, True])
 def test_cold_start_bears_only_so_much(refuses):
     async def test(engine, client):
@@ -289,7 +307,9 @@
         async with client.stream(spec("a", PROMPT, 400)) as items:
             first = await anext(items)
             exported = await client.export_stream("a")
-        async with running_engine(FAST) as second:
+        # The import fills the memory: the stream that names it takes it over.
+        filled = attrs.evolve(FAST, kv_capacity_tokens=exported.kv_tokens)
+        async with running_engine(filled) as second:
             other = client_of(second)
             await other.import_cache(exported)
             assert (await other.inventory()).imports[0].kv_tokens == exported.kv_tokens
@@ -298,6 +318,7 @@
                 stream = second.state.core.streams["b"]
                 assert stream.to_prefill_tokens == 0
                 assert (await other.inventory()).imports == ()
+            assert await other.cancel("b")
             await other.import_cache(exported)
             assert await other.free_import(exported.handle)
             assert (await other.inventory()).imports == ()
