--- a/src/sorrelhoist/standins/platform.py
+++ b/src/sorrelhoist/standins/platform.py
@@ -1,6 +1,7 @@
 """The stand-in platform: logs, a lagging host list, a weight store."""
 
 import asyncio
+import math
 import time
 from collections import defaultdict
 
@@ -121,7 +122,9 @@
         self._server = server
 
     async def stop(self) -> None:
-        """Stop for good."""
+        """Stop for good; reads that wait are let go."""
+        self.faults.outage_until_s = math.inf
+        self.notify()
         if self._server is not None:
             await self._server.stop()
 
--- a/tests/clients/test_platform.py
+++ b/tests/clients/test_platform.py
@@ -26,7 +26,7 @@
 from sorrelhoist.standins.platform import PlatformOptions
 from sorrelhoist.standins.server import MortalServer
 from sorrelhoist.standins.testing import running_platform
-from tests.standins.support import strike, until
+from tests.standins.support import settled, strike, until
 
 OPEN = PlatformOptions(appends_per_s=0.0, hosts_lag_s=0.0, weights_load_s=0.0)
 
@@ -36,6 +36,7 @@
         async with running_platform(options) as platform:
             client = LogClient(platform.url, "claims.bookings", request_timeout_s)
             await test(platform, client)
+        assert await settled(lambda: len(asyncio.all_tasks())) == 1
 
     asyncio.run(main())
 
@@ -106,6 +107,17 @@
     run(test)
 
 
+def test_stopping_lets_a_waiting_read_go():
+    async def test(platform, log):
+        read = asyncio.create_task(log.read(1, wait_s=3600.0))
+        await until(lambda: platform.state._changed._waiters)
+        await platform.state.stop()
+        with pytest.raises(LogUnavailableError):
+            await read
+
+    run(test)
+
+
 def test_read_that_waits_in_vain_is_empty():
     async def test(platform, log):
         assert (await log.read(1, wait_s=0.01)).records == ()
