--- a/src/sorrelhoist/decisions/configuration_problems.py
+++ b/src/sorrelhoist/decisions/configuration_problems.py
@@ -5,8 +5,6 @@
 
 import attrs
 
-from ..exceptions import DocumentError
-
 
 @attrs.frozen
 class Place:
@@ -158,10 +156,6 @@
         """Return the problems as plain data."""
         return [item.to_plain() for item in self.items]
 
-    def to_error(self) -> DocumentError:
-        """Return the exception that reports all of them."""
-        return DocumentError(f"{self.headline}\n{self}\n", not_run=True)
-
     @property
     def headline(self) -> str:
         """How many there are."""
--- a/src/sorrelhoist/node/configuration_exchange.py
+++ b/src/sorrelhoist/node/configuration_exchange.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from ..decisions.configuration_followers import choose_followers
 from ..exceptions import PeerError
 from ..messages.gen import ttypes
 from .configuration_body import from_body
@@ -14,8 +15,6 @@
 
 logger = logging.getLogger(__name__)
 
-PEERS_ASKED = 3
-
 
 class ConfigurationExchange:
     """The side of a replica that faces its peers.
@@ -97,12 +96,17 @@
             )
 
     async def ask_peers(self, have_offset: int) -> None:
-        """Ask a few processes, chosen at random."""
-        members = list(self._peers.members())
-        count = min(PEERS_ASKED, len(members))
-        for member in self._randomness.sample(members, count):
+        """Ask a few processes for a configuration newer than an offset."""
+        for member in self._choose_sources():
             await self.pull(member, have_offset)
 
+    async def catch_up(self, wanted_offset: int) -> None:
+        """Ask a few processes, until an offset is in force here."""
+        for member in self._choose_sources():
+            if self._state.effective_offset >= wanted_offset:
+                return
+            await self.pull(member, self._state.effective_offset)
+
     async def push(self, member: PeerMember) -> int:
         """Hand the configuration to a process.
 
@@ -160,12 +164,27 @@
     async def _call(self, member: PeerMember, body: object) -> object:
         return await self._peers.call(member, body, self._options.peer_timeout_s)
 
+    def _choose_sources(self) -> list[PeerMember]:
+        """Choose whom to ask: the own followers hear of changes first."""
+        members = {member.node_id: member for member in self._peers.members()}
+        own_domain = self._options.failure_domain
+        near = [
+            member.node_id
+            for member in members.values()
+            if member.failure_domain == own_domain
+        ]
+        followers = list(choose_followers([self._options.node_id, *near]))
+        self._randomness.shuffle(followers)
+        others = self._randomness.sample(sorted(members), min(len(members), 1))
+        chosen = dict.fromkeys([*followers, *others])
+        return [members[node_id] for node_id in chosen if node_id in members]
+
     def _answer(self, request: ttypes.ConfigurationRequest) -> object:
         offset = self._state.effective_offset
         if offset > request.have_offset:
             return self._state.body()
         if request.have_offset > offset:
-            self._start(self.ask_peers(offset))
+            self._start(self.catch_up(request.have_offset))
         return self._ack()
 
     def _ack(self) -> ttypes.ConfigurationAck:
--- a/tests/node/test_configuration_apply.py
+++ b/tests/node/test_configuration_apply.py
@@ -14,6 +14,7 @@
     LogUnavailableError,
     NotReadyError,
 )
+from sorrelhoist.node.configuration_confirm import ROUND_INTERVAL_S
 from tests.node.configuration_fakes import RETENTION_S, FakeNetwork, domains
 
 FIRST = domains(a="in", b="in", c="in")
@@ -148,10 +149,12 @@
         for domain in "abc":
             network.add(f"{domain}-x{number}")
     network.step()
+    started_at_s = network.loop.time()
     report = network.apply("a-1", SECOND, "second")
     assert report.is_settled
     assert not report.confirmations.missing
     assert set(offsets(network)) == {2}
+    assert network.loop.time() - started_at_s < 1.5 * ROUND_INTERVAL_S
 
 
 def test_answer_does_not_wait_for_a_cut_off_failure_domain(network):
