--- a/src/sorrelhoist/decisions/membership.py
+++ b/src/sorrelhoist/decisions/membership.py
@@ -19,19 +19,17 @@
     SendDatagram,
 )
 from .membership_probes import Prober
+from .membership_receiver import Receiver
+from .membership_reconnect import Reconnector
 from .membership_records import (
     Address,
     Member,
     MemberState,
-    from_wire,
-    to_wire,
     to_wire_state,
-    to_wire_update,
-    wire_bytes,
 )
 from .membership_store import MemberStore
+from .membership_writer import DatagramWriter, lead_of
 
-MAX_SEEDS = 4096
 MIN_SYNC_SPACING_S = 5.0
 LEAVE_FANOUT = 8
 
@@ -64,14 +62,18 @@
         self._rng = rng
         self._store = MemberStore(self_member, options, rng)
         self._prober = Prober(options, rng)
-        self._seeds: dict[Address, None] = {}
+        self._writer = DatagramWriter(self._store, options)
+        self._reconnector = Reconnector(
+            self._store, self._prober, self._writer, options, rng
+        )
+        self._receiver = Receiver(
+            self._store, self._prober, self._writer, self._reconnector
+        )
         self._leaving_hosts: frozenset[str] = frozenset()
         self._last_tick_s: float | None = None
         self._next_probe_s = 0.0
-        self._next_reconnect_s = 0.0
         self._next_sync_s = 0.0
         self._last_sync_s = float("-inf")
-        self._reconnect: tuple[str, int] | None = None
         self._cached: tuple[int, tuple[Member, ...]] = (-1, ())
 
     @property
@@ -113,13 +115,11 @@
 
     def add_seed(self, address: str, port: int) -> None:
         """Add a hint where another process may listen."""
-        seed = Address(address, port)
-        if seed != self.me.peer_address and len(self._seeds) < MAX_SEEDS:
-            self._seeds[seed] = None
+        self._reconnector.add_seed(Address(address, port))
 
     def set_seeds(self, seeds: Iterable[Address]) -> None:
         """Replace the hints."""
-        self._seeds.clear()
+        self._reconnector.seeds.clear()
         for seed in seeds:
             self.add_seed(seed.address, seed.port)
 
@@ -150,7 +150,7 @@
         if self.me.state is not MemberState.LEFT:
             self._store.set_me(attrs.evolve(self.me, state=MemberState.LEFT))
         return [
-            self._send(member, now_s, [to_wire_state(self.me)])
+            self._writer.send(member, now_s, [to_wire_state(self.me)])
             for member in self._store.sample(LEAVE_FANOUT)
         ]
 
@@ -175,7 +175,7 @@
             actions += self._probe(now_s)
             actions += self._remind(now_s)
             actions += self._spread(now_s)
-        actions += self._reconnect_one(now_s)
+        actions += self._reconnector.tick(now_s)
         actions += self._sync_one(now_s)
         return actions
 
@@ -194,32 +194,15 @@
         -------
         list of Action
         """
-        match body:
-            case ttypes.Ping():
-                return self._on_ping(body, sender, now_s)
-            case ttypes.Pong():
-                return self._on_pong(body, now_s)
-            case ttypes.IndirectPing():
-                return self._on_indirect_ping(body, sender, now_s)
-            case ttypes.SyncReply():
-                self._merge_all(body.members, now_s, synced=True)
-        return []
+        return self._receiver.on_message(body, sender, now_s)
 
     def sync_request(self) -> ttypes.SyncRequest:
         """Make a request that carries only the states of the others."""
-        states = [to_wire_state(member) for member in self._store.records.values()]
-        return ttypes.SyncRequest(members=[to_wire(self.me), *states])
+        return self._receiver.sync_request()
 
     def sync_reply(self, request: ttypes.SyncRequest, now_s: float) -> ttypes.SyncReply:
         """Take in a request and answer with what is newer here."""
-        self._merge_all(request.members, now_s, synced=True)
-        theirs = {wire.node_id: wire for wire in request.members or ()}
-        newer = [
-            to_wire(member)
-            for member in (self.me, *self._store.records.values())
-            if self._is_newer(member, theirs.get(member.node_id))
-        ]
-        return ttypes.SyncReply(members=newer)
+        return self._receiver.sync_reply(request, now_s)
 
     def dump(self) -> dict[str, object]:
         """Return plain data for the state dump."""
@@ -228,7 +211,9 @@
                 {**attrs.asdict(member), "state": member.state.value}
                 for member in self.members()
             ],
-            "seeds": [f"{seed.address}:{seed.port}" for seed in self._seeds],
+            "seeds": [
+                f"{seed.address}:{seed.port}" for seed in self._reconnector.seeds
+            ],
             "platform_leaving": sorted(self._leaving_hosts),
             "queued_updates": len(self._store.updates),
         }
@@ -253,7 +238,7 @@
         if started is None:
             return []
         target, sequence = started
-        return [self._send(target, now_s, _lead(target), sequence)]
+        return [self._writer.send(target, now_s, lead_of(target), sequence)]
 
     def _ask_others(self, now_s: float) -> list[Action]:
         if not self._prober.is_late(now_s) or self._prober.current is None:
@@ -284,54 +269,19 @@
             return []
         suspect = self._store.records[self._rng.choice(suspects)]
         sequence = self._prober.next_sequence()
-        return [self._send(suspect, now_s, _lead(suspect), sequence)]
+        return [self._writer.send(suspect, now_s, lead_of(suspect), sequence)]
 
     def _spread(self, now_s: float) -> list[Action]:
         actions: list[Action] = []
         for member in self._store.sample(self._options.gossip_fanout):
-            updates = self._pull(now_s, [])
+            updates = self._writer.pull(now_s, [])
             if not updates:
                 break
-            actions.append(SendDatagram(member.peer_address, self._ping(updates)))
+            actions.append(
+                SendDatagram(member.peer_address, self._writer.ping(updates))
+            )
         return actions
 
-    def _reconnect_one(self, now_s: float) -> list[Action]:
-        # Two halves of a healed partition find each other by this.
-        if now_s < self._next_reconnect_s:
-            return []
-        alone = not self._store.up_ids
-        options = self._options
-        wait_s = options.probe_interval_s if alone else options.reconnect_interval_s
-        self._next_reconnect_s = now_s + wait_s * (0.5 + self._rng.random())
-        actions = self._probe_dead(now_s)
-        seeds = self._unknown_seeds()
-        if seeds:
-            seed = self._rng.choice(seeds)
-            updates = self._pull(now_s, [to_wire(self.me)])
-            ping = self._ping(updates, self._prober.next_sequence())
-            actions.append(SendDatagram(seed, ping))
-            if alone:
-                actions.append(RequestSync(seed))
-        return actions
-
-    def _probe_dead(self, now_s: float) -> list[Action]:
-        dead = [
-            member
-            for node_id in self._store.down_since_s
-            if (member := self._store.records[node_id]).state is MemberState.DEAD
-        ]
-        if not dead:
-            return []
-        target = self._rng.choice(dead)
-        sequence = self._prober.next_sequence()
-        self._reconnect = (target.node_id, sequence)
-        leads = [to_wire(self.me), *_lead(target)]
-        return [self._send(target, now_s, leads, sequence)]
-
-    def _unknown_seeds(self) -> list[Address]:
-        known = {member.peer_address for member in self.alive()}
-        return [seed for seed in self._seeds if seed not in known]
-
     def _sync_one(self, now_s: float) -> list[Action]:
         soon = self._store.wants_sync
         spaced = now_s >= self._last_sync_s + MIN_SYNC_SPACING_S
@@ -345,104 +295,3 @@
         wait_s = self._options.sync_after_s(self._store.size)
         self._next_sync_s = now_s + wait_s * (0.5 + self._rng.random())
         return [RequestSync(partners[0].peer_address)]
-
-    def _on_ping(
-        self, ping: ttypes.Ping, sender: Address, now_s: float
-    ) -> list[Action]:
-        self._merge_all(ping.updates, now_s)
-        if not ping.sequence:
-            return []
-        known = self._store.get(ping.node_id or "")
-        leads = [] if known is None else _lead(known)
-        leads += [
-            to_wire_update(known)
-            for wire in ping.updates or ()
-            if known is not None and not leads and _differs(wire, known)
-        ]
-        if known is None or ping.target_node_id != self.me.node_id:
-            leads.append(to_wire(self.me))
-        pong = ttypes.Pong(
-            node_id=self.me.node_id,
-            sequence=ping.sequence,
-            updates=self._pull(now_s, leads),
-        )
-        return [SendDatagram(sender, pong)]
-
-    def _on_pong(self, pong: ttypes.Pong, now_s: float) -> list[Action]:
-        self._merge_all(pong.updates, now_s)
-        if self._reconnect == (pong.node_id, pong.sequence):
-            # The partition has healed: try the next one soon.
-            self._reconnect = None
-            self._next_reconnect_s = now_s + self._options.probe_interval_s
-            self._store.wants_sync = True
-        relay = self._prober.answered(pong, now_s)
-        if relay is None:
-            return []
-        passed_on = ttypes.Pong(
-            node_id=pong.node_id, sequence=relay.sequence, updates=[]
-        )
-        return [SendDatagram(relay.origin, passed_on)]
-
-    def _on_indirect_ping(
-        self, ping: ttypes.IndirectPing, sender: Address, now_s: float
-    ) -> list[Action]:
-        target = from_wire(ping.target) if ping.target is not None else None
-        if target is None or not target.address or not target.peer_port:
-            return []
-        sequence = self._prober.relay(sender, ping, now_s)
-        return [self._send(target, now_s, _lead(target), sequence)]
-
-    def _merge_all(
-        self, reports: list[ttypes.Member] | None, now_s: float, synced: bool = False
-    ) -> None:
-        up_before = self._store.size
-        spread = not synced or len(reports or ()) <= up_before
-        for wire in reports or ():
-            report = from_wire(wire)
-            if report is not None:
-                self._store.merge(report, now_s, synced=synced, spread=spread)
-        if up_before == 1 and self._store.size > 1:
-            self._store.wants_sync = True
-
-    def _is_newer(self, member: Member, wire: ttypes.Member | None) -> bool:
-        if wire is None:
-            return not self._store.is_forgotten(member.node_id)
-        theirs = from_wire(wire)
-        if theirs is None:
-            return False
-        return member.order > theirs.order or member.boot_id != theirs.boot_id
-
-    def _send(
-        self,
-        member: Member,
-        now_s: float,
-        leads: list[ttypes.Member],
-        sequence: int = 0,
-    ) -> SendDatagram:
-        ping = self._ping(self._pull(now_s, leads), sequence, member.node_id)
-        return SendDatagram(member.peer_address, ping)
-
-    def _ping(
-        self, updates: list[ttypes.Member], sequence: int = 0, target: str = ""
-    ) -> ttypes.Ping:
-        return ttypes.Ping(
-            node_id=self.me.node_id,
-            sequence=sequence,
-            updates=updates,
-            target_node_id=target,
-        )
-
-    def _pull(self, now_s: float, leads: list[ttypes.Member]) -> list[ttypes.Member]:
-        lead_bytes = sum(wire_bytes(lead) for lead in leads)
-        left_bytes = self._options.datagram_update_bytes - lead_bytes
-        retransmits = self._options.retransmits(self._store.size)
-        return leads + self._store.updates.pull(left_bytes, retransmits, now_s)
-
-
-def _lead(target: Member) -> list[ttypes.Member]:
-    # What is said of the target goes first, so that it can refute.
-    return [] if target.state is MemberState.ALIVE else [to_wire_state(target)]
-
-
-def _differs(wire: ttypes.Member, known: Member) -> bool:
-    return wire.node_id == known.node_id and wire.boot_id != known.boot_id
