Membership: send updates more often, so that a lost domain isn't half known

An update is sent f x log10 n + c times; a third of the sends go to the dead when a domain dies, and a member that misses the suspicion and the death finds out by its own probe only.

--- a/src/sorrelhoist/decisions/membership_options.py
+++ b/src/sorrelhoist/decisions/membership_options.py
@@ -11,7 +11,7 @@
 
 HOUR_S = 3600.0
 BODY_RESERVE_BYTES = 400
-MIN_RETRANSMITS = 2
+MIN_RETRANSMITS = 4
 
 
 @attrs.frozen
@@ -56,7 +56,7 @@
     ack_timeout_s: float = 0.35
     indirect_probes: int = 3
     suspicion_factor: float = 4.0
-    retransmit_factor: float = 4.0
+    retransmit_factor: float = 6.0
     gossip_fanout: int = 2
     update_bytes_per_s: float = 3000.0
     datagram_update_bytes: int = MAX_DATAGRAM_BYTES - BODY_RESERVE_BYTES
