--- /dev/null
+++ b/src/sorrelhoist/bench/experiments/lanes.py
@@ -0,0 +1,119 @@
+"""Compare a bounded lane for long prompts with none.
+
+Run it by ``python -m sorrelhoist.bench.experiments.lanes``. Short and long prompts
+share one warm endpoint. The slowdown of a short request is its time from arrival
+to the first token over that time on an idle endpoint.
+"""
+
+import random
+
+import attrs
+import click
+
+from ...decisions.ledger import GrantLedger
+from ...decisions.limits import EndpointLimits
+from .tables import percentile, show
+from .virtual_endpoint import STEP_S, VirtualEngine
+from .virtual_load import Caller, VirtualLoad, poisson
+
+PREFILL_PER_S = 40_000.0
+CAPACITY_TOKENS = 450_000
+LONG_PROMPT_TOKENS = 32_000
+NO_LONG_PROMPT_TOKENS = 10_000_000
+SHORT_PER_S = 2.0
+LONG_PER_S = 0.06
+SHORT_TOKENS = (1000, 4000)
+LONG_TOKENS = (100_000, 300_000)
+OUTPUT_TOKENS = (20, 80)
+BUDGET_S = 120.0
+DURATION_S = 400.0
+
+
+@attrs.frozen
+class Policy:
+    """From where a prompt is long, and what stays free for short ones."""
+
+    name: str
+    long_prompt_tokens: int
+    short_floor: float
+
+
+POLICIES = (
+    Policy("bounded lane", LONG_PROMPT_TOKENS, 0.25),
+    Policy("priority only", LONG_PROMPT_TOKENS, 0.0),
+    Policy("none", NO_LONG_PROMPT_TOKENS, 0.0),
+)
+
+
+def make_load(policy: Policy, seed: int) -> VirtualLoad:
+    """Set a run up; the callers depend on the seed only."""
+    rng = random.Random(seed)
+    limits = EndpointLimits(
+        kv_capacity_tokens=CAPACITY_TOKENS,
+        max_running_requests=16,
+        cold_running_requests=16,
+        prefill_tokens_per_s=PREFILL_PER_S,
+        long_prompt_tokens=policy.long_prompt_tokens,
+        short_floor=policy.short_floor,
+        lease_s=DURATION_S * 2,
+        cold_speed_fraction=0.0,
+    )
+    asks = [(at_s, SHORT_TOKENS) for at_s in poisson(rng, SHORT_PER_S, 0, DURATION_S)]
+    asks += [(at_s, LONG_TOKENS) for at_s in poisson(rng, LONG_PER_S, 0, DURATION_S)]
+    callers = [
+        Caller(i, at_s, rng.randint(*tokens), rng.randint(*OUTPUT_TOKENS))
+        for i, (at_s, tokens) in enumerate(asks)
+    ]
+    return VirtualLoad(
+        GrantLedger(limits, "l", 0.0),
+        VirtualEngine(PREFILL_PER_S, 16, 16, 0),
+        callers,
+        rng,
+        budget_s=BUDGET_S,
+        patience_s=0.0,
+    )
+
+
+def slowdown(caller: Caller) -> float:
+    """Give the time to the first token over that on an idle endpoint."""
+    if caller.first_token_s is None:
+        raise ValueError("The request had no first token.")
+    idle_s = STEP_S + caller.prompt_tokens / PREFILL_PER_S
+    return (caller.first_token_s - caller.arrival_s) / idle_s
+
+
+def measure(policy: Policy, runs: int, seed: int) -> dict[str, object]:
+    """Give the figures of a policy over several runs."""
+    callers: list[Caller] = []
+    for run in range(runs):
+        load = make_load(policy, seed + run)
+        load.run(DURATION_S)
+        callers += load.callers
+    served = [caller for caller in callers if caller.finished_s is not None]
+    short = [caller for caller in served if caller.prompt_tokens < LONG_PROMPT_TOKENS]
+    long = [caller for caller in served if caller.prompt_tokens >= LONG_PROMPT_TOKENS]
+    short_asked = sum(caller.prompt_tokens < LONG_PROMPT_TOKENS for caller in callers)
+    slowdowns = [slowdown(caller) for caller in short]
+    long_slowdowns = [slowdown(caller) for caller in long]
+    return {
+        "policy": policy.name,
+        "short_served": len(short) / short_asked,
+        "short_slowdown_p50": percentile(slowdowns, 0.5),
+        "short_slowdown_p99": percentile(slowdowns, 0.99),
+        "long_served": len(long) / (len(callers) - short_asked),
+        "long_slowdown_p50": percentile(long_slowdowns, 0.5),
+        "long_slowdown_p99": percentile(long_slowdowns, 0.99),
+    }
+
+
+@click.command()
+@click.option("--runs", default=5, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def main(runs: int, seed: int, as_json: bool) -> None:
+    """Compare ways to keep long prompts from short ones."""
+    show([measure(policy, runs, seed) for policy in POLICIES], as_json)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sorrelhoist/bench/experiments/tables.py
@@ -0,0 +1,44 @@
+"""Print the rows of an experiment as a table or as JSON."""
+
+import json
+import math
+from collections.abc import Sequence
+
+import click
+
+NO_VALUE = "-"
+
+
+def percentile(values: Sequence[float], fraction: float) -> float:
+    """Give the value below which a part of the values lies; NaN without values."""
+    if not values:
+        return math.nan
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+
+def mean(values: Sequence[float]) -> float:
+    """Give the arithmetic mean; NaN without values."""
+    return sum(values) / len(values) if values else math.nan
+
+
+def show(rows: Sequence[dict[str, object]], as_json: bool) -> None:
+    """Print rows that have the same keys."""
+    if as_json:
+        click.echo(json.dumps(rows, indent=1))
+        return
+    lines = [list(rows[0])] + [[_cell(value) for value in row.values()] for row in rows]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(lines[0]))]
+    for line in lines:
+        cells = (cell.rjust(width) for cell, width in zip(line, widths, strict=True))
+        click.echo("  ".join(cells))
+
+
+def _cell(value: object) -> str:
+    match value:
+        case None:
+            return NO_VALUE
+        case float():
+            return NO_VALUE if math.isnan(value) else f"{value:.2f}"
+        case _:
+            return str(value)
--- a/src/sorrelhoist/decisions/admission.py
+++ b/src/sorrelhoist/decisions/admission.py
@@ -12,7 +12,7 @@
 from .lifecycle import Phase
 from .queueing import Waiting, WaitingQueue
 from .retry_after import Backlog, RetryAdvice, retry_after_s
-from .room import Bounds, fits
+from .room import Bounds, fits, fits_long
 from .service_rates import ServiceRates
 
 LANE_ORDER = (Lane.SHORT, Lane.LONG, Lane.ALONE)
@@ -129,17 +129,30 @@
 
     def _bounds_for_waiting(self, now_s: float) -> Bounds:
         bounds = self.bounds()
-        limits = self.health.limits
         if self._alone_is_due(now_s):
             bounds = attrs.evolve(bounds, alone_waits=True)
         if self._is_impatient(Lane.LONG, now_s):
-            bounds = attrs.evolve(
-                bounds,
-                short_requests=limits.short_floor_requests,
-                short_kv_tokens=limits.short_floor_kv_tokens,
-            )
+            bounds = self._hold_short_ones(bounds)
         return bounds
 
+    def _hold_short_ones(self, bounds: Bounds) -> Bounds:
+        # Keep free what the long request needs, but for the floor. While other long
+        # ones take their whole part, nothing of the short ones can help it.
+        first = self.queue.lanes[Lane.LONG].peek()
+        usage = self.holdings.usage()
+        if first is None or not fits_long(first.ask.kv_tokens, usage, bounds):
+            return bounds
+        limits = self.health.limits
+        requests = min(bounds.requests, bounds.allowed_requests)
+        kv_tokens = min(bounds.kv_tokens, bounds.allowed_tokens)
+        left_requests = requests - usage.long_requests - 1
+        left_kv_tokens = kv_tokens - usage.long_kv_tokens - first.ask.kv_tokens
+        return attrs.evolve(
+            bounds,
+            short_requests=max(left_requests, limits.short_floor_requests),
+            short_kv_tokens=max(left_kv_tokens, limits.short_floor_kv_tokens),
+        )
+
     def _alone_is_due(self, now_s: float) -> bool:
         # Others get their patience between two solitary requests.
         return self._is_impatient(Lane.ALONE, now_s, self.alone_ended_s)
--- a/src/sorrelhoist/decisions/endpoint_health.py
+++ b/src/sorrelhoist/decisions/endpoint_health.py
@@ -152,7 +152,10 @@
         self.slow_start.set_limits(limits)
 
     def _fell(self, event: LifecycleEvent, now_s: float) -> None:
-        self.slow_start.reset()
+        if self.lifecycle.phase is Phase.WARMING:
+            self.slow_start.fell()
+        else:
+            self.slow_start.reset()
         self.lifecycle.on(event, now_s)
 
     def dump(self) -> dict[str, object]:
--- a/src/sorrelhoist/decisions/room.py
+++ b/src/sorrelhoist/decisions/room.py
@@ -67,12 +67,13 @@
         case Lane.ALONE:
             return usage.requests == 0 and bounds.foreign_requests == 0
         case Lane.LONG:
-            return not bounds.alone_waits and _fits_long(kv_tokens, usage, bounds)
+            return not bounds.alone_waits and fits_long(kv_tokens, usage, bounds)
         case Lane.SHORT:
             return not bounds.alone_waits and _fits_short(kv_tokens, usage, bounds)
 
 
-def _fits_long(kv_tokens: int, usage: Usage, bounds: Bounds) -> bool:
+def fits_long(kv_tokens: int, usage: Usage, bounds: Bounds) -> bool:
+    """Tell whether a request fits beside the long ones in their part."""
     return (
         usage.long_requests + 1 <= bounds.long_requests
         and usage.long_kv_tokens + kv_tokens <= bounds.long_kv_tokens
@@ -80,14 +81,13 @@
 
 
 def _fits_short(kv_tokens: int, usage: Usage, bounds: Bounds) -> bool:
-    if bounds.short_requests is None or bounds.short_kv_tokens is None:
-        return True
     short_requests = usage.requests - usage.long_requests
     short_kv_tokens = usage.kv_tokens - usage.long_kv_tokens
-    return (
-        short_requests + 1 <= bounds.short_requests
-        and short_kv_tokens + kv_tokens <= bounds.short_kv_tokens
-    )
+    if bounds.short_requests is not None and short_requests >= bounds.short_requests:
+        return False
+    if bounds.short_kv_tokens is None:
+        return True
+    return short_kv_tokens + kv_tokens <= bounds.short_kv_tokens
 
 
 def lane_of(prompt_tokens: int, alone: bool, limits: EndpointLimits) -> Lane:
--- a/src/sorrelhoist/decisions/slow_start.py
+++ b/src/sorrelhoist/decisions/slow_start.py
@@ -7,14 +7,31 @@
 from .limits import EndpointLimits
 
 TROUBLE_FACTOR = 0.5
+PACE_FACTOR = 0.5
+MIN_PACE = 1 / 64
 USED_FRACTION = 0.5
 
 
+@attrs.frozen
+class Doubling:
+    """Double with each allowance of completed work."""
+
+
+@attrs.frozen
+class Additive:
+    """Add so many requests with each allowance of completed work."""
+
+    requests: float = 1.0
+
+
+Growth = Doubling | Additive
+
+
 @attrs.define
 class SlowStart:
     """How much an endpoint may be given at once.
 
-    The allowance doubles with each allowance of completed work, as long as it is
+    The allowance grows with each allowance of completed work, as long as it is
     really used: work that never came near it proves nothing about a larger one.
 
     Parameters
@@ -23,19 +40,29 @@
         What a cold start bears.
     ceiling_requests, ceiling_tokens : float
         The full limits.
+    growth : Growth
+        How the allowance grows.
+    min_pace : float
+        Growth is slowed down to this part, by half each time that the endpoint
+        falls while it grows; reaching the full limits doubles it again. 1 keeps
+        the pace.
 
     Examples
     --------
     >>> start = SlowStart(2, 1000, 16, 8000)
-    >>> start.completed(500, used_requests=2, used_tokens=900)
+    >>> for _ in range(2):
+    ...     start.completed(500, used_requests=2, used_tokens=900)
     >>> start.allowed_requests, start.allowed_tokens
-    (3, 1500)
+    (2, 1450)
     """
 
     floor_requests: float
     floor_tokens: float
     ceiling_requests: float
     ceiling_tokens: float
+    growth: Growth = Additive()
+    min_pace: float = MIN_PACE
+    _pace: float = attrs.field(init=False, default=1.0)
     _requests: float = attrs.field(init=False)
     _tokens: float = attrs.field(init=False)
 
@@ -91,11 +118,24 @@
         )
         if not busy:
             return
-        growth = max(1 / max(self._requests, 1), tokens / max(self._tokens, 1))
-        growth = min(growth, 1.0)
-        self._requests += self._requests * growth
-        self._tokens += self._tokens * growth
+        part = max(1 / max(self._requests, 1), tokens / max(self._tokens, 1))
+        part = min(part, 1.0)
+        match self.growth:
+            case Doubling():
+                grown = part
+            case Additive(requests=requests):
+                grown = part * requests / max(self._requests, 1)
+        was_full = self.full
+        self._requests += self._requests * grown * self._pace
+        self._tokens += self._tokens * grown * self._pace
         self._clamp()
+        if self.full and not was_full:
+            self._pace = min(1.0, self._pace / PACE_FACTOR)
+
+    def fell(self) -> None:
+        """Go back to the start and grow more slowly: growth was too fast."""
+        self._pace = max(self.min_pace, self._pace * PACE_FACTOR)
+        self.reset()
 
     def troubled(self) -> None:
         """Halve after a failure of the endpoint."""
@@ -124,4 +164,5 @@
             "allowed_requests": self.allowed_requests,
             "allowed_tokens": self.allowed_tokens,
             "full": self.full,
+            "pace": self._pace,
         }
