--- a/src/sorrelhoist/decisions/admission.py
+++ b/src/sorrelhoist/decisions/admission.py
@@ -15,6 +15,7 @@
 from .room import Bounds, fits, fits_long
 from .service_rates import ServiceRates
 
+SHUT_RETRY_AFTER_S = 1.0
 LANE_ORDER = (Lane.SHORT, Lane.LONG, Lane.ALONE)
 ALONE_FIRST = (Lane.ALONE, Lane.SHORT, Lane.LONG)
 
@@ -44,7 +45,7 @@
         """Refuse a request that can't run here in time, else give None."""
         kind = self.health.closed()
         if kind is not None:
-            return denial(ask.request_id, kind)
+            return denial(ask.request_id, kind, retry_after_s=SHUT_RETRY_AFTER_S)
         if ask.kv_tokens > self.health.largest_kv_tokens(lane):
             return denial(ask.request_id, DenialKind.TOO_LARGE)
         best_s = self.rates.best_service_s(ask.prefill_tokens)
--- a/tests/decisions/test_ledger.py
+++ b/tests/decisions/test_ledger.py
@@ -85,6 +85,7 @@
     (queued,) = ledger.pump(0.0)
     for answer in (asked, submitted, queued):
         assert (answer.kind, answer.not_run) == (kind, True)
+    assert asked.retry_after_s > 0
     assert ledger.renew("e", [running], 0.0) == ()
 
 
