--- a/src/sorrelhoist/agent/claims.py
+++ b/src/sorrelhoist/agent/claims.py
@@ -13,26 +13,19 @@
 from typing import Any, Protocol, TypeVar
 
 import attrs
-from returns.result import Failure, Success
 
-from ..decisions.claims import ClaimProcess, give_up_time
-from ..decisions.claims_fold import DEFAULT_MAX_KEYS, ClaimFold
+from ..decisions.claims import ClaimProcess
+from ..decisions.claims_call import ClaimedCall, give_up_time
+from ..decisions.claims_fold import ClaimFold
 from ..decisions.claims_records import Claimant
 from ..decisions.claims_steps import AnswerReply
 from ..decisions.idempotency import (
     IdempotencyKey,
-    KeyExpired,
-    KeyFromFuture,
-    KeyMalformed,
-    KeyWindow,
-    check_key,
     fingerprint,
     key_hash,
 )
 from ..exceptions import (
     DeadlineExceededError,
-    InvalidRequestError,
-    KeyExpiredError,
     KeyReusedError,
     NotReadyError,
     OutcomeUnknownError,
@@ -41,15 +34,13 @@
 )
 from ..messages.gen import ttypes
 from .claims_appender import AppendLog, GroupAppender
+from .claims_checks import ServiceTraits, checked_key, deadline_of
 from .claims_follower import ClaimFollower, ReadLog
 from .claims_pending import PendingRecords
 from .claims_runner import ClaimCounters, ClaimRunner, PlainService, send
 
 logger = logging.getLogger(__name__)
 
-MS_PER_S = 1000
-ANSWER_MARGIN_FRACTION = 0.05
-MAX_ANSWER_MARGIN_S = 0.1
 MAX_CALLS_IN_FLIGHT = 512
 NOT_READY_RETRY_AFTER_S = 1.0
 DEFAULT_DRAIN_S = 30.0
@@ -60,28 +51,6 @@
     """The log's client for the topic ``claims.SERVICE``."""
 
 
-@attrs.frozen
-class ServiceTraits:
-    """What the configuration says of the service.
-
-    Parameters
-    ----------
-    at_most_once : bool
-        Calls may not be repeated. Others go straight through.
-    offers_lookup : bool
-        The service answers look-ups by key.
-    window : KeyWindow
-        How long idempotency keys are honoured.
-    max_keys : int
-        The bound of the index of keys.
-    """
-
-    at_most_once: bool = True
-    offers_lookup: bool = False
-    window: KeyWindow = attrs.field(factory=KeyWindow)
-    max_keys: int = DEFAULT_MAX_KEYS
-
-
 @attrs.frozen
 class _Running:
     fingerprint: bytes
@@ -222,12 +191,10 @@
     async def _call(self, call: ttypes.ServiceCall) -> ttypes.ServiceReply:
         if self._draining:
             raise NotReadyError("The agent is shutting down.", not_run=True)
-        if not call.path.startswith("/"):
-            raise InvalidRequestError("The path has no leading slash.", not_run=True)
-        deadline_s = self._deadline(call)
+        deadline_s = deadline_of(call, self._clock(), self._traits.window)
         if not self._traits.at_most_once:
             return await self._pass_through(call, deadline_s)
-        key = self._checked_key(call)
+        key = checked_key(call, self._wall_clock(), self._traits.window)
         self._check_ready()
         return await self._join(call, key, deadline_s)
 
@@ -238,37 +205,6 @@
         reply = await send(self._service, call, call.idempotency_key, left_s)
         return ttypes.ServiceReply(reply.status, reply.content_type, reply.body, False)
 
-    def _deadline(self, call: ttypes.ServiceCall) -> float:
-        budget_s = min(call.budget_ms / MS_PER_S, self._traits.window.max_budget_s)
-        if budget_s <= 0:
-            raise DeadlineExceededError("No time is left.", not_run=True)
-        margin_s = min(MAX_ANSWER_MARGIN_S, ANSWER_MARGIN_FRACTION * budget_s)
-        return self._clock() + budget_s - margin_s
-
-    def _checked_key(self, call: ttypes.ServiceCall) -> IdempotencyKey:
-        checked = check_key(
-            call.idempotency_key, self._wall_clock(), self._traits.window
-        )
-        match checked:
-            case Success(key):
-                return key
-            case Failure(KeyMalformed(reason)):
-                raise InvalidRequestError(
-                    f"The idempotency key can't be used: {reason}.",
-                    "Send a UUIDv7 as Idempotency-Key.",
-                )
-            case Failure(KeyExpired(age_s)):
-                raise KeyExpiredError(
-                    f"The idempotency key is {age_s:.0f} seconds old, more than "
-                    f"{self._traits.window.window_s:.0f}."
-                )
-            case Failure(KeyFromFuture(ahead_s)):
-                raise InvalidRequestError(
-                    f"The idempotency key's time is {ahead_s:.0f} seconds ahead.",
-                    "Set the clock that the key was made with.",
-                )
-        raise AssertionError(checked)
-
     def _check_ready(self) -> None:
         if not self.ready:
             raise NotReadyError(
@@ -310,7 +246,7 @@
                 "The agent has too many calls.", not_run=True, retry_after_s=1.0
             )
         now_s = self._clock()
-        process = ClaimProcess(
+        spec = ClaimedCall(
             key_hash=hashed,
             fingerprint=asked,
             claimant=self._claimant,
@@ -318,9 +254,8 @@
             deadline_s=deadline_s,
             give_up_s=give_up_time(now_s, deadline_s),
             offers_lookup=self._traits.offers_lookup,
-            rng=self._rng,
-            is_gone=self._is_gone,
         )
+        process = ClaimProcess(spec, self._rng, self._is_gone)
         running = _Running(asked, _spawn(self._runner.run(process, call, key.text)))
         self._running[hashed] = running
         running.answer.add_done_callback(lambda task: self._ended(hashed, task))
--- a/src/sorrelhoist/agent/claims_runner.py
+++ b/src/sorrelhoist/agent/claims_runner.py
@@ -162,13 +162,13 @@
         match action:
             case AppendClaim(claim):
                 self.counters.claims += 1
-                return await self._append(claim, process.give_up_s)
+                return await self._append(claim, process.call.give_up_s)
             case AppendVoid(void):
                 self.counters.voids += 1
-                return await self._append(void, process.deadline_s)
+                return await self._append(void, process.call.deadline_s)
             case AppendOutcome(outcome):
                 self.counters.outcomes += 1
-                return await self._append(outcome, process.deadline_s)
+                return await self._append(outcome, process.call.deadline_s)
             case ReadThrough(offset, until_s):
                 await self.follower.progress(offset, until_s)
                 return Progress()
@@ -177,7 +177,7 @@
             case LookUp(timeout_s):
                 return await self._look_up(key, timeout_s)
             case ReadOutcome(offset):
-                return await self._read_outcome(offset, process.deadline_s)
+                return await self._read_outcome(offset, process.call.deadline_s)
         raise AssertionError(action)
 
     async def _append(self, record: ClaimRecord, until_s: float) -> Event:
--- a/src/sorrelhoist/decisions/claims.py
+++ b/src/sorrelhoist/decisions/claims.py
@@ -21,7 +21,6 @@
 code rather than an interpreted chart.
 """
 
-import enum
 import random
 from collections.abc import Callable
 
@@ -29,6 +28,7 @@
 
 from ..exceptions import SorrelhoistError
 from . import claims_errors as errors
+from .claims_call import ClaimedCall, Phase
 from .claims_fold import ClaimFold, Done, Free, Open, Verdict
 from .claims_records import ID_BYTES, Claim, Claimant, Outcome, Void, outcome_of
 from .claims_steps import (
@@ -55,29 +55,11 @@
     Served,
 )
 
-VOID_RESERVE_FRACTION = 0.2
-MAX_VOID_RESERVE_S = 1.0
 CLAIM_RETRY_S = 1.0
 LOOKUP_INTERVAL_S = 1.0
 VOID_RETRY_S = 0.2
 
 
-class Phase(enum.Enum):
-    """Where a call is; also the key of its step."""
-
-    STARTING = "starting"
-    CLAIMING = "claiming"
-    READING = "reading"
-    CALLING = "calling"
-    VOIDING = "voiding"
-    READING_VOID = "reading_void"
-    WAITING = "waiting"
-    LOOKING_UP = "looking_up"
-    FETCHING = "fetching"
-    RECORDING = "recording"
-    ANSWERED = "answered"
-
-
 def _never_gone(claimant: Claimant) -> bool:
     return False
 
@@ -88,31 +70,15 @@
 
     Parameters
     ----------
-    key_hash, fingerprint : bytes
-        Of the call.
-    claimant : Claimant
-        This process.
-    key_made_s : float
-        When the caller made the key, in monotonic seconds of this process.
-    deadline_s : float
-        When the answer must be given, in monotonic seconds.
-    give_up_s : float
-        From here on the service is not called, so that a void can be confirmed.
-    offers_lookup : bool
-        Whether the service answers look-ups by key.
+    call : ClaimedCall
+        The call with its key and its times.
     rng : random.Random
         For claim ids.
     is_gone : callable
         Tells of a claimant that it is known to have died.
     """
 
-    key_hash: bytes
-    fingerprint: bytes
-    claimant: Claimant
-    key_made_s: float
-    deadline_s: float
-    give_up_s: float
-    offers_lookup: bool
+    call: ClaimedCall
     rng: random.Random
     is_gone: Callable[[Claimant], bool] = _never_gone
     phase: Phase = Phase.STARTING
@@ -124,6 +90,7 @@
     _offset: int | None = None
     _cause: SorrelhoistError | None = None
     _served: Served | None = None
+    _outcome: Outcome | None = None
 
     def advance(self, event: Event, fold: ClaimFold, now_s: float) -> Action:
         """Take in an event and return the next action.
@@ -165,16 +132,16 @@
         raise ValueError(f"{event} can't come while {self.phase.value}.")
 
     def _start(self, fold: ClaimFold, now_s: float) -> Action:
-        match fold.state(self.key_hash):
-            case Open(claim) if claim.fingerprint != self.fingerprint:
-                return self._key_reused()
-            case Done(_, fingerprint) if fingerprint != self.fingerprint:
-                return self._key_reused()
+        match fold.state(self.call.key_hash):
+            case Open(claim) if claim.fingerprint != self.call.fingerprint:
+                return self._error(errors.key_reused())
+            case Done(_, fingerprint) if fingerprint != self.call.fingerprint:
+                return self._error(errors.key_reused())
             case Done(_, _, offset):
                 return self._fetch(offset)
             case Open(claim):
                 patience_s = (
-                    0.0 if self.is_gone(claim.claimant) else self._left_s(now_s)
+                    0.0 if self.is_gone(claim.claimant) else self.call.left_s(now_s)
                 )
                 self._next_lookup_s = now_s + patience_s / 2
                 return self._wait(fold, now_s)
@@ -182,15 +149,14 @@
 
     def _claim(self, fold: ClaimFold, now_s: float) -> Action:
         if self._called:
-            return self._may_have_run()
-        if not self._covered(fold, now_s):
+            return self._error(errors.may_have_run())
+        if not self.call.is_covered(fold, now_s):
             return self._error(errors.not_covered())
-        if now_s >= self.give_up_s:
+        if now_s >= self.call.give_up_s:
             return self._error(errors.too_late(not_run=True))
         if fold.full:
             return self._error(errors.index_full())
-        claim_id = self.rng.randbytes(ID_BYTES)
-        self.claim = Claim(self.key_hash, self.fingerprint, claim_id, self.claimant)
+        self.claim = self.call.claim(self.rng.randbytes(ID_BYTES))
         self._offset = None
         self._maybe_appended = False
         self.phase = Phase.CLAIMING
@@ -214,28 +180,28 @@
                 return self._won(fold, now_s)
             case Verdict.LOST:
                 return self._start(fold, now_s)
-        if now_s >= self.give_up_s:
+        if now_s >= self.call.give_up_s:
             return self._void(errors.too_late(not_run=True))
         if self._offset is not None:
-            return ReadThrough(self._offset, self.give_up_s)
+            return ReadThrough(self._offset, self.call.give_up_s)
         if now_s >= self._next_append_s:
             # The same claim twice in the log counts once.
             self.phase = Phase.CLAIMING
             return AppendClaim(self.claim)
-        return ReadThrough(None, min(self.give_up_s, self._next_append_s))
+        return ReadThrough(None, min(self.call.give_up_s, self._next_append_s))
 
     def _won(self, fold: ClaimFold, now_s: float) -> Action:
-        match fold.state(self.key_hash):
+        match fold.state(self.call.key_hash):
             case Done(_, _, offset):
                 return self._fetch(offset)
-        if not self._covered(fold, now_s):
+        if not self.call.is_covered(fold, now_s):
             return self._void(errors.not_covered())
-        if now_s >= self.give_up_s:
+        if now_s >= self.call.give_up_s:
             return self._void(errors.too_late(not_run=True))
         self._called = True
         self.phase = Phase.CALLING
         # What is left after it is for the outcome, or for a look-up.
-        return CallService((self.give_up_s + self.deadline_s) / 2 - now_s)
+        return CallService((self.call.give_up_s + self.call.deadline_s) / 2 - now_s)
 
     def _called_service(self, event: Event, now_s: float) -> Action:
         match event:
@@ -244,32 +210,37 @@
             case NotReached(reason):
                 # Nothing was sent, so that the key may be freed again.
                 return self._void(errors.not_reached(reason))
-        if not self.offers_lookup or now_s >= self.deadline_s:
-            return self._may_have_run()
+        if not self.call.offers_lookup or now_s >= self.call.deadline_s:
+            return self._error(errors.may_have_run())
         return self._look_up(now_s)
 
     def _record(self, served: Served) -> Action:
         assert self.claim is not None
         self._served = served
         self.phase = Phase.RECORDING
-        return AppendOutcome(
-            outcome_of(self.claim, served.status, served.content_type, served.body)
+        self._outcome = outcome_of(
+            self.claim, served.status, served.content_type, served.body
         )
+        return AppendOutcome(self._outcome)
 
     def _recorded(self, event: Event) -> Action:
-        assert self.claim is not None and self._served is not None
+        assert self._outcome is not None and self._served is not None
         served = self._served
-        outcome = outcome_of(
-            self.claim, served.status, served.content_type, served.body
+        pending = None if isinstance(event, Appended) else self._outcome
+        self.phase = Phase.ANSWERED
+        return AnswerReply(
+            served.status,
+            served.content_type,
+            served.body,
+            replayed=not self._called,
+            pending=pending,
         )
-        pending = None if isinstance(event, Appended) else outcome
-        return self._reply(served, replayed=not self._called, pending=pending)
 
     def _void(self, cause: SorrelhoistError) -> Action:
         assert self.claim is not None
         self._cause = cause
         self.phase = Phase.VOIDING
-        return AppendVoid(self._void_record())
+        return AppendVoid(self.call.void(self.claim))
 
     def _voided(self, event: Event, fold: ClaimFold, now_s: float) -> Action:
         match event:
@@ -286,27 +257,29 @@
         match fold.verdict(self.claim):
             case Verdict.VOIDED | Verdict.LOST:
                 return self._void_won(fold)
-        if now_s >= self.deadline_s:
-            return self._error(errors.too_late(not_run=False), self._void_record())
+        if now_s >= self.call.deadline_s:
+            return self._error(
+                errors.too_late(not_run=False), self.call.void(self.claim)
+            )
         if self._offset is not None:
-            return ReadThrough(self._offset, self.deadline_s)
+            return ReadThrough(self._offset, self.call.deadline_s)
         if now_s >= self._next_append_s:
             self.phase = Phase.VOIDING
-            return AppendVoid(self._void_record())
-        return ReadThrough(None, min(self.deadline_s, self._next_append_s))
+            return AppendVoid(self.call.void(self.claim))
+        return ReadThrough(None, min(self.call.deadline_s, self._next_append_s))
 
     def _void_won(self, fold: ClaimFold) -> Action:
         assert self._cause is not None
-        match fold.state(self.key_hash):
+        match fold.state(self.call.key_hash):
             case Free():
                 return self._error(self._cause)
-            case Done(_, fingerprint, offset) if fingerprint == self.fingerprint:
+            case Done(_, fingerprint, offset) if fingerprint == self.call.fingerprint:
                 return self._fetch(offset)
-        return self._may_have_run()
+        return self._error(errors.may_have_run())
 
     def _wait(self, fold: ClaimFold, now_s: float) -> Action:
         self.phase = Phase.WAITING
-        match fold.state(self.key_hash):
+        match fold.state(self.call.key_hash):
             case Free():
                 return self._claim(fold, now_s)
             case Done():
@@ -315,20 +288,20 @@
                 return self._wait_for(claim, now_s)
 
     def _wait_for(self, holder: Claim, now_s: float) -> Action:
-        gone = holder.claimant != self.claimant and self.is_gone(holder.claimant)
-        if now_s >= self.give_up_s or (gone and not self.offers_lookup):
-            return self._may_have_run()
-        if not self.offers_lookup:
-            return ReadThrough(None, self.give_up_s)
+        gone = holder.claimant != self.call.claimant and self.is_gone(holder.claimant)
+        if now_s >= self.call.give_up_s or (gone and not self.call.offers_lookup):
+            return self._error(errors.may_have_run())
+        if not self.call.offers_lookup:
+            return ReadThrough(None, self.call.give_up_s)
         if now_s >= self._next_lookup_s:
             self.claim = holder
             return self._look_up(now_s)
-        return ReadThrough(None, min(self.give_up_s, self._next_lookup_s))
+        return ReadThrough(None, min(self.call.give_up_s, self._next_lookup_s))
 
     def _look_up(self, now_s: float) -> Action:
         self._next_lookup_s = now_s + LOOKUP_INTERVAL_S
         self.phase = Phase.LOOKING_UP
-        return LookUp(max(self.deadline_s - now_s, 0.0) / 2)
+        return LookUp(max(self.call.deadline_s - now_s, 0.0) / 2)
 
     def _looked_up(
         self, served: Served | None, fold: ClaimFold, now_s: float
@@ -343,49 +316,9 @@
         return ReadOutcome(offset)
 
     def _fetched(self, outcome: Outcome | None) -> Action:
-        if outcome is None:
-            return self._error(errors.answer_lost())
-        if outcome.body is None:
-            return self._error(errors.answer_too_large(outcome.status))
-        served = Served(outcome.status, outcome.content_type, outcome.body)
-        return self._reply(served, replayed=True)
-
-    def _covered(self, fold: ClaimFold, now_s: float) -> bool:
-        return fold.covers(now_s - self.key_made_s, now_s)
-
-    def _left_s(self, now_s: float) -> float:
-        return max(self.give_up_s - now_s, 0.0)
-
-    def _key_reused(self) -> Action:
-        return self._error(errors.key_reused())
-
-    def _may_have_run(self) -> Action:
-        return self._error(errors.may_have_run())
-
-    def _reply(
-        self, served: Served, *, replayed: bool, pending: Outcome | None = None
-    ) -> Action:
         self.phase = Phase.ANSWERED
-        return AnswerReply(
-            served.status, served.content_type, served.body, replayed, pending
-        )
+        return errors.answer_from(outcome)
 
     def _error(self, error: SorrelhoistError, pending: Void | None = None) -> Action:
         self.phase = Phase.ANSWERED
         return AnswerError(error, pending)
-
-    def _void_record(self) -> Void:
-        assert self.claim is not None
-        return Void(self.key_hash, self.claim.claim_id, self.claimant)
-
-
-def give_up_time(now_s: float, deadline_s: float) -> float:
-    """Return from when on a call is too late to reach the service.
-
-    Examples
-    --------
-    >>> give_up_time(0.0, 10.0), give_up_time(0.0, 2.0)
-    (9.0, 1.6)
-    """
-    reserve_s = min(MAX_VOID_RESERVE_S, VOID_RESERVE_FRACTION * (deadline_s - now_s))
-    return deadline_s - reserve_s
--- a/src/sorrelhoist/decisions/claims_errors.py
+++ b/src/sorrelhoist/decisions/claims_errors.py
@@ -10,6 +10,8 @@
     OverloadedError,
     SorrelhoistError,
 )
+from .claims_records import Outcome
+from .claims_steps import AnswerError, AnswerReply
 
 FULL_RETRY_AFTER_S = 30.0
 NOT_REACHED_RETRY_AFTER_S = 1.0
@@ -69,13 +71,16 @@
     return OutcomeUnknownError("A call with this idempotency key may have run.")
 
 
-def answer_lost() -> SorrelhoistError:
-    """There is an outcome that the log can't show."""
-    return OutcomeUnknownError("It ran; its answer can't be read.")
-
-
-def answer_too_large(status: int) -> SorrelhoistError:
-    """There is an outcome without its body."""
-    return OutcomeUnknownError(
-        f"It ran with status {status}; its answer was too large to keep."
+def answer_from(outcome: Outcome | None) -> AnswerReply | AnswerError:
+    """Answer with an outcome that was read; None if the log can't show it."""
+    if outcome is None:
+        lost = "It ran; its answer can't be read."
+        return AnswerError(OutcomeUnknownError(lost))
+    if outcome.body is None:
+        too_large = (
+            f"It ran with status {outcome.status}; its answer was too large to keep."
+        )
+        return AnswerError(OutcomeUnknownError(too_large))
+    return AnswerReply(
+        outcome.status, outcome.content_type, outcome.body, replayed=True
     )
--- a/tests/decisions/test_claims.py
+++ b/tests/decisions/test_claims.py
@@ -6,6 +6,7 @@
 
 from sorrelhoist import exceptions as errors
 from sorrelhoist.decisions.claims import ClaimProcess
+from sorrelhoist.decisions.claims_call import ClaimedCall
 from sorrelhoist.decisions.claims_fold import ClaimFold
 from sorrelhoist.decisions.claims_records import (
     Claim,
@@ -49,17 +50,10 @@
     def __init__(self, *, lookup=False, gone=False):
         self.fold = ClaimFold()
         self.now_s = NOW_S
-        self.process = ClaimProcess(
-            KEY,
-            FINGERPRINT,
-            ME,
-            key_made_s=NOW_S,
-            deadline_s=DEADLINE_S,
-            give_up_s=GIVE_UP_S,
-            offers_lookup=lookup,
-            rng=random.Random(0),
-            is_gone=lambda claimant: gone,
+        call = ClaimedCall(
+            KEY, FINGERPRINT, ME, NOW_S, DEADLINE_S, GIVE_UP_S, offers_lookup=lookup
         )
+        self.process = ClaimProcess(call, random.Random(0), lambda claimant: gone)
 
     def log(self, record):
         offset = self.fold.next_offset
