--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -12,12 +12,17 @@
 from ..clients.engine import EngineClient
 from ..clients.log import LogClient
 from ..clients.plain_service import PlainServiceClient
+from ..clients.weights import WeightStore
 from ..decisions.claims_records import Claimant
 from ..decisions.configuration_set import Configuration
 from ..decisions.ledger import GrantLedger
+from ..decisions.orders import OrderOptions
+from ..decisions.orders_registrations import Registration
+from ..decisions.suspicion import SuspicionTable
 from ..exceptions import NotReadyError, PeerError, SorrelhoistError
 from ..messages.gen import ttypes
 from ..node.dump import dump_route
+from ..node.gossip import GossipHooks
 from ..node.health import health_routes
 from ..node.metrics import AgentMetrics
 from ..node.peers import Responder
@@ -27,12 +32,15 @@
 from .claims import ClaimedCalls, ServiceTraits
 from .engine import EngineGuard
 from .limits import endpoint_limits
+from .order_hooks import EngineOrderHooks
+from .orders import EndpointOrders, OrderHooks
 from .service import ServiceGuard
 
 logger = logging.getLogger(__name__)
 
 CLOSED_RETRY_AFTER_S = 1.0
 STALE_CHECK_INTERVAL_S = 0.5
+REGISTRATIONS_TOPIC = "registrations"
 
 Guard = EngineGuard | ServiceGuard
 
@@ -55,9 +63,16 @@
         self.settings = settings
         self.endpoint = settings.endpoint
         self.clock = clock
-        self.process = NodeProcess(settings, clock=clock)
+        self.suspicions = SuspicionTable()
+        hooks = GossipHooks(
+            suspicions=lambda: self.suspicions.for_gossip(self.clock()),
+            on_suspicions=lambda heard: self.suspicions.merge(heard, self.clock()),
+        )
+        self.process = NodeProcess(settings, hooks, clock)
         self.metrics = AgentMetrics.create(self.process.metrics.meter)
         self.guard: Guard | None = None
+        self.orders: EndpointOrders | None = None
+        self._order_hooks: EngineOrderHooks | None = None
         self.is_leaving = False
 
     @asynccontextmanager
@@ -95,15 +110,39 @@
             ledger=ledger,
             metrics=self.metrics,
             clock=self.clock,
-            is_suspected=lambda print_: False,
+            is_suspected=lambda print_: self.suspicions.is_suspected(
+                print_, self.clock()
+            ),
             on_death=self._endpoint_died,
+            on_completed=lambda print_: self.suspicions.completed(print_, self.clock()),
         )
         await guard.monitor.poll()
         replica.add_listener(lambda configuration: self._configure(ledger))
-        for work in (guard.run(), self._watch_staleness(ledger)):
+        orders = self._make_orders(guard)
+        for work in (guard.run(), self._watch_process(ledger), orders.run()):
             stack.callback(asyncio.create_task(work).cancel)
         self.guard = guard
 
+    def _make_orders(self, guard: EngineGuard) -> EndpointOrders:
+        hooks = EngineOrderHooks(self.endpoint.name, self.process, guard, self.clock)
+        endpoint = self.process.replica.configuration.endpoints.get(self.endpoint.name)
+        orders = EndpointOrders(
+            Registration(
+                self.endpoint.name, self.settings.node_id, self.process.boot_id
+            ),
+            guard.client,
+            WeightStore(self.settings.platform_url),
+            LogClient(self.settings.platform_url, REGISTRATIONS_TOPIC),
+            OrderOptions(fences=endpoint is not None and endpoint.fencing),
+            OrderHooks(hooks.desired, hooks.has_turn, hooks.drained),
+            clock=self.clock,
+            rng=self.process.rng,
+        )
+        guard.monitor.on_loaded = hooks.announce
+        self._order_hooks = hooks
+        self.orders = orders
+        return orders
+
     def _configure(self, ledger: GrantLedger) -> None:
         configuration = self.process.replica.configuration
         ledger.set_limits(endpoint_limits(configuration, self.settings))
@@ -113,9 +152,16 @@
         named = self.endpoint.name in configuration.endpoints
         return named and configuration.is_domain_in(self.settings.failure_domain)
 
-    async def _watch_staleness(self, ledger: GrantLedger) -> None:
+    def _is_host_leaving(self) -> bool:
+        is_changing = self._order_hooks is not None and self._order_hooks.is_changing
+        is_listed = self.settings.host in self.process.leaving_hosts
+        return self.is_leaving or is_changing or is_listed
+
+    async def _watch_process(self, ledger: GrantLedger) -> None:
         while True:
-            ledger.set_configuration_stale(self.process.replica.is_stale(self.clock()))
+            now_s = self.clock()
+            ledger.set_configuration_stale(self.process.replica.is_stale(now_s))
+            ledger.set_leaving(self._is_host_leaving(), now_s)
             await asyncio.sleep(STALE_CHECK_INTERVAL_S)
 
     async def _guard_service(self, stack: AsyncExitStack) -> None:
@@ -143,7 +189,7 @@
         """Return why no new work is taken, or None."""
         replica = self.process.replica
         reason = ""
-        if self.is_leaving:
+        if self._is_host_leaving():
             reason = "The endpoint is leaving."
         elif not self._is_domain_in(replica.configuration):
             reason = "The endpoint's failure domain is out of service."
@@ -154,7 +200,9 @@
         return NotReadyError(reason, not_run=True, retry_after_s=CLOSED_RETRY_AFTER_S)
 
     def _endpoint_died(self, boot_id: str, fingerprints: list[int]) -> None:
-        logger.warning("endpoint died", extra={"boot_id": boot_id})
+        self.suspicions.endpoint_died(
+            self.endpoint.name, boot_id, fingerprints, self.clock()
+        )
 
     async def handle(self, body: object, responder: Responder) -> None:
         """Answer a call of an entry."""
@@ -210,7 +258,9 @@
             "process": self.process.dump(),
             "endpoint": self.endpoint.name,
             "problem": self.problem(),
+            "orders": None if self.orders is None else self.orders.dump(),
             "guard": None if self.guard is None else self.guard.dump(),
+            "suspicions": self.suspicions.dump(self.clock()),
         }
 
 
--- a/src/sorrelhoist/entry/completions.py
+++ b/src/sorrelhoist/entry/completions.py
@@ -1,8 +1,8 @@
 """Handlers of model requests."""
 
 import time
-from collections.abc import AsyncIterator, Iterator
-from contextlib import aclosing, contextmanager
+from collections.abc import AsyncIterator
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Literal
 
 from tornado.iostream import StreamClosedError
@@ -10,7 +10,8 @@
 from ..decisions.streams import Delivery, StreamName, read_stream_id, sign_stream_id
 from ..exceptions import InvalidRequestError
 from .answers import DONE_EVENT, AnswerHead, event
-from .generation import Finished, Generation
+from .attempt import Finished
+from .generation import Generation
 from .http import CallerHandler
 from .reattach import follow_stream
 from .requests import GenerationRequest, parse_generation, parse_timeout_s
@@ -52,7 +53,9 @@
         generation = self.entry.generation(
             request, self.workspace, self.request_id, timeout_s, bool(key)
         )
-        with self._counted():
+        tokens = generation.kv_tokens
+        admitted = self.entry.limits.admitted(self.workspace.name, tokens)
+        with admitted, self.entry.counted(self.workspace):
             await self._run(generation, request)
 
     def _idempotency_key(self) -> str:
@@ -65,16 +68,6 @@
             )
         return key
 
-    @contextmanager
-    def _counted(self) -> Iterator[None]:
-        entry = self.entry
-        entry.metrics.requests.add(1, {"workspace": self.workspace.name})
-        entry.running_requests += 1
-        try:
-            yield
-        finally:
-            entry.running_requests -= 1
-
     async def _run(self, generation: Generation, request: GenerationRequest) -> None:
         head = AnswerHead(self.request_id, int(time.time()), request)
         writer = AnswerWriter(self, head, generation)
@@ -180,10 +173,11 @@
         sequence = self._sequence()
         self.request_id = name.request_id
         self.set_header("Content-Type", "text/event-stream")
-        deadline_s = self.entry.clock() + self.entry.settings.default_deadline_s
-        async for item in follow_stream(self.entry, name, sequence, deadline_s):
-            self.write(item)
-            await self.flush()
+        stream_text = follow_stream(self.entry, name, sequence)
+        async with aclosing(stream_text) as events:
+            async for item in events:
+                self.write(item)
+                await self.flush()
         await self.finish()
 
     def _name(self, stream_id: str) -> StreamName:
--- a/src/sorrelhoist/entry/groups.py
+++ b/src/sorrelhoist/entry/groups.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from ..decisions.limits import DEFAULT_SHORT_FLOOR
+from ..decisions.endpoint_limits import DEFAULT_SHORT_FLOOR
 from ..decisions.routing import Target
 from ..exceptions import InvalidRequestError, OverloadedError, PeerError
 from ..messages.gen import ttypes
@@ -44,6 +44,11 @@
         """The member whose endpoint runs the stream."""
         return self.members[0]
 
+    @property
+    def node_id(self) -> str:
+        """The agent that runs the stream."""
+        return self.leader.node_id
+
 
 def long_capacity_tokens(target: Target) -> int:
     """Return the memory that one long prompt may take on an endpoint."""
--- a/tests/node/test_configuration_fuzz.py
+++ b/tests/node/test_configuration_fuzz.py
@@ -1,5 +1,7 @@
 """Replicas against an oracle, under faults of log, network and processes."""
 
+import asyncio
+import itertools
 import json
 import random
 
@@ -19,6 +21,7 @@
 )
 from sorrelhoist.decisions.configuration_records import encode_record
 from sorrelhoist.exceptions import SorrelhoistError
+from sorrelhoist.node.configuration_apply import ConfigurationApplier, Proposal
 from tests.node.configuration_fakes import RETENTION_S, FakeNetwork, domains
 
 NODES = ("a-1", "a-2", "b-1", "b-2", "c-1")
@@ -78,10 +81,22 @@
             return
         finally:
             self.network.log.faults = []
-        if isinstance(report.verdict, Conflict):
-            self.rejected.add(apply_id)
-        if isinstance(report.verdict, Accepted) and report.is_settled:
-            self.promised.add(report.verdict.offset)
+        self.note(report)
+
+    def note(self, report):
+        match report.verdict:
+            case Conflict(apply_id=apply_id):
+                self.rejected.add(apply_id)
+            case Accepted(offset=offset) if report.is_settled:
+                self.promised.add(offset)
+                self.check_holders(offset)
+
+    def check_holders(self, offset):
+        replicas = self.network.replicas.values()
+        holders = [item for item in replicas if item.effective_offset >= offset]
+        wanted = holders[0].configuration.failure_domains.keys()
+        held_in = {item.options.failure_domain for item in holders} & wanted
+        assert len(wanted) == 1 or 2 * len(held_in) > len(wanted)
 
     @rule(node=NODE)
     def restart(self, node):
@@ -119,8 +134,31 @@
             self.network.gossip(node, receiver)
             self.live(receiver).handle(body)
 
-    @rule(node=NODE, other=NODE)
-    def race_with_old_base(self, node, other):
+    @rule(nodes=st.tuples(NODE, NODE))
+    def race(self, nodes):
+        """Two operators apply at the same time."""
+        proposals = []
+        for node in nodes:
+            self.count += 1
+            documents = domains(a="in", racer=str(self.count % 2 and "in" or "out"))
+            proposals.append((node, Proposal(f"apply-{self.count}", documents)))
+
+        async def apply_all():
+            work = [
+                ConfigurationApplier(self.live(node)).apply(proposal)
+                for node, proposal in proposals
+            ]
+            return await asyncio.gather(*work, return_exceptions=True)
+
+        for report in self.network.run(apply_all()):
+            if isinstance(report, SorrelhoistError):
+                continue
+            if isinstance(report, Exception):
+                raise report
+            self.note(report)
+
+    @rule()
+    def repeat_old_record(self):
         texts = [t for t in self.network.log.history if '"record":"change"' in t]
         if texts and not self.network.log.is_down:
             data = json.loads(texts[-1])
@@ -151,9 +189,15 @@
 
     @rule(part=st.sampled_from([0.1, 0.35]))
     def pass_time(self, part):
-        """Time passes; processes that run keep their checkpoints meanwhile."""
         self.network.pass_time(part * RETENTION_S)
 
+    @rule(node=NODE)
+    def pause_past_retention(self, node):
+        """One process is paused while the others go on."""
+        for _ in range(4):
+            self.network.pass_time(0.3 * RETENTION_S)
+            self.network.step(*(name for name in NODES if name != node))
+
     @invariant()
     def every_reader_reaches_the_same_verdict(self):
         oracle = Oracle(self.network.log.history)
@@ -171,14 +215,15 @@
     def heal(self):
         """Without faults all converge, and nothing accepted is lost."""
         network = self.network
-        network.log.is_down = False
         network.cut.clear()
+        newest = max(item.effective_offset for item in network.replicas.values())
+        for _ in range(3):
+            for sender, receiver in itertools.permutations(NODES, 2):
+                network.gossip(sender, receiver)
+        assert {item.effective_offset for item in network.replicas.values()} == {newest}
+        network.log.is_down = False
         for _ in range(4):
             network.step()
-            for sender in NODES:
-                for receiver in NODES:
-                    if sender != receiver:
-                        network.gossip(sender, receiver)
         self.every_reader_reaches_the_same_verdict()
         offsets = {replica.effective_offset for replica in network.replicas.values()}
         assert len(offsets) == 1
