Claims: run against the stand-ins; a window that an hour of retention covers

The window with skew and budget needed 3,960 s of records; the stand-in platform keeps 3,600. Nothing was unsafe, since a fold that may miss claims refuses their keys, but new agents refused keys that old ones took.

--- a/src/sorrelhoist/agent/claims.py
+++ b/src/sorrelhoist/agent/claims.py
@@ -122,6 +122,11 @@
         """Whether all claims of the window were read."""
         return not self._traits.at_most_once or self._follower.ready
 
+    async def wait_ready(self) -> None:
+        """Wait until all claims of the window were read."""
+        if self._traits.at_most_once:
+            await self._follower.wait_ready()
+
     @asynccontextmanager
     async def running(self) -> AsyncIterator["ClaimedCalls"]:
         """Follow the log and append to it; on leaving, stop at once."""
--- a/src/sorrelhoist/agent/claims_follower.py
+++ b/src/sorrelhoist/agent/claims_follower.py
@@ -92,6 +92,11 @@
             if left_s <= 0 or not await self._wait_for_move(left_s):
                 return
 
+    async def wait_ready(self) -> None:
+        """Wait until the fold is at the end of the log."""
+        while not self.ready:
+            await self._moved.wait()
+
     async def read_outcome(self, offset: int) -> Outcome | None:
         """Read the outcome at an offset; None if the log no longer keeps it.
 
--- a/src/sorrelhoist/decisions/claims_fold.py
+++ b/src/sorrelhoist/decisions/claims_fold.py
@@ -11,7 +11,7 @@
 The index holds a hash of each key, not the key, and the offset of each outcome,
 not the outcome: 192 bytes for each settled key, so that `DEFAULT_MAX_KEYS` take
 7.4 MB. An entry expires by the age of its record. At the default window it stays
-for 3,960 seconds, which allows a sustained rate of 10 claims a second for each
+for 2,160 seconds, which allows a sustained rate of 18 claims a second for each
 service; over it new claims are refused before anything runs.
 """
 
--- a/tests/agent/claims_world.py
+++ b/tests/agent/claims_world.py
@@ -250,8 +250,7 @@
         return answer
 
     async def ready(self):
-        while not self.calls.ready:
-            await asyncio.sleep(0.05)
+        await self.calls.wait_ready()
 
     # The plain service's client.
 
