--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -202,7 +202,7 @@
             await asyncio.sleep(SETTLE_S)
         assert (engine.model, engine.version) == ("clown", "2")
         late = {*old_faults, *new_faults} & SENT_LATE
-        _check_stale_orders(engine, late)
+        check_stale_orders(engine, late)
         for node in (old, new):
             node.killed.set()
         await asyncio.sleep(1.0)
@@ -211,7 +211,7 @@
     run_virtual(main())
 
 
-def _check_stale_orders(engine, sent_late):
+def check_stale_orders(engine, sent_late):
     """None is obeyed out of turn; where one can be, its successor repairs it."""
     highest, stale = 0, []
     for at_s, _, fencing in engine.obeyed:
