--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -17,7 +17,10 @@
 )
 from sorrelhoist.decisions.orders import OrderOptions
 from sorrelhoist.decisions.orders_placement import Desired
-from sorrelhoist.decisions.orders_registrations import Registration
+from sorrelhoist.decisions.orders_registrations import (
+    Registration,
+    encode_registration,
+)
 from tests.agent.claims_world import LATE_S, PAUSE_S, LogPort, World
 from tests.virtual_loop import run_virtual
 
@@ -63,6 +66,7 @@
         self.engine, self.name = engine, name
         self.desired = Desired("clown", version)
         self.is_drained = False
+        self.drain_s = 0.0
         self.loaded_at_s = []
         self.orders = EndpointOrders(
             Registration("praha-a-1", "n", name),
@@ -87,6 +91,7 @@
     @asynccontextmanager
     async def drained(self):
         self.is_drained = True
+        await asyncio.sleep(self.drain_s)
         yield
         self.is_drained = False
 
@@ -260,6 +265,45 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("fences", [True, False])
+def test_agent_replaced_while_draining_withholds_its_order(fences):
+    async def main():
+        world, engine = World(), Engine(fences)
+        old = Node(world, engine, "old", "1")
+        old.drain_s = 200.0
+        await asyncio.sleep(45.0)
+        assert old.is_drained
+        new = Node(world, engine, "new", "2")
+        await asyncio.sleep(SETTLE_S)
+        assert [who for _, who, _ in engine.obeyed] == ["new"]
+        counters = old.orders.counters
+        # The engine refuses what it can; else the agent holds it back.
+        assert (counters.failures, counters.withheld) == (fences, not fences)
+        for node in (old, new):
+            node.killed.set()
+        await asyncio.sleep(1.0)
+
+    run_virtual(main())
+
+
+def test_late_registration_of_a_dead_agent_is_overcome():
+    async def main():
+        world, engine = World(), Engine(True)
+        node = Node(world, engine, "new", "2")
+        await asyncio.sleep(60.0)
+        world.put([encode_registration(Registration("praha-a-1", "n", "old"))])
+        await asyncio.sleep(SETTLE_S)
+        assert node.orders.reconciler.replaced
+        world.answers["old"] = None  # is known to be dead
+        node.desired = Desired("clown", "3")
+        await asyncio.sleep(SETTLE_S)
+        assert engine.version == "3" and node.orders.reconciler.fencing == 3
+        node.killed.set()
+        await asyncio.sleep(1.0)
+
+    run_virtual(main())
+
+
 def test_store_is_obeyed_and_loads_are_spread():
     async def main():
         world = World()
