A frozen peer can't hold a send for ever

A message that the buffers of a frozen peer don't take was awaited without a time limit, so a long prompt neither moved on nor met its deadline. Seen: the test's 15 MB message still waited after 20 s. Now the connection is closed after SEND_TIMEOUT_S and the attempt goes on elsewhere.

--- a/src/sorrelhoist/node/peers.py
+++ b/src/sorrelhoist/node/peers.py
@@ -25,6 +25,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 5.0
+# A peer that takes a message no sooner counts as frozen.
+SEND_TIMEOUT_S = 5.0
 # Replies that may wait for a slow reader before its connection is closed.
 MAX_WAITING_REPLIES = 65536
 
@@ -203,7 +205,13 @@
 
     async def _send(self, message: Message) -> None:
         try:
-            await self._stream.write(frame(message))
+            sending = self._stream.write(frame(message))
+            # Not cancelled when time is up: the stream ends the write.
+            done, _ = await asyncio.wait([sending], timeout=SEND_TIMEOUT_S)
+            if not done:
+                self._stream.close()
+                raise PeerError(f"{self._address} took no message in time.")
+            await sending
         except StreamClosedError as error:
             raise PeerError(f"The connection to {self._address} was lost.") from error
 
