Refuse sequence numbers that no answer has; answer 405 in JSON

A Last-Event-ID such as '2' in superscript or of 5000 digits was answered 500, and a large one made the entry allocate a list of that length, from any caller with a stream id. A wrong method was answered with tornado's HTML page, without kind and remedy.

--- a/src/sorrelhoist/entry/completions.py
+++ b/src/sorrelhoist/entry/completions.py
@@ -1,5 +1,6 @@
 """Handlers of model requests."""
 
+import re
 import time
 from collections.abc import AsyncIterator, Iterator
 from contextlib import aclosing, contextmanager
@@ -14,7 +15,12 @@
 from .generation import Generation
 from .http import CallerHandler
 from .reattach import follow_stream
-from .requests import GenerationRequest, parse_generation, parse_timeout_s
+from .requests import (
+    MAX_OUTPUT_TOKENS,
+    GenerationRequest,
+    parse_generation,
+    parse_timeout_s,
+)
 
 if TYPE_CHECKING:
     from .app import Entry
@@ -23,6 +29,8 @@
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 256
 LAST_EVENT_HEADER = "Last-Event-ID"
+# No answer has more tokens than such a number says.
+_SEQUENCE = re.compile("[0-9]{1,9}")
 
 
 class CompletionHandler(CallerHandler):
@@ -201,13 +209,14 @@
 
     def _sequence(self) -> int:
         text = self.request.headers.get(LAST_EVENT_HEADER, "0").rpartition(".")[2]
-        if not text.isdigit():
+        sequence = int(text) if _SEQUENCE.fullmatch(text) else MAX_OUTPUT_TOKENS + 1
+        if sequence > MAX_OUTPUT_TOKENS:
             raise InvalidRequestError(
                 f"'{LAST_EVENT_HEADER}' has no sequence number.",
                 "Send the id of the last event that you received.",
                 not_run=True,
             )
-        return int(text)
+        return sequence
 
 
 class ModelsHandler(CallerHandler):
--- a/src/sorrelhoist/entry/http.py
+++ b/src/sorrelhoist/entry/http.py
@@ -13,6 +13,7 @@
 from ..exceptions import (
     AuthenticationError,
     InvalidRequestError,
+    MethodNotAllowedError,
     NotFoundError,
     NotReadyError,
     SorrelhoistError,
@@ -90,6 +91,16 @@
                 not_run=True,
             )
 
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer what tornado refuses itself: a method that the path has not."""
+        if status_code != MethodNotAllowedError.http_status:
+            self.refuse(SorrelhoistError("The entry failed."), close=True)
+            return
+        error = MethodNotAllowedError(
+            f"{self.request.path} takes no {self.request.method}.", not_run=True
+        )
+        self.refuse(error, close=True)
+
     def data_received(self, chunk: bytes) -> None:
         """Gather the body, within the limit."""
         if self._finished:
--- a/src/sorrelhoist/exceptions.py
+++ b/src/sorrelhoist/exceptions.py
@@ -107,6 +107,14 @@
     default_remedy = "Check the path."
 
 
+class MethodNotAllowedError(SorrelhoistError):
+    """The path is there, but not for this HTTP method."""
+
+    kind = "method_not_allowed"
+    http_status = 405
+    default_remedy = "Use a method that the path takes."
+
+
 class KeyReusedError(SorrelhoistError):
     """An idempotency key came back with another body."""
 
