--- a/src/sorrelhoist/entry/attempt.py
+++ b/src/sorrelhoist/entry/attempt.py
@@ -263,6 +263,8 @@
                 return None
             case ttypes.StreamEnd():
                 return self._finish(reply)
+            case ttypes.StreamFailure(request_id=other) if not self._is_own(other):
+                return None
             case ttypes.StreamFailure(kind=kind, message=message, load=load):
                 self.tools.on_load(load)
                 return Broken(kind, message, kind in PLANNED_KINDS, reply)
@@ -271,6 +273,9 @@
             case _:
                 raise PeerError("An agent broke the protocol.")
 
+    def _is_own(self, request_id: str) -> bool:
+        return request_id == self.assembler.request_id
+
     def _own(self, grant: ttypes.Grant) -> None:
         """Hold the grant of a stream that this entry attached to."""
         assert self._place is not None
--- a/tests/entry/in_process.py
+++ b/tests/entry/in_process.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import attrs
+
 from sorrelhoist.agent.app import Agent
 from sorrelhoist.bench.fleet import ADDRESS, fetch, free_port
 from sorrelhoist.entry.app import Entry
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -6,10 +6,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from sorrelhoist.bench.fleet import ADDRESS, fetch
 from sorrelhoist.entry.requests import MAX_BODY_BYTES
 from sorrelhoist.standins.engine_model import answer_text
-
 from tests.entry.in_process import (
     CALLER_KEY,
     MODEL,
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -2,12 +2,13 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from tornado.netutil import bind_sockets
+
 from sorrelhoist.exceptions import PeerError
 from sorrelhoist.messages.frames import MAX_FRAME_BYTES, Message, frame
 from sorrelhoist.messages.gen import ttypes
 from sorrelhoist.node import peers
 from sorrelhoist.node.peers import PeerAddress, PeerPool, PeerServer
-from tornado.netutil import bind_sockets
 
 ADDRESS = "127.0.0.1"
 CUT = b""
