Load tool: seeded load on real processes, first tokens by length, domain change

sorrelhoist bench starts an example fleet, runs one seeded plan without and with its long prompts and through a failure domain's exit and return, checks each answer's text.

--- /dev/null
+++ b/src/sorrelhoist/bench/commands.py
@@ -0,0 +1,170 @@
+"""Commands that measure."""
+
+import asyncio
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+
+if TYPE_CHECKING:
+    from .load_client import LoadTarget
+    from .load_phases import LoadRecord, LoadShape
+    from .load_plan import LoadWorkspace
+
+FLEETS = {
+    "demo": "examples/kasparek-demo",
+    "kasparek": "examples/kasparek",
+    "gvari": "examples/gvari",
+}
+UTILISATION = 0.4
+LONG_PART = 0.75
+FIRST_TOKEN_TARGET_S = 0.61
+DEADLINE_S = 60.0
+MAX_GROUP_SIZE = 8
+LONGEST_TOKENS = 1_000_000
+ENGINE_OPTIONS = ("--warm-work", "4", "--cold-slow-factor", "1.5")
+EXIT_LOST = 1
+
+
+@click.command()
+@click.option("--fleet", "name", type=click.Choice(list(FLEETS)), default="demo")
+@click.option("--entry", "entries", multiple=True, help="URL of a running entry.")
+@click.option("--key", default="", help="A workspace's key, for --entry.")
+@click.option("--model", default="", help="The model, for --entry.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--seconds", default=20.0, show_default=True, help="Of each run.")
+@click.option("--rate", default=0.0, help="Requests a second; 0 for a fitting one.")
+@click.option("--max-requests", default=2_000, show_default=True, help="Of each run.")
+@click.option("--longest-tokens", default=LONGEST_TOKENS, show_default=True)
+@click.option("--json", "json_path", type=click.Path(path_type=Path))
+@click.option("--plot", "plot_path", type=click.Path(path_type=Path))
+def bench(
+    name: str,
+    entries: tuple[str, ...],
+    key: str,
+    model: str,
+    seed: int,
+    seconds: float,
+    rate: float,
+    max_requests: int,
+    longest_tokens: int,
+    json_path: Path | None,
+    plot_path: Path | None,
+) -> None:
+    """Measure with a seeded load of prompts of very unlike lengths.
+
+    Starts a fleet of an example configuration with stand-ins, or aims at running
+    entries. Exit code 1 if an answer was lost.
+    """
+    from .load_phases import LoadShape
+
+    shape = LoadShape(seed, rate, seconds, longest_tokens, max_requests)
+    if entries:
+        record = asyncio.run(_aim(entries, key, model, shape))
+    else:
+        record = asyncio.run(_start(Path(FLEETS[name]), shape))
+    raise SystemExit(_show(record, json_path, plot_path))
+
+
+def _show(record: "LoadRecord", json_path: Path | None, plot_path: Path | None) -> int:
+    from .report import outcomes
+    from .report_text import lines, runs, save_plot, to_plain
+
+    for line in lines(record):
+        click.echo(line)
+    if json_path is not None:
+        json_path.write_text(json.dumps(to_plain(record), indent=1))
+    if plot_path is not None:
+        save_plot(record, plot_path)
+    lost = sum(outcomes(samples).lost for samples in runs(record).values())
+    return EXIT_LOST if lost else 0
+
+
+async def _aim(
+    entries: tuple[str, ...], key: str, model: str, shape: "LoadShape"
+) -> "LoadRecord":
+    from .load_client import LoadTarget
+    from .load_phases import run_load
+    from .load_plan import LoadWorkspace
+
+    if not key or not model or not shape.requests_per_s:
+        raise click.UsageError("--entry needs --key, --model and --rate.")
+    workspace = LoadWorkspace("given", key, 1.0, 2 * shape.longest_tokens)
+    speed = 40_000.0
+    target = LoadTarget(entries, model, speed, FIRST_TOKEN_TARGET_S, DEADLINE_S)
+    return await run_load(target, [workspace], shape, click.echo)
+
+
+async def _start(folder: Path, shape: "LoadShape") -> "LoadRecord":
+    from .fleet import load_documents, running_fleet
+    from .load_phases import run_load
+
+    documents = load_documents(folder)
+    domains = [d["name"] for d in documents if d["kind"] == "FailureDomain"]
+    shape = fitted(documents, shape)
+    click.echo(f"{folder}: {shape}")
+    async with running_fleet(documents, engine_options=ENGINE_OPTIONS) as fleet:
+        urls = [entry.url for entry in fleet.entries()]
+        target = target_of(documents, urls)
+        workspaces = workspaces_of(documents, target.model)
+        return await run_load(target, workspaces, shape, click.echo, fleet, domains[-1])
+
+
+def engines_of(documents: list[dict]) -> list[dict]:
+    """Return the documents of the model endpoints."""
+    return [d for d in documents if d["kind"] == "Endpoint" and d.get("model")]
+
+
+def target_of(documents: list[dict], urls: list[str]) -> "LoadTarget":
+    """Return the target for a fleet of these documents."""
+    from .load_client import LoadTarget
+
+    engine = engines_of(documents)[0]
+    return LoadTarget(
+        urls,
+        engine["model"],
+        engine["prefill_tokens_per_s"],
+        FIRST_TOKEN_TARGET_S,
+        DEADLINE_S,
+    )
+
+
+def workspaces_of(documents: list[dict], model: str) -> list["LoadWorkspace"]:
+    """Return the workspaces that may use a model, with their demonstration keys."""
+    from .load_plan import LoadWorkspace
+
+    return [
+        LoadWorkspace(
+            d["name"], f"demo-key-{d['name']}", d["weight"], d["concurrent_tokens"]
+        )
+        for d in documents
+        if d["kind"] == "Workspace" and model in d["models"]
+    ]
+
+
+def fitted(documents: list[dict], shape: "LoadShape") -> "LoadShape":
+    """Fit the longest prompt and the rate to a fleet.
+
+    The longest prompt is what a group of engines of one failure domain holds. The
+    rate uses a part of what all engines read.
+    """
+    import attrs
+
+    from .load_plan import mean_prompt_tokens
+
+    longest_tokens = min(shape.longest_tokens, longest_group_tokens(documents))
+    speed = sum(d["prefill_tokens_per_s"] for d in engines_of(documents))
+    fitting = UTILISATION * speed / mean_prompt_tokens(longest_tokens)
+    rate = shape.requests_per_s or round(fitting, 2)
+    return attrs.evolve(shape, longest_tokens=longest_tokens, requests_per_s=rate)
+
+
+def longest_group_tokens(documents: list[dict]) -> int:
+    """Return the longest prompt that some failure domain holds."""
+    sizes: dict[str, list[int]] = {}
+    for engine in engines_of(documents):
+        domain: Any = engine["failure_domain"]
+        sizes.setdefault(domain, []).append(engine["kv_capacity_tokens"])
+    largest = max(sum(sorted(s)[-MAX_GROUP_SIZE:]) for s in sizes.values())
+    return int(largest * LONG_PART) - 100
--- a/src/sorrelhoist/cli.py
+++ b/src/sorrelhoist/cli.py
@@ -3,6 +3,7 @@
 import click
 
 from .__version__ import __version__
+from .bench.commands import bench
 from .commands.configuration import COMMANDS
 from .commands.roles import agent, entry
 from .standins.commands import standin
@@ -14,5 +15,5 @@
     """Serve prompts of very unlike lengths."""
 
 
-for command in (agent, entry, standin, *COMMANDS):
+for command in (agent, entry, standin, bench, *COMMANDS):
     main.add_command(command)
