--- a/src/sorrelhoist/bench/commands.py
+++ b/src/sorrelhoist/bench/commands.py
@@ -168,3 +168,40 @@
         sizes.setdefault(domain, []).append(engine["kv_capacity_tokens"])
     largest = max(sum(sorted(s)[-MAX_GROUP_SIZE:]) for s in sizes.values())
     return int(largest * LONG_PART) - 100
+
+
+@click.command("bench-control")
+@click.option("--size", "sizes", multiple=True, type=int, default=(20, 60, 120))
+@click.option("--settle-s", default=10.0, show_default=True)
+@click.option("--window-s", default=20.0, show_default=True)
+@click.option("--at", default=1660, show_default=True, help="Extrapolate to this size.")
+@click.option("--json", "json_path", type=click.Path(path_type=Path))
+def bench_control(
+    sizes: tuple[int, ...],
+    settle_s: float,
+    window_s: float,
+    at: int,
+    json_path: Path | None,
+) -> None:
+    """Measure the cost of control without load, on fleets of several sizes."""
+    import attrs
+
+    from .control import cost_lines, measure_size, slopes
+
+    costs = []
+    for size in sizes:
+        cost = asyncio.run(measure_size(size, settle_s, window_s, click.echo))
+        costs.append(cost)
+        for line in cost_lines(cost):
+            click.echo(line)
+    for name, fitted_line in slopes(costs).items():
+        click.echo(
+            f"{name:24} {fitted_line.at_zero:10.3f}"
+            f" + {fitted_line.per_member:9.5f} a member;"
+            f" at {at}: {fitted_line.at(at):.2f}"
+        )
+    if json_path is not None:
+        json_path.write_text(json.dumps([attrs.asdict(c) for c in costs], indent=1))
+
+
+COMMANDS = (bench, bench_control)
