--- a/src/sorrelhoist/bench/experiments/cold_start.py
+++ b/src/sorrelhoist/bench/experiments/cold_start.py
@@ -11,7 +11,7 @@
 import click
 
 from ...decisions.ledger import GrantLedger
-from ...decisions.limits import EndpointLimits
+from ...decisions.endpoint_limits import EndpointLimits
 from ...decisions.slow_start import MIN_PACE, Additive, Doubling, Growth
 from .tables import mean, show
 from .virtual_endpoint import VirtualEngine
--- a/src/sorrelhoist/bench/experiments/lanes.py
+++ b/src/sorrelhoist/bench/experiments/lanes.py
@@ -11,7 +11,7 @@
 import click
 
 from ...decisions.ledger import GrantLedger
-from ...decisions.limits import EndpointLimits
+from ...decisions.endpoint_limits import EndpointLimits
 from .tables import percentile, show
 from .virtual_endpoint import STEP_S, VirtualEngine
 from .virtual_load import Caller, VirtualLoad, poisson
--- a/src/sorrelhoist/bench/experiments/retry_after.py
+++ b/src/sorrelhoist/bench/experiments/retry_after.py
@@ -9,7 +9,7 @@
 import click
 
 from ...decisions.ledger import GrantLedger
-from ...decisions.limits import EndpointLimits
+from ...decisions.endpoint_limits import EndpointLimits
 from ...decisions.retry_after import Constant, Exponential, Informed, RetryAdvice
 from .tables import mean, percentile, show
 from .virtual_endpoint import VirtualEngine
