--- a/tests/clients/test_engine.py
+++ b/tests/clients/test_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import threading
+from itertools import pairwise
 
 import attrs
 import pytest
@@ -130,6 +131,24 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ("fault", "crossed"),
+    [
+        ("duplicate_lines", lambda first, second: first == second),
+        ("reorder_lines", lambda first, second: first.sequence > second.sequence == 0),
+    ],
+)
+def test_line_faults_strike_the_next_line(fault, crossed):
+    async def test(engine, client):
+        await strike(engine, **{fault: 1})
+        async with client.stream(spec("a", PROMPT, 2000)) as items:
+            lines, _ = await whole(items)
+        assert crossed(*lines[:2])
+        assert [a.sequence < b.sequence for a, b in pairwise(lines[2:])].count(0) == 0
+
+    run(test)
+
+
 @given(st.tuples(*[st.integers(0, 6)] * 3), st.integers(0, 40), st.integers(1, 3))
 def test_fuzz_every_stream_gets_its_own_whole_answer(counts, output_tokens, streams):
     async def test(engine, client):
--- a/tests/standins/test_engine_core.py
+++ b/tests/standins/test_engine_core.py
@@ -108,6 +108,16 @@
         step(core)
 
 
+def test_prefix_without_its_first_block_is_no_hit():
+    cache = PrefixCache(2 * BLOCK_TOKENS, 0.0, 0.0, Random(0))
+    hashes = block_hashes("a" * (2 * BLOCK_TOKENS * 4))
+    cache.store(hashes, 0.0)
+    assert cache.hit_tokens(hashes) == 2 * BLOCK_TOKENS
+    cache.store(block_hashes("b" * (BLOCK_TOKENS * 4)), 0.0)
+    assert cache.hit_tokens(hashes[1:]) == BLOCK_TOKENS
+    assert cache.hit_tokens(hashes) == 0
+
+
 def test_cold_engine_dies_of_more_than_it_bears():
     core = core_of(cold=True)
     admit(core, "a", 1)
