--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -36,6 +36,7 @@
   11: double weight,           // of the workspace
   12: string group_id,         // empty unless part of a group reservation
   13: i64 delivered_tokens,    // tokens already sent to the caller
+  14: i64 kv_share_tokens,     // this endpoint's part if it is one of a group, else 0
 }
 
 struct Grant {
@@ -75,10 +76,17 @@
   1: list<string> unknown_grant_ids,
 }
 
-// Give a grant back, running or not.
+// The request waits at the agent. Sent again and again until it is decided.
+struct Queued {
+  1: string request_id,
+  2: i64 queue_delay_ms,
+}
+
+// Give a grant back, running or not; or a request that waits for one.
 struct Cancel {
   1: string grant_id,
   2: string reason,
+  3: string request_id,
 }
 
 struct Cancelled {
@@ -171,11 +179,14 @@
   14: string service_name,          // the plain service behind an agent, or empty
 }
 
+// One death of an endpoint, held against one of the requests that ran on it.
+// The pair of fingerprint and death names it, so hearing it twice counts once.
 struct Suspicion {
   1: i64 fingerprint,
-  2: i32 shared_deaths,
-  3: i32 sole_deaths,
-  4: i64 lifetime_ms,
+  2: i64 death_id,             // of the endpoint's name and boot id
+  3: i32 running_requests,     // distinct fingerprints that ran; 1 means alone
+  4: i64 lifetime_ms,          // what is left of it
+  5: bool cleared,             // the request completed since
 }
 
 // What rides on probes beside membership changes.
@@ -216,6 +227,22 @@
   1: list<Member> members,
 }
 
+// What one workspace asks of one entry.
+struct Demand {
+  1: string workspace,
+  2: double requests_per_s,
+  3: i64 held_tokens,
+}
+
+// From entry to entry; workspaces without demand are left out.
+struct DemandReport {
+  1: string entry_id,
+  2: list<Demand> demands,
+}
+
+struct DemandHeard {
+}
+
 struct Envelope {
   1: i64 call_id,
   2: optional GrantRequest grant_request,
@@ -240,4 +267,7 @@
   21: optional IndirectPing indirect_ping,
   22: optional SyncRequest sync_request,
   23: optional SyncReply sync_reply,
+  24: optional Queued queued,
+  25: optional DemandReport demand_report,
+  26: optional DemandHeard demand_heard,
 }
