--- a/src/sorrelhoist/decisions/configuration.py
+++ b/src/sorrelhoist/decisions/configuration.py
@@ -214,6 +214,13 @@
         is_ahead = checkpoint.as_of_offset > self.state.as_of_offset
         if is_ahead and checkpoint.effective_offset >= self.state.effective_offset:
             self.state = checkpoint
+            self._forget(checkpoint.as_of_offset)
+
+    def _forget(self, as_of_offset: int) -> None:
+        waiting = self._waiting.items()
+        self._waiting = {
+            offset: record for offset, record in waiting if offset > as_of_offset
+        }
 
     def _restart(self, offset: int, restart: Restart) -> None:
         if restart.expected_offset == offset:
@@ -227,12 +234,10 @@
         return all(number in self._waiting for number in range(start, offset))
 
     def _drain(self) -> None:
-        for offset in sorted(self._waiting):
-            if offset > self.state.as_of_offset + 1:
-                return
-            record = self._waiting.pop(offset)
-            if offset == self.state.as_of_offset + 1:
-                self._fold(offset, record)
+        offset = self.state.as_of_offset + 1
+        while offset in self._waiting:
+            self._fold(offset, self._waiting.pop(offset))
+            offset += 1
 
     def _fold(self, offset: int, record: Record | None) -> None:
         self.state = attrs.evolve(self.state, as_of_offset=offset)
