--- a/src/sorrelhoist/decisions/suspicion.py
+++ b/src/sorrelhoist/decisions/suspicion.py
@@ -28,6 +28,7 @@
 MAX_RUNNING = 2**31 - 1
 FRESH_SENDS = 10
 CONDEMNING_DEATHS = 2
+EXPIRY_INTERVAL_S = 10.0
 
 
 class SuspicionTable:
@@ -53,6 +54,7 @@
         self._items: dict[EvidenceKey, Evidence] = {}
         self._by_fingerprint: dict[int, set[int]] = {}
         self._by_death: dict[int, set[int]] = {}
+        self._next_expiry_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._items)
@@ -139,6 +141,9 @@
         -------
         list of ttypes.Suspicion
         """
+        if now_s >= self._next_expiry_s:
+            self._next_expiry_s = now_s + EXPIRY_INTERVAL_S
+            self.expire(now_s)
         chosen = heapq.nsmallest(
             limit,
             self._items.items(),
--- a/tests/decisions/test_suspicion.py
+++ b/tests/decisions/test_suspicion.py
@@ -81,7 +81,7 @@
         assert table.is_condemned(KILLER, 999.0)
         assert not table.is_condemned(KILLER, 1000.0)
         assert not table.is_suspected(KILLER, 1100.5)
-        table.expire(1100.5)
+        assert table.for_gossip(1100.5) == []
         assert len(table) == 0
 
 
