Limits: the bound on concurrent tokens is one request per entry

The fuzz test with more examples found 1264 tokens held of 1000 at two entries, with requests of at most 200: the stated bound of E - 1 requests beyond the limit was wrong. Each of E entries may use its whole allowance and then one request more, so the bound is E requests. Allowing the extra request only to an entry that has spent nothing would give E - 1, but small requests would then lock long ones out.

--- a/src/sorrelhoist/decisions/limits.py
+++ b/src/sorrelhoist/decisions/limits.py
@@ -9,8 +9,8 @@
 entry's share of what is free by the last reports. The allowances together are at
 most what is free. So that a long prompt isn't locked out by small shares, an
 entry may admit one request per report interval beyond its allowance, if it fits
-into what is free: the excess is at most E - 1 such requests, until the next
-reports.
+into what is free: the excess is at most one such request per entry, none at a
+lone entry. Reports that cross add what an entry admitted since its last one.
 """
 
 from collections.abc import Mapping, Sequence
