Tests for the mechanisms that the first ones did not see; two redundant checks removed

A trial copy with each mechanism taken out showed which tests miss it: the running bound and the idle guard were covered by others (slow start's ceiling, the estimate of an endpoint without work) and are gone; for the rest there are tests now.

--- a/src/sorrelhoist/decisions/admission.py
+++ b/src/sorrelhoist/decisions/admission.py
@@ -53,8 +53,6 @@
             return denial(ask.request_id, DenialKind.DEADLINE)
         if self._is_full_in_cold_start(ask, lane):
             return self._refused(ask, lane, DenialKind.COLD)
-        if self._is_idle():
-            return None
         expected_s = self.expected_wait_s(lane) + self._service_s(ask)
         if now_s + expected_s > ask.deadline_s:
             return self.overloaded(ask, lane)
@@ -144,9 +142,8 @@
         if first is None or not fits_long(first.ask.kv_tokens, usage, bounds):
             return bounds
         limits = self.health.limits
-        requests = min(bounds.requests, bounds.allowed_requests)
         kv_tokens = min(bounds.kv_tokens, bounds.allowed_tokens)
-        left_requests = requests - usage.long_requests - 1
+        left_requests = bounds.allowed_requests - usage.long_requests - 1
         left_kv_tokens = kv_tokens - usage.long_kv_tokens - first.ask.kv_tokens
         return attrs.evolve(
             bounds,
@@ -175,11 +172,9 @@
             return False
         return not fits(lane, ask.kv_tokens, self.holdings.usage(), self.bounds())
 
-    def _is_idle(self) -> bool:
-        return not self.holdings and not self.queue
-
     def _service_s(self, ask: GrantAsk) -> float:
         if not self.holdings:
+            # Estimates that nothing renews must not shut an idle endpoint.
             return self.rates.best_service_s(ask.prefill_tokens)
         output_tokens = ask.remaining_output_tokens
         return self.rates.service_s(ask.prefill_tokens, output_tokens)
--- a/src/sorrelhoist/decisions/endpoint_health.py
+++ b/src/sorrelhoist/decisions/endpoint_health.py
@@ -67,12 +67,11 @@
     def bounds(self, foreign_requests: int, foreign_kv_tokens: int) -> Bounds:
         """Give what may run at once, less what others use."""
         limits = self.limits
-        requests = min(limits.max_running_requests, self.slow_start.allowed_requests)
-        long_requests = max(1, int(requests * (1 - limits.short_floor)))
+        allowed_requests = self.slow_start.allowed_requests
+        long_requests = max(1, int(allowed_requests * (1 - limits.short_floor)))
         return Bounds(
-            requests=limits.max_running_requests - foreign_requests,
             kv_tokens=self.capacity_tokens - foreign_kv_tokens,
-            allowed_requests=self.slow_start.allowed_requests - foreign_requests,
+            allowed_requests=allowed_requests - foreign_requests,
             allowed_tokens=self.slow_start.allowed_tokens - foreign_kv_tokens,
             foreign_requests=foreign_requests,
             long_requests=min(long_requests, limits.long_running_requests),
--- a/src/sorrelhoist/decisions/room.py
+++ b/src/sorrelhoist/decisions/room.py
@@ -23,10 +23,10 @@
 
     Parameters
     ----------
-    requests, kv_tokens : int
-        Memory and slots that are really there.
+    kv_tokens : int
+        Memory that is really there.
     allowed_requests, allowed_tokens : int
-        What slow start allows now.
+        What slow start allows now; at the most the full limits.
     foreign_requests : int
         Requests that run without a grant.
     long_requests, long_kv_tokens : int
@@ -37,7 +37,6 @@
         True while a solitary request waits its turn: nothing else may start.
     """
 
-    requests: int
     kv_tokens: int
     allowed_requests: int
     allowed_tokens: int
@@ -55,7 +54,7 @@
     A lone request may go over what slow start allows in memory: else a prompt
     larger than the cold allowance would wait for ever.
     """
-    if usage.alone or usage.requests + 1 > bounds.requests:
+    if usage.alone:
         return False
     if usage.kv_tokens + kv_tokens > bounds.kv_tokens:
         return False
--- a/tests/decisions/test_ledger.py
+++ b/tests/decisions/test_ledger.py
@@ -177,6 +177,7 @@
         (grant_id,),
         (),
     )
+    assert ledger.expired(61.0).to_cancel == ()
     assert ledger.renew("other", [grant_id], 61.0) == (grant_id,)
     assert ledger.attach("r", "other", 62.0).unwrap().grant_id == grant_id
     assert ledger.renew("e", [grant_id], 62.0) == (grant_id,)
@@ -303,3 +304,58 @@
     assert (granted.lane, granted.kv_tokens) == (Lane.LONG, 700)
     other = attrs.evolve(part, request_id="other")
     assert ledger.request(other, 0.0).kind == "overloaded"
+
+
+def test_foreign_memory_is_not_granted_even_to_a_lone_request():
+    ledger = make_ledger()
+    ledger.observe(attrs.evolve(SERVING, kv_used_tokens=900), 10.0)
+    assert isinstance(ledger.request(make_ask("r", prompt=140), 10.0), Queued)
+
+
+def test_floor_stays_while_a_long_one_waits():
+    ledger = make_ledger()
+    ledger.observe(attrs.evolve(SERVING, kv_used_tokens=200), 10.0)
+    grant(ledger, "short", now_s=10.0, prompt=90)
+    assert isinstance(ledger.request(make_ask("long", prompt=740), 10.0), Queued)
+    grant(ledger, "within", now_s=13.0, prompt=140)
+    assert isinstance(ledger.request(make_ask("over", prompt=30), 13.0), Queued)
+
+
+def test_short_ones_are_held_only_if_that_helps_the_long_one():
+    ledger = make_ledger()
+    grant(ledger, "long", prompt=400)
+    assert isinstance(ledger.request(make_ask("long2", prompt=400), 0.0), Queued)
+    for i in range(5):
+        grant(ledger, f"s{i}", now_s=3.0, prompt=90)
+
+
+def test_two_solitary_requests_do_not_follow_each_other_at_once():
+    ledger = make_ledger()
+    first = grant(ledger, "alone", alone=True)
+    ledger.request(make_ask("alone2", alone=True), 0.0)
+    ledger.request(make_ask("short"), 0.0)
+    ledger.release(first, 9.0, Completed())
+    assert names(ledger.pump(9.0), Granted) == ["short"]
+
+
+def test_estimates_do_not_shut_an_idle_endpoint():
+    ledger = make_ledger()
+    ledger.rates.decoded(1, 1000.0)
+    busy = grant(ledger, "busy")
+    assert ledger.request(make_ask("r"), 0.0).kind == "overloaded"
+    ledger.release(busy, 1.0, Completed())
+    assert isinstance(ledger.request(make_ask("r"), 1.0), Granted)
+
+
+def test_reported_speed_of_a_cold_start_makes_an_endpoint_cold():
+    ledger = make_ledger()
+    ledger.observe(attrs.evolve(SERVING, prefill_tokens_per_s=240.0), 1.0)
+    assert ledger.load(1.0).phase == "cold"
+
+
+def test_refusal_of_a_cold_engine_makes_the_endpoint_cold():
+    ledger = make_ledger()
+    grant_id = grant(ledger, "r")
+    ledger.release(grant_id, 1.0, Failed(refused=True, cold=True))
+    assert ledger.load(1.0).phase == "cold"
+    assert ledger.health.slow_start.allowed_requests == 2
