--- a/src/sorrelhoist/bench/experiments/tables.py
+++ b/src/sorrelhoist/bench/experiments/tables.py
@@ -25,7 +25,8 @@
 def show(rows: Sequence[dict[str, object]], as_json: bool) -> None:
     """Print rows that have the same keys."""
     if as_json:
-        click.echo(json.dumps(rows, indent=1))
+        plain = [{name: _plain(value) for name, value in row.items()} for row in rows]
+        click.echo(json.dumps(plain, indent=1))
         return
     lines = [list(rows[0])] + [[_cell(value) for value in row.values()] for row in rows]
     widths = [max(len(line[i]) for line in lines) for i in range(len(lines[0]))]
@@ -34,6 +35,11 @@
         click.echo("  ".join(cells))
 
 
+def _plain(value: object) -> object:
+    is_nan = isinstance(value, float) and math.isnan(value)
+    return None if is_nan else value
+
+
 def _cell(value: object) -> str:
     match value:
         case None:
--- a/tests/decisions/test_ledger.py
+++ b/tests/decisions/test_ledger.py
@@ -94,6 +94,11 @@
     running = grant(ledger, "r")
     ledger.set_leaving(True, 0.0)
     assert ledger.load(0.0).phase == "leaving"
+    assert ledger.observe(REBOOT, 0.5) == (running,)
+    assert ledger.request(make_ask("asked"), 0.5).kind == "leaving"
+    ledger = make_ledger()
+    running = grant(ledger, "r")
+    ledger.set_leaving(True, 0.0)
     ledger.release(running, 1.0, Completed())
     assert ledger.load(1.0).phase == "gone"
 
@@ -359,3 +364,36 @@
     ledger.release(grant_id, 1.0, Failed(refused=True, cold=True))
     assert ledger.load(1.0).phase == "cold"
     assert ledger.health.slow_start.allowed_requests == 2
+
+
+def test_work_earns_nothing_while_the_endpoint_says_that_it_is_cold():
+    ledger = make_ledger(full=False)
+    ledger.observe(COLD, 1.0)
+    for i in range(20):
+        pair = [grant(ledger, f"r{i}{side}", now_s=1.0) for side in "ab"]
+        for grant_id in pair:
+            ledger.release(grant_id, 1.0, Completed())
+    assert ledger.health.slow_start.allowed_requests == 2
+
+
+def test_fall_while_warming_slows_the_next_growth_down():
+    ledger = make_ledger(full=False)
+    ledger.observe(REBOOT, 1.0)
+    assert ledger.health.slow_start.dump()["pace"] == 0.5
+
+
+def test_short_ones_go_before_long_ones():
+    ledger = make_ledger()
+    first = grant(ledger, "first", prompt=190, output=810)
+    ledger.request(make_ask("long", prompt=300), 0.0)
+    ledger.request(make_ask("short"), 0.0)
+    ledger.release(first, 0.5, Completed())
+    assert names(ledger.pump(0.5), Granted) == ["short", "long"]
+
+
+@pytest.mark.parametrize("first, prompt", [(850, 40), (500, 200)])
+def test_what_would_fit_does_not_pass_short_ones_that_wait(first, prompt):
+    ledger = make_ledger()
+    grant(ledger, "first", prompt=100, output=first - 100)
+    assert isinstance(ledger.request(make_ask("head", 190, 400), 0.0), Queued)
+    assert isinstance(ledger.request(make_ask("fits", prompt), 0.0), Queued)
