A key that is granted for one prompt can't be granted for another

While a grant was held but not yet submitted, the same key with another body got that very grant; its fingerprint replaced the first one's, so that the second request could attach to the first's answer. Seen failing: Grant a.1 given twice.

--- a/src/sorrelhoist/agent/engine.py
+++ b/src/sorrelhoist/agent/engine.py
@@ -131,10 +131,9 @@
             await responder.send(reply)
 
     def _known(self, request: ttypes.GrantRequest) -> ttypes.Denial | None:
-        run = self.runs.get(request.request_id)
-        if run is None or isinstance(run.outcome, RunFailure) or request.group_id:
+        if request.group_id:
             return None
-        if run.fingerprint != request.fingerprint:
+        if self._is_key_reused(request):
             return ttypes.Denial(
                 kind=KeyReusedError.kind,
                 message="The idempotency key came with another body before.",
@@ -142,8 +141,22 @@
                 not_run=True,
                 retry_after_ms=0,
             )
+        run = self.runs.get(request.request_id)
+        if run is None or isinstance(run.outcome, RunFailure):
+            return None
         return ttypes.Denial(kind="exists", not_run=False, retry_after_ms=0)
 
+    def _is_key_reused(self, request: ttypes.GrantRequest) -> bool:
+        """Tell whether the id is in use for another prompt, running or granted."""
+        run = self.runs.get(request.request_id)
+        if run is not None and not isinstance(run.outcome, RunFailure):
+            return run.fingerprint != request.fingerprint
+        return any(
+            accepted.request.request_id == request.request_id
+            and accepted.request.fingerprint != request.fingerprint
+            for accepted in self._accepted.values()
+        )
+
     def _ask(self, request: ttypes.GrantRequest) -> GrantAsk:
         suspected = request.suspected or self.is_suspected(request.fingerprint)
         return GrantAsk(
