Move running streams when a failure domain's notice ends

Before, a domain taken out at short notice kept its streams until the hosts stopped; they then died and spent the retry budget.

--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -74,6 +74,7 @@
         self.orders: EndpointOrders | None = None
         self._order_hooks: EngineOrderHooks | None = None
         self.is_leaving = False
+        self._move: asyncio.TimerHandle | None = None
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator["Agent"]:
@@ -117,7 +118,7 @@
             on_completed=lambda print_: self.suspicions.completed(print_, self.clock()),
         )
         await guard.monitor.poll()
-        replica.add_listener(lambda configuration: self._configure(ledger))
+        replica.add_listener(lambda configuration: self._configure(guard))
         orders = self._make_orders(guard)
         for work in (guard.run(), self._watch_process(ledger), orders.run()):
             stack.callback(asyncio.create_task(work).cancel)
@@ -143,10 +144,18 @@
         self.orders = orders
         return orders
 
-    def _configure(self, ledger: GrantLedger) -> None:
+    def _configure(self, guard: EngineGuard) -> None:
         configuration = self.process.replica.configuration
-        ledger.set_limits(endpoint_limits(configuration, self.settings))
-        ledger.set_domain_in(self._is_domain_in(configuration))
+        guard.ledger.set_limits(endpoint_limits(configuration, self.settings))
+        is_in = self._is_domain_in(configuration)
+        guard.ledger.set_domain_in(is_in)
+        domain = configuration.failure_domains.get(self.settings.failure_domain)
+        if self._move is not None:
+            self._move.cancel()
+            self._move = None
+        if not is_in and domain is not None and domain.notice_s > 0:
+            loop = asyncio.get_running_loop()
+            self._move = loop.call_later(domain.notice_s, guard.move_runs)
 
     def _is_domain_in(self, configuration: Configuration) -> bool:
         named = self.endpoint.name in configuration.endpoints
--- a/src/sorrelhoist/agent/engine.py
+++ b/src/sorrelhoist/agent/engine.py
@@ -489,12 +489,16 @@
         deadline_s = self.clock() + timeout_s
         while self.runs.live() and self.clock() < deadline_s:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+        self.move_runs()
+        if self._cancels:
+            await asyncio.wait(self._cancels.values())
+
+    def move_runs(self) -> None:
+        """Give running streams back to their entries, which run them elsewhere."""
         moved = RunFailure("moved", "The endpoint is leaving.")
         for run in self.runs.live():
             run.end(moved, self.clock())
             self.cancel_grant(run.grant_id)
-        if self._cancels:
-            await asyncio.wait(self._cancels.values())
 
     def dump(self) -> dict:
         """Return the state as plain data."""
--- a/src/sorrelhoist/decisions/documents.py
+++ b/src/sorrelhoist/decisions/documents.py
@@ -58,13 +58,18 @@
 
 @attrs.frozen
 class FailureDomain(_Named):
-    """Hosts that fail together, in or out of service as a whole."""
+    """Hosts that fail together, in or out of service as a whole.
+
+    With a `notice_s` over 0, streams that still run so long after the domain was
+    taken out are moved to other domains; with 0 they may run to their end.
+    """
 
     kind: ClassVar[str] = "FailureDomain"
 
     name: str
     region: str = ""
     state: Literal["in", "out"] = "in"
+    notice_s: float = attrs.field(default=0, metadata=_at_least(0))
 
 
 @attrs.frozen
