--- a/src/sorrelhoist/decisions/documents.py
+++ b/src/sorrelhoist/decisions/documents.py
@@ -69,7 +69,7 @@
     name: str
     region: str = ""
     state: Literal["in", "out"] = "in"
-    notice_s: float = attrs.field(default=0, metadata=_at_least(0))
+    notice_s: float = attrs.field(default=0.0, metadata=_at_least(0))
 
 
 @attrs.frozen
