--- a/src/sorrelhoist/bench/experiments/lanes.py
+++ b/src/sorrelhoist/bench/experiments/lanes.py
@@ -10,8 +10,8 @@
 import attrs
 import click
 
+from ...decisions.endpoint_limits import EndpointLimits
 from ...decisions.ledger import GrantLedger
-from ...decisions.limits import EndpointLimits
 from .tables import mean, percentile, show
 from .virtual_endpoint import STEP_S, VirtualEngine
 from .virtual_load import Caller, VirtualLoad, poisson
--- a/src/sorrelhoist/decisions/grant_book.py
+++ b/src/sorrelhoist/decisions/grant_book.py
@@ -4,6 +4,7 @@
 from returns.result import Failure, Result, Success
 
 from .denials import denial
+from .endpoint_limits import EndpointLimits
 from .grants import (
     Cancelled,
     Completed,
@@ -16,7 +17,6 @@
 )
 from .holdings import Holding, HoldingState, adopted_holding
 from .leases import LeaseBook
-from .limits import EndpointLimits
 from .room import fits
 
 
--- a/src/sorrelhoist/decisions/leases.py
+++ b/src/sorrelhoist/decisions/leases.py
@@ -7,10 +7,10 @@
 
 from .denials import denial
 from .endpoint_health import EndpointHealth
+from .endpoint_limits import EndpointLimits
 from .foreign_use import ForeignUse
 from .grants import DenialKind, Denied, Expired, GrantAsk, Granted, Lane
 from .holdings import Holding, Holdings, HoldingState, holding_for
-from .limits import EndpointLimits
 from .room import Usage
 from .service_rates import ServiceRates
 
--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -4,8 +4,8 @@
 import logging
 import time
 import uuid
-from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, URLSpec
@@ -14,6 +14,7 @@
 from ..decisions.prompts import PromptProfile, profile_prompt
 from ..decisions.retries import RetryBudget
 from ..decisions.routing import ExpectedFirstToken, Router, RouteRequest
+from ..decisions.suspicion import SuspicionTable
 from ..exceptions import (
     InvalidRequestError,
     PeerError,
@@ -22,6 +23,7 @@
 )
 from ..messages.gen import ttypes
 from ..node.configuration_apply import ConfigurationApplier
+from ..node.gossip import GossipHooks
 from ..node.health import health_routes
 from ..node.metrics import EntryMetrics
 from ..node.peers import Responder
@@ -37,6 +39,7 @@
 from .groups import GroupReserver
 from .http import UnknownPathHandler
 from .leases import LeaseKeeper
+from .limit_reports import LimitKeeper
 from .operators import OperatorServices, operator_handlers
 from .placement import Placer
 from .requests import GenerationRequest
@@ -66,7 +69,12 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.process = NodeProcess(settings, clock=clock)
+        self.suspicions = SuspicionTable()
+        hooks = GossipHooks(
+            suspicions=lambda: self.suspicions.for_gossip(self.clock()),
+            on_suspicions=lambda heard: self.suspicions.merge(heard, self.clock()),
+        )
+        self.process = NodeProcess(settings, hooks, clock)
         self.metrics = EntryMetrics.create(self.process.metrics.meter)
         self.fleet = Fleet(
             self._configuration,
@@ -76,6 +84,10 @@
         )
         self.router = Router(ExpectedFirstToken(), self.process.rng)
         self.retries = RetryBudget()
+        self.limits = LimitKeeper(
+            settings.node_id, self.process.pool, self.process.others, clock
+        )
+        self.process.replica.add_listener(self.limits.configure)
         self.services = ServiceRouter(self.fleet, self.process.pool, clock)
         self.leases = LeaseKeeper(settings.node_id, self.process.pool, settings.lease_s)
         self._tools = self._make_tools()
@@ -95,8 +107,13 @@
             router=self.router,
             seeker=seeker,
             groups=GroupReserver(seeker, caller, self.leases),
-            is_suspected=lambda print_: False,
-            is_condemned=lambda print_: False,
+            is_suspected=lambda print_: self.suspicions.is_suspected(
+                print_, self.clock()
+            ),
+            is_condemned=lambda print_: self.suspicions.is_condemned(
+                print_, self.clock()
+            ),
+            on_death=self._endpoint_died,
             clock=self.clock,
         )
         attempts = AttemptTools(
@@ -114,6 +131,17 @@
             on_retry=lambda: self.metrics.retries.add(1),
         )
 
+    def _endpoint_died(
+        self, endpoint: str, boot_id: str, fingerprint: int, is_sole: bool
+    ) -> None:
+        self.suspicions.endpoint_died(
+            endpoint,
+            boot_id,
+            [fingerprint],
+            self.clock(),
+            running_requests=1 if is_sole else 2,
+        )
+
     # What handlers ask
 
     @property
@@ -224,6 +252,16 @@
             )
         return not service.at_most_once
 
+    @contextmanager
+    def counted(self, workspace: Workspace) -> Iterator[None]:
+        """Count a request as running for as long as the context lasts."""
+        self.metrics.requests.add(1, {"workspace": workspace.name})
+        self.running_requests += 1
+        try:
+            yield
+        finally:
+            self.running_requests -= 1
+
     def request_id_for(self, workspace: Workspace, idempotency_key: str) -> str:
         """Return the id of a repeatable request with a key, the same everywhere."""
         name = f"{workspace.name}\n{idempotency_key}"
@@ -239,12 +277,15 @@
             http = HTTPServer(self._application(), max_body_size=MAX_HTTP_BODY_BYTES)
             http.listen(self.settings.http_port, address=self.settings.address)
             stack.callback(http.stop)
-            stack.callback(asyncio.create_task(self.leases.run()).cancel)
+            for work in (self.leases.run(), self.limits.run()):
+                stack.callback(asyncio.create_task(work).cancel)
             yield self
 
     async def handle(self, body: object, responder: Responder) -> None:
-        """Refuse what only agents answer."""
-        raise PeerError(f"An entry does not answer {type(body).__name__}.")
+        """Answer another entry; refuse what only agents answer."""
+        if not isinstance(body, ttypes.DemandReport):
+            raise PeerError(f"An entry does not answer {type(body).__name__}.")
+        await responder.send(self.limits.hear(body))
 
     def _application(self) -> Application:
         own = {"entry": self}
@@ -292,7 +333,9 @@
             "running_requests": self.running_requests,
             "router": self.router.dump(),
             "leases": self.leases.dump(),
+            "limits": self.limits.limits.dump(),
             "retries": self.retries.dump(),
+            "suspicions": self.suspicions.dump(self.clock()),
         }
 
 
--- a/src/sorrelhoist/entry/generation.py
+++ b/src/sorrelhoist/entry/generation.py
@@ -71,6 +71,11 @@
     def __attrs_post_init__(self) -> None:
         self.assembler = StreamAssembler(self.ask.request.request_id)
 
+    @property
+    def kv_tokens(self) -> int:
+        """Tokens of the prompt and the longest answer."""
+        return self.ask.request.prompt_tokens + self.ask.request.output_tokens
+
     async def events(self) -> AsyncGenerator[Delivery | Finished, None]:
         """Run the request.
 
@@ -97,6 +102,8 @@
                         yield event
                         if isinstance(event, Finished):
                             return
+                if broken is not None:
+                    self.tools.placer.note_death(self.ask, placement, broken.failure)
                 self._spend_retry(broken)
         raise EndpointFailedError("The request failed too often.", retry_after_s=1.0)
 
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -179,11 +179,14 @@
   14: string service_name,          // the plain service behind an agent, or empty
 }
 
+// One death of an endpoint, held against one of the requests that ran on it.
+// The pair of fingerprint and death names it, so hearing it twice counts once.
 struct Suspicion {
   1: i64 fingerprint,
-  2: i32 shared_deaths,
-  3: i32 sole_deaths,
-  4: i64 lifetime_ms,
+  2: i64 death_id,             // of the endpoint's name and boot id
+  3: i32 running_requests,     // distinct fingerprints that ran; 1 means alone
+  4: i64 lifetime_ms,          // what is left of it
+  5: bool cleared,             // the request completed since
 }
 
 // What rides on probes beside membership changes.
@@ -224,6 +227,22 @@
   1: list<Member> members,
 }
 
+// What one workspace asks of one entry.
+struct Demand {
+  1: string workspace,
+  2: double requests_per_s,
+  3: i64 held_tokens,
+}
+
+// From entry to entry; workspaces without demand are left out.
+struct DemandReport {
+  1: string entry_id,
+  2: list<Demand> demands,
+}
+
+struct DemandHeard {
+}
+
 struct Envelope {
   1: i64 call_id,
   2: optional GrantRequest grant_request,
@@ -249,4 +268,6 @@
   22: optional SyncRequest sync_request,
   23: optional SyncReply sync_reply,
   24: optional Queued queued,
+  25: optional DemandReport demand_report,
+  26: optional DemandHeard demand_heard,
 }
--- a/src/sorrelhoist/node/configuration_exchange.py
+++ b/src/sorrelhoist/node/configuration_exchange.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from ..decisions.configuration_followers import choose_followers
 from ..exceptions import PeerError
 from ..messages.gen import ttypes
 from .configuration_body import from_body
@@ -14,8 +15,6 @@
 
 logger = logging.getLogger(__name__)
 
-PEERS_ASKED = 3
-
 
 class ConfigurationExchange:
     """The side of a replica that faces its peers.
@@ -48,6 +47,7 @@
         self._randomness = randomness
         self._clock = clock
         self._pulls: set[asyncio.Task[None]] = set()
+        self._offsets: dict[str, int] = {}
 
     def on_digest(self, member: PeerMember, digest: ttypes.Digest) -> None:
         """React to the digest that a process sent by gossip.
@@ -59,6 +59,7 @@
         digest : Digest
             Of the configuration that it has in force.
         """
+        self._offsets[member.node_id] = digest.configuration_offset
         if digest.configuration_offset > self._state.effective_offset:
             self._start(self._pull_from(member))
             return
@@ -95,12 +96,17 @@
             )
 
     async def ask_peers(self, have_offset: int) -> None:
-        """Ask a few processes, chosen at random."""
-        members = list(self._peers.members())
-        count = min(PEERS_ASKED, len(members))
-        for member in self._randomness.sample(members, count):
+        """Ask a few processes for a configuration newer than an offset."""
+        for member in self._choose_sources():
             await self.pull(member, have_offset)
 
+    async def catch_up(self, wanted_offset: int) -> None:
+        """Ask a few processes, until an offset is in force here."""
+        for member in self._choose_sources():
+            if self._state.effective_offset >= wanted_offset:
+                return
+            await self.pull(member, self._state.effective_offset)
+
     async def push(self, member: PeerMember) -> int:
         """Hand the configuration to a process.
 
@@ -114,7 +120,7 @@
         PeerError
             If it does not answer.
         """
-        return self._acknowledged(await self._call(member, self._state.body()))
+        return await self._confirm(member, self._state.body())
 
     async def probe(self, member: PeerMember) -> int:
         """Ask a process what it has in force; one that is behind catches up.
@@ -131,7 +137,17 @@
         """
         offset = self._state.effective_offset
         request = ttypes.ConfigurationRequest(have_offset=offset)
-        return self._acknowledged(await self._call(member, request))
+        return await self._confirm(member, request)
+
+    def peer_offsets(self) -> dict[str, int]:
+        """Return the effective offsets of live processes, as last heard."""
+        live = {member.node_id for member in self._peers.members()}
+        self._offsets = {
+            node_id: offset
+            for node_id, offset in self._offsets.items()
+            if node_id in live
+        }
+        return dict(self._offsets)
 
     async def close(self) -> None:
         """Stop what runs in the background."""
@@ -140,21 +156,43 @@
             task.cancel()
         await asyncio.gather(*pulls, return_exceptions=True)
 
+    async def _confirm(self, member: PeerMember, body: object) -> int:
+        offset = self._acknowledged(await self._call(member, body))
+        self._offsets[member.node_id] = offset
+        return offset
+
     async def _call(self, member: PeerMember, body: object) -> object:
         return await self._peers.call(member, body, self._options.peer_timeout_s)
 
+    def _choose_sources(self) -> list[PeerMember]:
+        """Choose whom to ask: the own followers hear of changes first."""
+        members = {member.node_id: member for member in self._peers.members()}
+        own_domain = self._options.failure_domain
+        near = [
+            member.node_id
+            for member in members.values()
+            if member.failure_domain == own_domain
+        ]
+        followers = list(choose_followers([self._options.node_id, *near]))
+        self._randomness.shuffle(followers)
+        others = self._randomness.sample(sorted(members), min(len(members), 1))
+        chosen = dict.fromkeys([*followers, *others])
+        return [members[node_id] for node_id in chosen if node_id in members]
+
     def _answer(self, request: ttypes.ConfigurationRequest) -> object:
         offset = self._state.effective_offset
         if offset > request.have_offset:
             return self._state.body()
         if request.have_offset > offset:
-            self._start(self.ask_peers(offset))
+            self._start(self.catch_up(request.have_offset))
         return self._ack()
 
     def _ack(self) -> ttypes.ConfigurationAck:
+        """Say what is in force; one that can't be understood is not."""
+        is_understood = not self._state.problem
         return ttypes.ConfigurationAck(
             node_id=self._options.node_id,
-            effective_offset=self._state.effective_offset,
+            effective_offset=self._state.effective_offset if is_understood else 0,
         )
 
     def _take(self, member: PeerMember, reply: object) -> None:
--- a/tests/agent/claims_world.py
+++ b/tests/agent/claims_world.py
@@ -92,76 +92,20 @@
                 assert self.effects, answer
 
 
-class Agent:
-    """One agent's process: its ports to the log and the service, and a life.
+class LogPort:
+    """One process's client of the log, with planned faults.
 
-    ``faults`` maps a step to the faults of its next uses, in order. Steps are
-    ``claim``, ``void``, ``outcome``, ``read``, ``call`` and ``lookup``.
+    ``faults`` maps a step to the faults of its next uses, in order. Steps are the
+    kinds of records, ``read``, and what subclasses add.
     """
 
-    def __init__(self, world, node_id, faults=(), **traits):
+    is_started = True
+
+    def __init__(self, world, faults=()):
         self.world = world
-        self.node_id = node_id
         self.faults = {step: list(planned) for step, planned in dict(faults).items()}
-        self.attempts = {}
-        self.deadlines_s = {}
         self.steps = []
-        rng = random.Random(f"{node_id}{world.seed}{world.now_s}")
-        self.boot_id = uuid.UUID(int=rng.getrandbits(128)).hex
-        self.calls = ClaimedCalls(
-            self,
-            self,
-            Claimant(node_id, self.boot_id),
-            ServiceTraits(offers_lookup=world.offers_lookup, **traits),
-            rng=rng,
-            clock=lambda: world.now_s,
-            wall_clock=world.wall_s,
-        )
         self.killed = asyncio.Event()
-        self.life = asyncio.get_running_loop().create_task(self._live())
-
-    async def _live(self):
-        async with self.calls.running():
-            await self.killed.wait()
-
-    async def kill(self):
-        self.killed.set()
-        await asyncio.wait({self.life})
-
-    async def attempt_call(self, key, body=b"deposit", budget_s=10.0):
-        """Call; record the answer under an attempt of its own."""
-        attempt = (self.node_id, len(self.world.answers))
-        self.world.answers[attempt] = None
-        self.attempts.setdefault(key, []).append(attempt)
-        self.deadlines_s[attempt] = self.world.now_s + budget_s
-        call = ttypes.ServiceCall(
-            request_id="r",
-            workspace="garden",
-            service_name="bookings",
-            method="POST",
-            path="/deposits",
-            idempotency_key=key,
-            body=body,
-            content_type="text/plain",
-            budget_ms=int(budget_s * 1000),
-        )
-        task = asyncio.get_running_loop().create_task(self.calls.call(call))
-        await asyncio.wait({task, self.life}, return_when="FIRST_COMPLETED")
-        self.attempts[key].remove(attempt)
-        if not task.done() or task.cancelled():
-            task.cancel()
-            return None
-        answer = task.exception() or task.result()
-        self.world.answers[attempt] = answer
-        if getattr(answer, "not_run", False) and not isinstance(answer, UNCLAIMED):
-            assert not self.world.effects_of(key), answer
-        return answer
-
-    async def ready(self):
-        while not self.calls.ready:
-            await asyncio.sleep(0.05)
-
-    # The log's client.
 
     async def append(self, values):
         step = next(
@@ -190,7 +134,7 @@
         return appended
 
     async def read(self, from_offset, limit=500, wait_s=0.0):
-        fault = await self._fault("read") if self.calls.ready else None
+        fault = await self._fault("read") if self.is_started else None
         await asyncio.sleep(LOG_DELAY_S)
         world = self.world
         if world.log_down or fault == "refused":
@@ -217,6 +161,97 @@
         await self._after(fault)
         return LogPage(tuple(page), world.first_offset, len(world.records) + 1)
 
+    async def _fault(self, step):
+        self.steps.append(step)
+        planned = self.faults.get(step)
+        fault = planned.pop(0) if planned else None
+        if fault == "killed_before":
+            await self._die()
+        if fault == "paused":
+            await asyncio.sleep(PAUSE_S)
+        if fault == "slow":
+            await asyncio.sleep(LATE_S)
+        return fault
+
+    async def _after(self, fault):
+        if fault == "killed_after":
+            await self._die()
+        if fault == "paused_after":
+            await asyncio.sleep(PAUSE_S)
+
+    async def _die(self):
+        self.killed.set()
+        await asyncio.sleep(FOREVER_S)
+
+
+class Agent(LogPort):
+    """One agent's process: its ports to the log and the service, and a life.
+
+    Adds the steps ``call`` and ``lookup``.
+    """
+
+    def __init__(self, world, node_id, faults=(), **traits):
+        super().__init__(world, faults)
+        self.node_id = node_id
+        self.attempts = {}
+        self.deadlines_s = {}
+        rng = random.Random(f"{node_id}{world.seed}{world.now_s}")
+        self.boot_id = uuid.UUID(int=rng.getrandbits(128)).hex
+        self.calls = ClaimedCalls(
+            self,
+            self,
+            Claimant(node_id, self.boot_id),
+            ServiceTraits(offers_lookup=world.offers_lookup, **traits),
+            rng=rng,
+            clock=lambda: world.now_s,
+            wall_clock=world.wall_s,
+        )
+        self.life = asyncio.get_running_loop().create_task(self._live())
+
+    @property
+    def is_started(self):
+        return self.calls.ready
+
+    async def _live(self):
+        async with self.calls.running():
+            await self.killed.wait()
+
+    async def kill(self):
+        self.killed.set()
+        await asyncio.wait({self.life})
+
+    async def attempt_call(self, key, body=b"deposit", budget_s=10.0):
+        """Call; record the answer under an attempt of its own."""
+        attempt = (self.node_id, len(self.world.answers))
+        self.world.answers[attempt] = None
+        self.attempts.setdefault(key, []).append(attempt)
+        self.deadlines_s[attempt] = self.world.now_s + budget_s
+        call = ttypes.ServiceCall(
+            request_id="r",
+            workspace="garden",
+            service_name="bookings",
+            method="POST",
+            path="/deposits",
+            idempotency_key=key,
+            body=body,
+            content_type="text/plain",
+            budget_ms=int(budget_s * 1000),
+        )
+        task = asyncio.get_running_loop().create_task(self.calls.call(call))
+        await asyncio.wait({task, self.life}, return_when="FIRST_COMPLETED")
+        self.attempts[key].remove(attempt)
+        if not task.done() or task.cancelled():
+            task.cancel()
+            return None
+        answer = task.exception() or task.result()
+        self.world.answers[attempt] = answer
+        if getattr(answer, "not_run", False) and not isinstance(answer, UNCLAIMED):
+            assert not self.world.effects_of(key), answer
+        return answer
+
+    async def ready(self):
+        await self.calls.wait_ready()
+
     # The plain service's client.
 
     async def call(self, method, path, key, workspace, body, content_type, timeout_s):
@@ -244,28 +279,6 @@
             return PlainReply(200, "text/plain", b"ran deposit")
         return None
 
-    async def _fault(self, step):
-        self.steps.append(step)
-        planned = self.faults.get(step)
-        fault = planned.pop(0) if planned else None
-        if fault == "killed_before":
-            await self._die()
-        if fault == "paused":
-            await asyncio.sleep(PAUSE_S)
-        if fault == "slow":
-            await asyncio.sleep(LATE_S)
-        return fault
-
-    async def _after(self, fault):
-        if fault == "killed_after":
-            await self._die()
-        if fault == "paused_after":
-            await asyncio.sleep(PAUSE_S)
-
-    async def _die(self):
-        self.killed.set()
-        await asyncio.sleep(FOREVER_S)
-
 
 def _kind(value):
     return json.loads(value)["t"]
--- a/tests/node/test_configuration_apply.py
+++ b/tests/node/test_configuration_apply.py
@@ -14,6 +14,7 @@
     LogUnavailableError,
     NotReadyError,
 )
+from sorrelhoist.node.configuration_confirm import ROUND_INTERVAL_S
 from tests.node.configuration_fakes import RETENTION_S, FakeNetwork, domains
 
 FIRST = domains(a="in", b="in", c="in")
@@ -42,6 +43,7 @@
     assert report.verdict.revision == 2
     assert sorted(report.confirmations.confirmed) == ["b-1", "c-1"]
     assert offsets(network) == [2, 2, 2]
+    assert network.replicas["a-1"].peer_offsets() == {"b-1": 2, "c-1": 2}
 
 
 @pytest.mark.parametrize(
@@ -147,10 +149,23 @@
         for domain in "abc":
             network.add(f"{domain}-x{number}")
     network.step()
+    started_at_s = network.loop.time()
     report = network.apply("a-1", SECOND, "second")
     assert report.is_settled
     assert not report.confirmations.missing
     assert set(offsets(network)) == {2}
+    assert network.loop.time() - started_at_s < 1.5 * ROUND_INTERVAL_S
+
+
+def test_answer_does_not_wait_for_a_cut_off_failure_domain(network):
+    for number in range(200):
+        network.add(f"c-x{number}")
+    network.cut.update(name for name in network.replicas if name.startswith("c-"))
+    started_at_s = network.loop.time()
+    report = network.apply("a-1", SECOND, "second")
+    assert report.is_settled
+    assert len(report.confirmations.missing) == 201
+    assert network.loop.time() - started_at_s < 6.0
 
 
 def test_restart_is_the_way_out_of_a_lost_configuration(network):
