--- a/src/sorrelhoist/decisions/membership_reconnect.py
+++ b/src/sorrelhoist/decisions/membership_reconnect.py
@@ -40,9 +40,13 @@
     _current: tuple[str, int] | None = attrs.field(init=False, default=None)
 
     def add_seed(self, seed: Address) -> None:
-        """Add a hint where another process may listen."""
-        if seed != self.store.me.peer_address and len(self.seeds) < MAX_SEEDS:
-            self.seeds[seed] = None
+        """Add a hint where another process may listen; the oldest give way."""
+        if seed == self.store.me.peer_address:
+            return
+        self.seeds.pop(seed, None)
+        self.seeds[seed] = None
+        if len(self.seeds) > MAX_SEEDS:
+            del self.seeds[next(iter(self.seeds))]
 
     def tick(self, now_s: float) -> list[Action]:
         """Probe a dead member and a seed when it is time."""
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -162,6 +162,30 @@
     assert table.get("node-1").is_up
 
 
+def test_death_heard_in_a_sync_is_checked_before_it_is_suspected():
+    table = lone_table()
+    heard(table, 0.0, to_wire(other()), to_wire(other(2)), to_wire(other(3)))
+    table.tick(0.0)
+    dead = to_wire(other(2, state=MemberState.DEAD))
+    table.sync_reply(ttypes.SyncRequest([dead]), 0.1)
+    assert table.get("node-2").state is MemberState.ALIVE
+    probes = [
+        action.body.target_node_id
+        for action in table.tick(1.0)
+        if isinstance(action, SendDatagram) and action.body.sequence
+    ]
+    assert probes == ["node-2"]
+
+
+def test_new_hints_replace_the_oldest():
+    table = lone_table()
+    for number in range(5000):
+        table.add_seed("10.9.0.1", 1000 + number)
+    seeds = table.dump()["seeds"]
+    assert len(seeds) == 4096
+    assert seeds[-1] == "10.9.0.1:5999"
+
+
 def test_pause_of_the_observer_gives_suspects_their_time_back():
     table = lone_table()
     heard(table, 0.0, to_wire(other()))
