--- a/src/sorrelhoist/decisions/admission.py
+++ b/src/sorrelhoist/decisions/admission.py
@@ -12,9 +12,10 @@
 from .lifecycle import Phase
 from .queueing import Waiting, WaitingQueue
 from .retry_after import Backlog, RetryAdvice, retry_after_s
-from .room import Bounds, fits
+from .room import Bounds, fits, fits_long
 from .service_rates import ServiceRates
 
+SHUT_RETRY_AFTER_S = 1.0
 LANE_ORDER = (Lane.SHORT, Lane.LONG, Lane.ALONE)
 ALONE_FIRST = (Lane.ALONE, Lane.SHORT, Lane.LONG)
 
@@ -44,7 +45,7 @@
         """Refuse a request that can't run here in time, else give None."""
         kind = self.health.closed()
         if kind is not None:
-            return denial(ask.request_id, kind)
+            return denial(ask.request_id, kind, retry_after_s=SHUT_RETRY_AFTER_S)
         if ask.kv_tokens > self.health.largest_kv_tokens(lane):
             return denial(ask.request_id, DenialKind.TOO_LARGE)
         best_s = self.rates.best_service_s(ask.prefill_tokens)
@@ -52,8 +53,6 @@
             return denial(ask.request_id, DenialKind.DEADLINE)
         if self._is_full_in_cold_start(ask, lane):
             return self._refused(ask, lane, DenialKind.COLD)
-        if self._is_idle():
-            return None
         expected_s = self.expected_wait_s(lane) + self._service_s(ask)
         if now_s + expected_s > ask.deadline_s:
             return self.overloaded(ask, lane)
@@ -129,17 +128,29 @@
 
     def _bounds_for_waiting(self, now_s: float) -> Bounds:
         bounds = self.bounds()
-        limits = self.health.limits
         if self._alone_is_due(now_s):
             bounds = attrs.evolve(bounds, alone_waits=True)
         if self._is_impatient(Lane.LONG, now_s):
-            bounds = attrs.evolve(
-                bounds,
-                short_requests=limits.short_floor_requests,
-                short_kv_tokens=limits.short_floor_kv_tokens,
-            )
+            bounds = self._hold_short_ones(bounds)
         return bounds
 
+    def _hold_short_ones(self, bounds: Bounds) -> Bounds:
+        # Keep free what the long request needs, but for the floor. While other long
+        # ones take their whole part, nothing of the short ones can help it.
+        first = self.queue.lanes[Lane.LONG].peek()
+        usage = self.holdings.usage()
+        if first is None or not fits_long(first.ask.kv_tokens, usage, bounds):
+            return bounds
+        limits = self.health.limits
+        kv_tokens = min(bounds.kv_tokens, bounds.allowed_tokens)
+        left_requests = bounds.allowed_requests - usage.long_requests - 1
+        left_kv_tokens = kv_tokens - usage.long_kv_tokens - first.ask.kv_tokens
+        return attrs.evolve(
+            bounds,
+            short_requests=max(left_requests, limits.short_floor_requests),
+            short_kv_tokens=max(left_kv_tokens, limits.short_floor_kv_tokens),
+        )
+
     def _alone_is_due(self, now_s: float) -> bool:
         # Others get their patience between two solitary requests.
         return self._is_impatient(Lane.ALONE, now_s, self.alone_ended_s)
@@ -161,11 +172,9 @@
             return False
         return not fits(lane, ask.kv_tokens, self.holdings.usage(), self.bounds())
 
-    def _is_idle(self) -> bool:
-        return not self.holdings and not self.queue
-
     def _service_s(self, ask: GrantAsk) -> float:
         if not self.holdings:
+            # Estimates that nothing renews must not shut an idle endpoint.
             return self.rates.best_service_s(ask.prefill_tokens)
         output_tokens = ask.remaining_output_tokens
         return self.rates.service_s(ask.prefill_tokens, output_tokens)
