--- /dev/null
+++ b/tests/process/conftest.py
@@ -0,0 +1,54 @@
+"""One fleet of real processes for all tests of a run, mended between them."""
+
+import asyncio
+import fcntl
+import tempfile
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from sorrelhoist.bench.fleet import load_documents, running_fleet
+from tests.process.support import mend
+
+CONFIGURATION = Path(__file__).parent / "configuration"
+ENGINE_OPTIONS = (
+    *("--warm-work", "1", "--cold-slow-factor", "1.0"),
+    *("--restart-s", "0.5", "--report-lag-s", "0.1", "--decode-step-s", "0.02"),
+)
+
+
+@contextmanager
+def one_at_a_time():
+    """Start one fleet after the other, so that none takes another's free ports."""
+    path = Path(tempfile.gettempdir()) / "sorrelhoist-fleet.lock"
+    with path.open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
+@pytest.fixture(scope="session")
+def runner():
+    with asyncio.Runner() as runner:
+        yield runner
+
+
+@pytest.fixture(scope="session")
+def shared_fleet(runner):
+    documents = load_documents(CONFIGURATION)
+    context = running_fleet(documents, engine_options=ENGINE_OPTIONS)
+    with one_at_a_time():
+        fleet = runner.run(context.__aenter__())
+    yield fleet
+    runner.run(context.__aexit__(None, None, None))
+
+
+@pytest.fixture
+def run(runner, shared_fleet):
+    """Run a test's coroutine function with the fleet, all of it working."""
+
+    def run(main):
+        runner.run(mend(shared_fleet))
+        runner.run(main(shared_fleet))
+
+    return run
--- /dev/null
+++ b/tests/process/test_services.py
@@ -0,0 +1,120 @@
+"""Calls that must not run twice, while answers and processes are lost."""
+
+import asyncio
+import json
+
+import pytest
+import uuid6
+
+from sorrelhoist.bench.fleet import caller_headers, fetch
+from tests.process.support import PATIENCE_S, WORKSPACE, bookings, strike, until
+
+pytestmark = pytest.mark.process
+AGENT = "agent-praha-b-bookings-1"
+RAN = 200
+UNKNOWN = "outcome_unknown"
+
+
+async def deposit(entry, key):
+    headers = {"Idempotency-Key": key, "X-Request-Timeout-S": "60"}
+    return await fetch(
+        f"{entry.url}/v1/services/bookings/deposits",
+        "POST",
+        {"amount_czk": 500},
+        caller_headers(WORKSPACE) | headers,
+        PATIENCE_S,
+    )
+
+
+async def effects(fleet, key):
+    answer = await fetch(f"{bookings(fleet).url}/effects")
+    return json.loads(answer.body).get(key, 0)
+
+
+def outcome(answer):
+    """Return what an answer says of the call: that it ran, or an error's kind."""
+    return RAN if answer.code == 200 else json.loads(answer.body)["error"]["kind"]
+
+
+def not_run(answer):
+    return bool(json.loads(answer.body).get("error", {}).get("not_run"))
+
+
+def test_a_lost_answer_is_not_repeated(run):
+    async def main(fleet):
+        key = str(uuid6.uuid7())
+        await strike(bookings(fleet), lose_answer_count=1)
+        first = await deposit(fleet.entries()[0], key)
+        assert (outcome(first), not_run(first)) == (UNKNOWN, False), first.body
+        for entry in fleet.entries():
+            again = await deposit(entry, key)
+            assert (outcome(again), not_run(again)) == (UNKNOWN, False), again.body
+        assert await effects(fleet, key) == 1
+
+    run(main)
+
+
+@pytest.mark.parametrize("fault", ["die_before_effect", "die_after_effect"])
+def test_a_service_that_dies_is_not_called_twice(run, fault):
+    async def main(fleet):
+        key = str(uuid6.uuid7())
+        await strike(bookings(fleet), **{fault: True})
+        answers = [await deposit(fleet.entries()[0], key)]
+        await until(lambda: lives(fleet))
+        answers += [await deposit(entry, key) for entry in fleet.entries()]
+        count = await effects(fleet, key)
+        assert count == (fault == "die_after_effect")
+        for answer in answers:
+            assert outcome(answer) == UNKNOWN, answer.body
+            assert not not_run(answer)
+
+    run(main)
+
+
+async def lives(fleet):
+    try:
+        return (await fetch(f"{bookings(fleet).url}/status")).code == 200
+    except OSError:
+        return False
+
+
+def test_an_agent_killed_at_its_call_leaves_one_effect(run):
+    async def main(fleet):
+        key = str(uuid6.uuid7())
+        await strike(bookings(fleet), delay_s=2.0)
+        first = asyncio.ensure_future(deposit(fleet.entries()[0], key))
+        # The effect comes 2 s after the service got the call, agent or not.
+        await until(lambda: was_claimed(fleet, key))
+        fleet.child(AGENT).kill()
+        await fleet.restart_role(AGENT)
+        answer = await first
+        assert not (not_run(answer) and await effects(fleet, key)), answer.body
+        await fleet.wait_ready([AGENT])
+        await strike(bookings(fleet), delay_s=0)
+        again = [await deposit(entry, key) for entry in fleet.entries()]
+        assert len({outcome(one) for one in again}) == 1, again
+        count = await effects(fleet, key)
+        assert count <= 1
+        assert outcome(again[0]) in {UNKNOWN, RAN}, again[0].body
+        assert outcome(again[0]) == UNKNOWN or count == 1
+
+    run(main)
+
+
+async def was_claimed(fleet, key):
+    url = f"{fleet.child('platform').url}/v1/logs/claims.bookings/records?from=1"
+    answer = await fetch(f"{url}&limit=100000&wait_s=0")
+    return key in answer.body.decode()
+
+
+def test_one_key_through_both_entries_at_once_has_one_effect(run):
+    async def main(fleet):
+        key = str(uuid6.uuid7())
+        await strike(bookings(fleet), delay_s=0.2)
+        calls = [deposit(fleet.entries()[n % 2], key) for n in range(6)]
+        answers = await asyncio.gather(*calls)
+        assert [outcome(one) for one in answers] == [RAN] * 6, answers
+        assert len({one.body for one in answers}) == 1
+        assert await effects(fleet, key) == 1
+
+    run(main)
