--- a/src/sorrelhoist/decisions/routing.py
+++ b/src/sorrelhoist/decisions/routing.py
@@ -333,7 +333,7 @@
         work_tokens = float(request.prompt_tokens)
         if has_prefix:
             work_tokens *= CACHED_PART
-        rate = float(DEFAULT_PREFILL_TOKENS_PER_S)
+        rate = self._usual_rate or float(DEFAULT_PREFILL_TOKENS_PER_S)
         waiting_s = 0.0
         seen = self._seen.get(target.endpoint)
         if seen is not None:
