Few processes read the host list often and tell the hosts that leave

Cause: every process read the platform's list each 2 s, 830 reads a second at 1,660 processes. Now the followers of each failure domain do, and the others read it the less often the larger the fleet is (33 s at 1,660). Idle engines are asked for their status each second instead of four times. Dead members keep their models until the membership forgets them; registrations of processes known to be gone no longer stop orders.

--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -138,6 +138,7 @@
             OrderHooks(hooks.desired, hooks.has_turn, hooks.drained),
             clock=self.clock,
             rng=self.process.rng,
+            is_gone=lambda other: self.process.is_gone(other.node_id, other.boot_id),
         )
         guard.monitor.on_loaded = hooks.announce
         self._order_hooks = hooks
--- a/src/sorrelhoist/agent/monitor.py
+++ b/src/sorrelhoist/agent/monitor.py
@@ -16,6 +16,8 @@
 logger = logging.getLogger(__name__)
 
 POLL_INTERVAL_S = 0.25
+# With no stream on the engine its death can wait a little.
+IDLE_POLL_INTERVAL_S = 1.0
 # An engine that answers nothing for this long counts as dead.
 DEAD_AFTER_S = 3.0
 RECHECK_INTERVAL_S = 0.05
@@ -85,7 +87,8 @@
         self._answered_s = self.clock()
         while True:
             await self.poll()
-            await asyncio.sleep(POLL_INTERVAL_S)
+            is_idle = not len(self.ledger.holdings)
+            await asyncio.sleep(IDLE_POLL_INTERVAL_S if is_idle else POLL_INTERVAL_S)
 
     async def poll(self) -> bool:
         """Ask the engine once.
--- a/src/sorrelhoist/agent/order_hooks.py
+++ b/src/sorrelhoist/agent/order_hooks.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..decisions.configuration_set import Configuration
+from ..decisions.membership_records import MemberState
 from ..decisions.orders_placement import Desired, desired_for, has_turn
 from ..node.process import NodeProcess
 from .engine import EngineGuard
@@ -48,7 +49,16 @@
         return self.process.replica.configuration
 
     def _live(self) -> set[str]:
-        return {member.endpoint for member in self.process.members() if member.endpoint}
+        """Return the endpoints that models are placed on.
+
+        The dead count until the membership forgets them: a short absence must
+        not move models between endpoints.
+        """
+        return {
+            member.endpoint
+            for member in self.process.all_members()
+            if member.endpoint and member.state is not MemberState.LEFT
+        }
 
     def desired(self) -> Desired | None:
         """Return what the endpoint should be."""
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3376,6 +3376,124 @@
         return not (self == other)
 
 
+class HostLeaving(object):
+    """
+    Attributes:
+     - host
+
+    """
+
+    __slots__ = (
+        'host',
+    )
+
+
+    def __init__(self, host=None,):
+        self.host = host
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostLeaving')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostLeavingHeard(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostLeavingHeard')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -3405,6 +3523,8 @@
      - queued
      - demand_report
      - demand_heard
+     - host_leaving
+     - host_leaving_heard
 
     """
 
@@ -3435,10 +3555,12 @@
         'queued',
         'demand_report',
         'demand_heard',
+        'host_leaving',
+        'host_leaving_heard',
     )
 
 
-    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None,):
+    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None,):
         self.call_id = call_id
         self.grant_request = grant_request
         self.grant = grant
@@ -3465,6 +3587,8 @@
         self.queued = queued
         self.demand_report = demand_report
         self.demand_heard = demand_heard
+        self.host_leaving = host_leaving
+        self.host_leaving_heard = host_leaving_heard
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3630,6 +3754,18 @@
                     self.demand_heard.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRUCT:
+                    self.host_leaving = HostLeaving()
+                    self.host_leaving.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRUCT:
+                    self.host_leaving_heard = HostLeavingHeard()
+                    self.host_leaving_heard.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3744,6 +3880,14 @@
             oprot.writeFieldBegin('demand_heard', TType.STRUCT, 26)
             self.demand_heard.write(oprot)
             oprot.writeFieldEnd()
+        if self.host_leaving is not None:
+            oprot.writeFieldBegin('host_leaving', TType.STRUCT, 27)
+            self.host_leaving.write(oprot)
+            oprot.writeFieldEnd()
+        if self.host_leaving_heard is not None:
+            oprot.writeFieldBegin('host_leaving_heard', TType.STRUCT, 28)
+            self.host_leaving_heard.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4016,6 +4160,14 @@
 all_structs.append(DemandHeard)
 DemandHeard.thrift_spec = (
 )
+all_structs.append(HostLeaving)
+HostLeaving.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+)
+all_structs.append(HostLeavingHeard)
+HostLeavingHeard.thrift_spec = (
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -4045,6 +4197,8 @@
     (24, TType.STRUCT, 'queued', [Queued, None], None, ),  # 24
     (25, TType.STRUCT, 'demand_report', [DemandReport, None], None, ),  # 25
     (26, TType.STRUCT, 'demand_heard', [DemandHeard, None], None, ),  # 26
+    (27, TType.STRUCT, 'host_leaving', [HostLeaving, None], None, ),  # 27
+    (28, TType.STRUCT, 'host_leaving_heard', [HostLeavingHeard, None], None, ),  # 28
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -243,6 +243,14 @@
 struct DemandHeard {
 }
 
+// The platform lists the receiver's host as leaving.
+struct HostLeaving {
+  1: string host,
+}
+
+struct HostLeavingHeard {
+}
+
 struct Envelope {
   1: i64 call_id,
   2: optional GrantRequest grant_request,
@@ -270,4 +278,6 @@
   24: optional Queued queued,
   25: optional DemandReport demand_report,
   26: optional DemandHeard demand_heard,
+  27: optional HostLeaving host_leaving,
+  28: optional HostLeavingHeard host_leaving_heard,
 }
--- a/src/sorrelhoist/node/process.py
+++ b/src/sorrelhoist/node/process.py
@@ -1,6 +1,7 @@
 """One process of the system: what both roles run."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
@@ -14,7 +15,7 @@
 from ..clients.hosts import HostList
 from ..clients.log import LogClient
 from ..decisions.membership_records import Address, Member
-from ..exceptions import PlatformError, SorrelhoistError
+from ..exceptions import PeerError, PlatformError, SorrelhoistError
 from ..messages.gen import ttypes
 from ..settings import Settings
 from .configuration import ConfigurationReplica
@@ -26,6 +27,7 @@
 logger = logging.getLogger(__name__)
 
 HOST_POLL_INTERVAL_S = 2.0
+HOST_POLL_INTERVAL_PER_MEMBER_S = 0.02
 HOST_STATE_LEAVING = "leaving"
 CONFIGURATION_TOPIC = "configuration"
 
@@ -88,6 +90,7 @@
             ReplicaOptions(
                 settings.node_id,
                 settings.failure_domain,
+                log_retention_s=settings.log_retention_s,
                 stale_after_s=settings.configuration_stale_after_s,
             ),
             LogClient(settings.platform_url, CONFIGURATION_TOPIC),
@@ -114,6 +117,19 @@
         """Return all processes that are known, also those that left or died."""
         return () if self._gossip is None else self._gossip.table.members()
 
+    def is_gone(self, node_id: str, boot_id: str) -> bool:
+        """Tell whether a process is known to have died or left.
+
+        Parameters
+        ----------
+        node_id, boot_id : str
+            Of that one start of it; nothing is known of another.
+        """
+        member = self.gossip.table.get(node_id)
+        if member is None or member.boot_id != boot_id:
+            return False
+        return not member.is_up
+
     def others(self) -> list[Member]:
         """Return all processes that are up, but this one."""
         own = self.settings.node_id
@@ -186,6 +202,9 @@
         match body:
             case ttypes.SyncRequest():
                 await responder.send(self.gossip.handle_sync(body))
+            case ttypes.HostLeaving(host=host):
+                self.leaving_hosts |= {host}
+                await responder.send(ttypes.HostLeavingHeard())
             case ttypes.ConfigurationRequest() | ttypes.ConfigurationBody():
                 await responder.send(self.replica.handle(body))
             case _:
@@ -198,16 +217,42 @@
                 await self._read_hosts()
             except (PlatformError, SorrelhoistError) as error:
                 logger.debug("host list not read", extra={"error": error.message})
-            await asyncio.sleep(HOST_POLL_INTERVAL_S)
+            await asyncio.sleep(self._host_poll_interval_s())
+
+    def _host_poll_interval_s(self) -> float:
+        """Return the time between two reads of the host list, in seconds.
+
+        A few processes of each failure domain read it often and tell the others;
+        the reads of all together stay few however large the fleet is.
+        """
+        if self.replica.is_follower():
+            return HOST_POLL_INTERVAL_S
+        slow_s = len(self.members()) * HOST_POLL_INTERVAL_PER_MEMBER_S
+        return max(HOST_POLL_INTERVAL_S, slow_s)
 
     async def _read_hosts(self) -> None:
         hosts = await self._hosts.fetch()
         leaving = {host.host for host in hosts if host.state == HOST_STATE_LEAVING}
+        fresh = leaving - self.leaving_hosts
         self.leaving_hosts = frozenset(leaving)
+        if fresh and self.replica.is_follower():
+            await self._tell_leaving(fresh)
         self.gossip.table.mark_platform_leaving(leaving)
         for host in hosts:
             self.gossip.table.add_seed(host.address, host.peer_port)
 
+    async def _tell_leaving(self, hosts: set[str]) -> None:
+        """Tell the processes on leaving hosts, which may read the list late."""
+        told = [self._tell(member) for member in self.others() if member.host in hosts]
+        await asyncio.gather(*told)
+
+    async def _tell(self, member: Member) -> None:
+        body = ttypes.HostLeaving(host=member.host)
+        with contextlib.suppress(PeerError):
+            await self._call(
+                member.address, member.peer_port, body, HOST_POLL_INTERVAL_S
+            )
+
     def dump(self) -> dict:
         """Return the state as plain data."""
         return {
--- a/src/sorrelhoist/settings.py
+++ b/src/sorrelhoist/settings.py
@@ -67,6 +67,8 @@
     configuration_stale_after_s : float
         An agent that has heard neither from the log nor from peers for this
         long grants nothing new.
+    log_retention_s : float
+        How long the platform's log keeps a record, at least.
     lease_s, lease_grace_s : float
         Lease of a grant, and how long another entry may attach after it.
     drain_timeout_s : float
@@ -96,7 +98,8 @@
         validator=validators.deep_iterable(validators.matches_re(r"[0-9a-f]{64}")),
     )
     endpoint: EndpointSettings | None = None
-    configuration_stale_after_s: float = attrs.field(default=120.0, validator=_POSITIVE)
+    configuration_stale_after_s: float = attrs.field(default=60.0, validator=_POSITIVE)
+    log_retention_s: float = attrs.field(default=3600.0, validator=_POSITIVE)
     lease_s: float = attrs.field(default=3.0, validator=_POSITIVE)
     lease_grace_s: float = attrs.field(default=5.0, validator=_POSITIVE)
     drain_timeout_s: float = attrs.field(default=600.0, validator=_POSITIVE)
