A request goes elsewhere after an endpoint failed it

Before, a suspect could be sent back to the endpoint where it died, so that one bad endpoint could condemn an innocent request.

--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -114,6 +114,7 @@
                 print_, self.clock()
             ),
             on_death=self._endpoint_died,
+            on_completed=lambda print_: self.suspicions.completed(print_, self.clock()),
             clock=self.clock,
         )
         attempts = AttemptTools(
--- a/src/sorrelhoist/entry/generation.py
+++ b/src/sorrelhoist/entry/generation.py
@@ -101,9 +101,10 @@
                             break
                         yield event
                         if isinstance(event, Finished):
+                            self.tools.placer.completed(self.ask)
                             return
                 if broken is not None:
-                    self.tools.placer.note_death(self.ask, placement, broken.failure)
+                    self.tools.placer.note_failure(self.ask, placement, broken.failure)
                 self._spend_retry(broken)
         raise EndpointFailedError("The request failed too often.", retry_after_s=1.0)
 
--- a/src/sorrelhoist/entry/grants.py
+++ b/src/sorrelhoist/entry/grants.py
@@ -68,11 +68,14 @@
     request : GrantRequest
         Its budget is set at each attempt.
     deadline_s : float
+    failed_endpoints : set of str
+        Those that failed the request before; filled in as it runs.
     """
 
     route: RouteRequest
     request: ttypes.GrantRequest
     deadline_s: float
+    failed_endpoints: set[str] = attrs.field(factory=set)
 
 
 @attrs.define
--- a/src/sorrelhoist/entry/placement.py
+++ b/src/sorrelhoist/entry/placement.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..decisions.routing import Router
+from ..decisions.routing import Router, Target
 from ..exceptions import RequestSuspectedError
 from ..messages.gen import ttypes
 from .fleet import Fleet
@@ -30,6 +30,8 @@
         not run at all.
     on_death : callable
         ``on_death(endpoint, boot_id, fingerprint, is_sole)``.
+    on_completed : callable
+        ``on_completed(fingerprint)``.
     clock : callable
         Monotonic seconds.
     """
@@ -41,6 +43,7 @@
     is_suspected: Callable[[int], bool]
     is_condemned: Callable[[int], bool]
     on_death: Callable[[str, str, int, bool], None]
+    on_completed: Callable[[int], None]
     clock: Callable[[], float]
 
     async def place(self, ask: Ask) -> Placement:
@@ -67,11 +70,16 @@
                 "Endpoints died while they ran this request alone."
             )
         ask.request.suspected = self.is_suspected(fingerprint)
-        targets = self.fleet.targets(ask.request.model)
+        targets = self._untried(ask, self.fleet.targets(ask.request.model))
         if needs_group(self._kv_tokens(ask), targets):
             return await self.groups.reserve(ask, targets)
         return await self.seeker.seek(ask, targets)
 
+    def _untried(self, ask: Ask, targets: list[Target]) -> list[Target]:
+        """Leave out the endpoints that failed the request, while there are others."""
+        untried = [t for t in targets if t.endpoint not in ask.failed_endpoints]
+        return untried or targets
+
     def _kv_tokens(self, ask: Ask) -> int:
         return ask.request.prompt_tokens + ask.request.output_tokens
 
@@ -80,10 +88,12 @@
         if load is not None:
             self.router.observe(load, self.clock())
 
-    def note_death(
+    def note_failure(
         self, ask: Ask, placement: Placement, failure: ttypes.StreamFailure | None
     ) -> None:
-        """Hold an endpoint's death against the request that ran on it."""
+        """Go elsewhere next; hold an endpoint's death against the request."""
+        if isinstance(placement, HeldGrant):
+            ask.failed_endpoints.add(placement.target.endpoint)
         if failure is None or not failure.endpoint_died:
             return
         if isinstance(placement, HeldGrant):
@@ -94,6 +104,10 @@
                 bool(failure.sole_request),
             )
 
+    def completed(self, ask: Ask) -> None:
+        """Clear a request that ran to its end."""
+        self.on_completed(ask.request.fingerprint)
+
     @contextmanager
     def running(self, ask: Ask) -> Iterator[None]:
         """Count a long request for as long as the context lasts."""
--- a/src/sorrelhoist/node/process.py
+++ b/src/sorrelhoist/node/process.py
@@ -238,8 +238,9 @@
         if fresh and self.replica.is_follower():
             await self._tell_leaving(fresh)
         self.gossip.table.mark_platform_leaving(leaving)
-        for host in hosts:
-            self.gossip.table.add_seed(host.address, host.peer_port)
+        seeds = [parse_address(seed) for seed in self.settings.seeds]
+        seeds += [Address(host.address, host.peer_port) for host in hosts]
+        self.gossip.table.set_seeds(seeds)
 
     async def _tell_leaving(self, hosts: set[str]) -> None:
         """Tell the processes on leaving hosts, which may read the list late."""
--- a/tests/entry/test_generation.py
+++ b/tests/entry/test_generation.py
@@ -77,7 +77,7 @@
     def make(places, attempts, **more):
         script = Script(places, attempts, **more)
         monkeypatch.setattr(Placer, "place", lambda _, ask: script.place(ask))
-        monkeypatch.setattr(Placer, "note_death", lambda _, *death: None)
+        monkeypatch.setattr(Placer, "note_failure", lambda _, *failure: None)
         own = lambda generation, placement: start(script, generation)  # noqa: E731
         monkeypatch.setattr(Generation, "_attempt", own)
         return script
