--- a/tests/entry/test_generation.py
+++ b/tests/entry/test_generation.py
@@ -60,7 +60,7 @@
     def run(self, timeout_s=60.0):
         async def main():
             clock = asyncio.get_running_loop().time
-            placer = Placer(None, None, None, None, None, None, None, clock)
+            placer = Placer(*[None] * 8, clock)
             retries = RetryBudget(floor_per_s=0.0, ratio=0.0)
             retries._balance = self.balance
             tools = GenerationTools(placer, None, retries, clock, lambda: None)
@@ -78,6 +78,7 @@
         script = Script(places, attempts, **more)
         monkeypatch.setattr(Placer, "place", lambda _, ask: script.place(ask))
         monkeypatch.setattr(Placer, "note_failure", lambda _, *failure: None)
+        monkeypatch.setattr(Placer, "completed", lambda _, ask: None)
         own = lambda generation, placement: start(script, generation)  # noqa: E731
         monkeypatch.setattr(Generation, "_attempt", own)
         return script
