--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -193,6 +193,22 @@
         await self.ended()
         return self.text() == self.expected()
 
+    def is_refused(self):
+        """Tell whether the answer is that nothing ran, and to come back."""
+        if not self.data.startswith(b'{"error"'):
+            return False
+        error = json.loads(self.data)["error"]
+        return error.get("not_run") is True and "retry_after_s" in error
+
+    async def must_be_served(self):
+        """Come back as long as nothing ran; then the answer must be whole."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not await self.is_whole() and self.is_refused():
+                await asyncio.sleep(POLL_INTERVAL_S)
+                self.data.clear()
+                self.start()
+        await self.must_be_whole()
+
     async def must_be_whole(self):
         assert await self.is_whole(), bytes(self.data[-600:])
 
