--- a/tests/process/test_services.py
+++ b/tests/process/test_services.py
@@ -103,7 +103,7 @@
         ]
         assert len({outcome(one) for one in again}) == 1, again
         count = await effects(fleet, key)
-        assert count <= 1
+        assert count <= 1, [answer.body, *(one.body for one in again)]
         assert outcome(again[0]) in {UNKNOWN, RAN}, again[0].body
         assert outcome(again[0]) == UNKNOWN or count == 1
 
