An agent of a plain service waits for its endpoint's document

An agent that opened before the first configuration was applied claimed its calls in the topic claims.ENDPOINT; started again it claimed in claims.SERVICE, did not see its own earlier claims and called the service a second time for one key.

--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -134,6 +134,9 @@
             await asyncio.sleep(STALE_CHECK_INTERVAL_S)
 
     async def _guard_service(self, stack: AsyncExitStack) -> None:
+        # All agents of a service must claim in the one topic of its name.
+        while self.endpoint.name not in self.process.replica.configuration.endpoints:
+            await asyncio.sleep(STALE_CHECK_INTERVAL_S / 10)
         service_name = self._service_name()
         service = self.process.replica.configuration.services.get(service_name)
         calls = ClaimedCalls(
@@ -151,8 +154,7 @@
 
     def _service_name(self) -> str:
         configuration = self.process.replica.configuration
-        endpoint = configuration.endpoints.get(self.endpoint.name)
-        return endpoint.service if endpoint else self.endpoint.name
+        return configuration.endpoints[self.endpoint.name].service
 
     def _closed(self) -> SorrelhoistError | None:
         """Return why no new work is taken, or None."""
