--- a/src/sorrelhoist/bench/commands.py
+++ b/src/sorrelhoist/bench/commands.py
@@ -218,6 +218,7 @@
         click.echo(
             f"{loop.callers} callers, {loop.requests} requests of"
             f" {loop.output_tokens} tokens: {loop.whole} whole,"
+            f" {loop.refused} refused, {loop.lost} lost,"
             f" {loop.requests_per_s:.0f} requests/s, {loop.tokens_per_s:.0f} tokens/s;"
             f" processor time a request: {times}"
         )
