--- /dev/null
+++ b/tests/bench/test_control.py
@@ -0,0 +1,50 @@
+import pytest
+import yaml
+
+from sorrelhoist.bench.commands import fitted, longest_group_tokens
+from sorrelhoist.bench.control import ControlCost, RoleCost, slope, slopes
+from sorrelhoist.bench.control_fleet import alive_in, documents_for
+from sorrelhoist.bench.load_phases import LoadShape
+from sorrelhoist.decisions.configuration_parsing import SourceText, parse_texts
+
+
+@pytest.mark.parametrize("agents", [1, 7])
+def test_the_documents_hold_one_endpoint_for_each_agent(agents):
+    documents = documents_for(agents)
+    endpoints = [d for d in documents if d["kind"] == "Endpoint"]
+    assert len({d["name"] for d in endpoints}) == agents
+    text = yaml.safe_dump_all(documents)
+    parse_texts([SourceText("all.yaml", text)]).unwrap()
+
+
+def test_slopes_of_a_known_line():
+    costs = [
+        ControlCost(
+            n,
+            0.0,
+            [RoleCost(r, n, 0.1 + 0.01 * n, 0, 50.0, 0, 2.0 * n, 0, 0) for r in "ea"],
+            0.1,
+            0.1,
+        )
+        for n in (10, 20, 40)
+    ]
+    found = slopes(costs)
+    assert found["entry cpu_percent"].at(100) == pytest.approx(1.1)
+    assert found["agent udp_bytes_per_s"].per_member == pytest.approx(2.0)
+    assert found["agent resident_mib"].per_member == pytest.approx(0.0)
+    assert slope([]).at(5) == 0.0
+
+
+def test_only_live_members_count():
+    members = [{"state": "alive"}, {"state": "dead"}, {"state": "alive"}]
+    assert alive_in({"process": {"membership": {"members": members}}}) == 2
+
+
+def test_the_load_fits_the_fleet():
+    documents = documents_for(6)
+    assert longest_group_tokens(documents) == int(2 * 450_000 * 0.75) - 100
+    shape = fitted(documents, LoadShape(1, 0.0, 9.0, 1_000_000, 9))
+    assert shape.longest_tokens == longest_group_tokens(documents)
+    assert 1.0 < shape.requests_per_s < 20.0
+    given = fitted(documents, LoadShape(1, 3.0, 9.0, 50_000, 9))
+    assert (given.requests_per_s, given.longest_tokens) == (3.0, 50_000)
