Status: alarms for suspected requests, unknown outcomes, refusals, contested and misplaced endpoints

An entry knew of these but did not say so; an endpoint that was taken out while cold raised endpoint_cold for ever, and an empty log counted as healthy. Members carry their configuration_offset.

--- a/src/sorrelhoist/commands/operator_text.py
+++ b/src/sorrelhoist/commands/operator_text.py
@@ -77,12 +77,8 @@
     str
     """
     alarms = status.get("alarms", [])
-    yield "healthy" if is_healthy(status) else f"NOT healthy: {len(alarms)} alarms"
-    for alarm in alarms[:MAX_LISTED]:
-        yield f"  {alarm.get('kind')}: {alarm.get('message')}"
-        yield f"    remedy: {alarm.get('remedy')}"
-    if len(alarms) > MAX_LISTED:
-        yield f"  ... and {len(alarms) - MAX_LISTED} more"
+    yield "healthy" if is_healthy(status) else f"NOT healthy: {_counted(alarms)}"
+    yield from _alarm_lines(alarms)
     yield from _configuration_lines(status.get("configuration", {}))
     yield from _domain_lines(status)
     yield from _behind_lines(status)
@@ -93,6 +89,23 @@
     return bool(status.get("is_healthy")) and not status.get("alarms")
 
 
+def _counted(alarms: Sequence[Mapping[str, Any]]) -> str:
+    return "1 alarm" if len(alarms) == 1 else f"{len(alarms)} alarms"
+
+
+def _alarm_lines(alarms: Sequence[Mapping[str, Any]]) -> Iterator[str]:
+    """List a few alarms of each kind, so that no kind hides another."""
+    by_kind: dict[str, list[Mapping[str, Any]]] = defaultdict(list)
+    for alarm in alarms:
+        by_kind[str(alarm.get("kind"))].append(alarm)
+    for kind, same in by_kind.items():
+        for alarm in same[:MAX_LISTED]:
+            yield f"  {kind}: {alarm.get('message')}"
+            yield f"    remedy: {alarm.get('remedy')}"
+        if len(same) > MAX_LISTED:
+            yield f"  {kind}: ... and {len(same) - MAX_LISTED} more"
+
+
 def _configuration_lines(configuration: Mapping[str, Any]) -> Iterator[str]:
     revision = configuration.get("revision")
     offset = configuration.get("effective_offset")
--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -42,6 +42,7 @@
 from .limit_reports import LimitKeeper
 from .operators import OperatorServices, operator_handlers
 from .placement import Placer
+from .refusals import RecentRefusals
 from .requests import GenerationRequest
 from .service_calls import ServiceHandler
 from .services import ServiceRouter
@@ -84,6 +85,7 @@
         )
         self.router = Router(ExpectedFirstToken(), self.process.rng)
         self.retries = RetryBudget()
+        self.recent = RecentRefusals()
         self.limits = LimitKeeper(
             settings.node_id, self.process.pool, self.process.others, clock
         )
@@ -256,12 +258,18 @@
     def counted(self, workspace: Workspace) -> Iterator[None]:
         """Count a request as running for as long as the context lasts."""
         self.metrics.requests.add(1, {"workspace": workspace.name})
+        self.recent.requested(self.clock())
         self.running_requests += 1
         try:
             yield
         finally:
             self.running_requests -= 1
 
+    def count_refusal(self, kind: str) -> None:
+        """Count a request that is answered with an error."""
+        self.metrics.refusals.add(1, {"kind": kind})
+        self.recent.refused(kind, self.clock())
+
     def request_id_for(self, workspace: Workspace, idempotency_key: str) -> str:
         """Return the id of a repeatable request with a key, the same everywhere."""
         name = f"{workspace.name}\n{idempotency_key}"
@@ -312,7 +320,9 @@
             replica=replica,
             applier=ConfigurationApplier(replica),
             key_sha256=self.settings.operator_key_sha256,
-            status=lambda: system_status(self.process, self.router),
+            status=lambda: system_status(
+                self.process, self.router, self.suspicions, self.recent
+            ),
             dump=self.dump,
         )
         return operator_handlers(services)
--- a/src/sorrelhoist/entry/http.py
+++ b/src/sorrelhoist/entry/http.py
@@ -132,7 +132,7 @@
             self.set_header("Retry-After", str(max(1, math.ceil(error.retry_after_s))))
         if close:
             self.set_header("Connection", "close")
-        self.entry.metrics.refusals.add(1, {"kind": error.kind})
+        self.entry.count_refusal(error.kind)
         self.finish(error_body(error, self.request_id))
 
     async def guard(self, run: Callable[[], Awaitable[None]]) -> None:
@@ -171,7 +171,7 @@
         if not self._headers_written:
             self.refuse(error)
             return
-        self.entry.metrics.refusals.add(1, {"kind": error.kind})
+        self.entry.count_refusal(error.kind)
         self.finish(f"event: error\ndata: {error_body(error, self.request_id)}\n\n")
 
 
--- a/src/sorrelhoist/entry/status.py
+++ b/src/sorrelhoist/entry/status.py
@@ -1,24 +1,39 @@
 """Is the system healthy, and if not, what is the remedy."""
 
-from collections import Counter
-from collections.abc import Iterable
+from collections import Counter, defaultdict
+from collections.abc import Mapping, Sequence
 
 import attrs
 
-from ..decisions.configuration_alarms import Alarm
 from ..decisions.configuration_set import Configuration
 from ..decisions.membership_records import Member
 from ..decisions.routing import Router
+from ..decisions.suspicion import SuspicionTable
 from ..node.process import NodeProcess
-
-
-def system_status(process: NodeProcess, router: Router) -> dict:
+from .refusals import RecentRefusals
+from .status_alarms import (
+    configuration_alarms,
+    endpoint_alarms,
+    phase_alarms,
+    refusal_alarms,
+    suspicion_alarms,
+)
+
+
+def system_status(
+    process: NodeProcess,
+    router: Router,
+    suspicions: SuspicionTable,
+    refusals: RecentRefusals,
+) -> dict:
     """Return the state of the system as one entry sees it.
 
     Parameters
     ----------
     process : NodeProcess
     router : Router
+    suspicions : SuspicionTable
+    refusals : RecentRefusals
 
     Returns
     -------
@@ -27,75 +42,54 @@
     """
     replica = process.replica
     members = process.gossip.table.members()
-    alarms = list(_alarms(process, members, router))
+    now_s = process.clock()
+    configuration = replica.configuration
+    alarms = [
+        *replica.alarms(),
+        *configuration_alarms(replica.is_ready, replica.state.revision),
+        *endpoint_alarms(configuration, members),
+        *phase_alarms(configuration, members, router, now_s),
+        *suspicion_alarms(suspicions, now_s),
+        *refusal_alarms(refusals, now_s),
+    ]
+    offsets = {
+        **replica.peer_offsets(),
+        process.settings.node_id: replica.effective_offset,
+    }
     return {
         "is_healthy": not alarms,
         "seen_by": process.settings.node_id,
         "configuration": {
             "revision": replica.state.revision,
             "effective_offset": replica.effective_offset,
-            "is_stale": replica.is_stale(process.clock()),
+            "is_stale": replica.is_stale(now_s),
         },
-        "members": [_member_line(member) for member in members],
-        "domains": _domains(replica.configuration, members),
+        "members": [_member_line(member, offsets) for member in members],
+        "domains": _domains(configuration, members),
         "alarms": [attrs.asdict(alarm) for alarm in alarms],
     }
 
 
-def _member_line(member: Member) -> dict:
+def _member_line(member: Member, offsets: Mapping[str, int]) -> dict:
     return {
         "node_id": member.node_id,
         "role": member.role,
         "failure_domain": member.failure_domain,
         "state": member.state.value,
         "endpoint": member.endpoint,
+        "configuration_offset": offsets.get(member.node_id),
     }
 
 
-def _domains(configuration: Configuration, members: Iterable[Member]) -> list[dict]:
-    counts = Counter((m.failure_domain, m.state.value) for m in members)
+def _domains(configuration: Configuration, members: Sequence[Member]) -> list[dict]:
+    counts: dict[str, Counter[str]] = defaultdict(Counter)
+    for member in members:
+        counts[member.failure_domain][member.state.value] += 1
     return [
         {
             "failure_domain": name,
             "state": domain.state,
-            "members": {
-                state: count
-                for (where, state), count in counts.items()
-                if where == name
-            },
+            "members": dict(counts[name]),
         }
         for name, domain in sorted(configuration.failure_domains.items())
     ]
-
-
-def _alarms(
-    process: NodeProcess, members: Iterable[Member], router: Router
-) -> Iterable[Alarm]:
-    replica = process.replica
-    yield from replica.alarms()
-    yield from _missing_endpoints(replica.configuration, members)
-    yield from _phases(router)
-
-
-def _missing_endpoints(
-    configuration: Configuration, members: Iterable[Member]
-) -> Iterable[Alarm]:
-    served = {member.endpoint for member in members if member.is_up}
-    for name, endpoint in sorted(configuration.endpoints.items()):
-        if name not in served and configuration.is_domain_in(endpoint.failure_domain):
-            yield Alarm(
-                "endpoint_missing",
-                f"No agent of the endpoint {name} is up.",
-                f"Start the agent on its host in {endpoint.failure_domain}, or take "
-                "the endpoint out of the configuration.",
-            )
-
-
-def _phases(router: Router) -> Iterable[Alarm]:
-    for name, load in router.dump()["loads"].items():
-        if load["phase"] in {"cold", "unknown"}:
-            yield Alarm(
-                "endpoint_cold",
-                f"The endpoint {name} was {load['phase']} when last heard of.",
-                "Nothing, if it was started lately; else look at the engine's logs.",
-            )
--- /dev/null
+++ b/src/sorrelhoist/entry/status_alarms.py
@@ -0,0 +1,210 @@
+"""Alarms that an entry can raise from what it sees of the system."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+
+from ..decisions.configuration_alarms import Alarm
+from ..decisions.configuration_set import Configuration
+from ..decisions.membership_records import Member
+from ..decisions.routing import Router
+from ..decisions.suspicion import SuspicionTable
+from .refusals import RecentRefusals
+
+REFUSAL_WINDOW_S = 60.0
+REFUSAL_FRACTION = 0.05
+MIN_REFUSALS = 10
+UNKNOWN_OUTCOME_WINDOW_S = 600.0
+OUTCOME_UNKNOWN = "outcome_unknown"
+# Refusals that the system answers for; the others are the callers' own.
+SYSTEM_KINDS = frozenset(
+    {
+        "deadline_exceeded",
+        "endpoint_failed",
+        "internal",
+        "log_unavailable",
+        "not_ready",
+        "overloaded",
+        "peer_unreachable",
+        "platform_unavailable",
+    }
+)
+
+
+def configuration_alarms(is_ready: bool, revision: int) -> Iterator[Alarm]:
+    """Alarm when the log is read and holds no configuration."""
+    if is_ready and not revision:
+        yield Alarm(
+            "configuration_empty",
+            "No configuration was ever applied; callers are refused.",
+            "Apply one: sorrelhoist apply FOLDER.",
+        )
+
+
+def endpoint_alarms(
+    configuration: Configuration, members: Iterable[Member]
+) -> Iterator[Alarm]:
+    """Alarm when an endpoint in service has no agent, two, or a misplaced one.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        In force.
+    members : iterable of Member
+        All that are known.
+
+    Yields
+    ------
+    Alarm
+    """
+    agents: dict[str, list[Member]] = defaultdict(list)
+    for member in members:
+        if member.is_up and member.endpoint:
+            agents[member.endpoint].append(member)
+    for name, endpoint in sorted(configuration.endpoints.items()):
+        domain = endpoint.failure_domain
+        if not agents[name] and configuration.is_domain_in(domain):
+            yield _missing(name, domain)
+        if len(agents[name]) > 1:
+            yield _contested(name, agents[name])
+        for agent in agents[name]:
+            if agent.failure_domain != domain:
+                yield _misplaced(name, domain, agent)
+
+
+def _missing(name: str, domain: str) -> Alarm:
+    return Alarm(
+        "endpoint_missing",
+        f"No agent of the endpoint {name} is up.",
+        f"Start the agent on its host in {domain}, or take the endpoint out of the "
+        "configuration.",
+    )
+
+
+def _contested(name: str, agents: Sequence[Member]) -> Alarm:
+    names = ", ".join(sorted(agent.node_id for agent in agents))
+    return Alarm(
+        "endpoint_contested",
+        f"The endpoint {name} has {len(agents)} agents: {names}.",
+        "Stop all but one; an endpoint has one gatekeeper.",
+    )
+
+
+def _misplaced(name: str, domain: str, agent: Member) -> Alarm:
+    return Alarm(
+        "endpoint_misplaced",
+        f"The agent {agent.node_id} runs in {agent.failure_domain}, but the endpoint "
+        f"{name} is configured in {domain}; it is not closed with {domain}.",
+        "Correct failure_domain in the agent's settings or in the Endpoint document.",
+    )
+
+
+def phase_alarms(
+    configuration: Configuration,
+    members: Iterable[Member],
+    router: Router,
+    now_s: float,
+) -> Iterator[Alarm]:
+    """Alarm when an endpoint in service was last heard of as cold or unknown."""
+    served = {member.endpoint for member in members if member.is_up}
+    for name, load in sorted(router.dump()["loads"].items()):
+        endpoint = configuration.endpoints.get(name)
+        if endpoint is None or name not in served:
+            continue
+        if not configuration.is_domain_in(endpoint.failure_domain):
+            continue
+        if load["phase"] in {"cold", "unknown"}:
+            age_s = max(now_s - load["seen_s"], 0.0)
+            yield Alarm(
+                "endpoint_cold",
+                f"The endpoint {name} was {load['phase']} when last heard of, "
+                f"{age_s:.0f} s ago.",
+                "Nothing, if it was started lately; else look at the engine's logs, "
+                "and at sorrelhoist_endpoint_deaths_total of its agent.",
+            )
+
+
+def suspicion_alarms(suspicions: SuspicionTable, now_s: float) -> Iterator[Alarm]:
+    """Alarm for each request that endpoints died with and that ran to no end.
+
+    Parameters
+    ----------
+    suspicions : SuspicionTable
+        Of this process; it holds what gossip has brought.
+    now_s : float
+        Monotonic seconds.
+
+    Yields
+    ------
+    Alarm
+        Condemned requests first.
+    """
+    deaths: dict[int, int] = defaultdict(int)
+    for item in suspicions.dump(now_s):
+        fingerprint = item["fingerprint"]
+        assert isinstance(fingerprint, int)
+        if suspicions.is_suspected(fingerprint, now_s) and not item["cleared"]:
+            deaths[fingerprint] += 1
+    condemned = {name for name in deaths if suspicions.is_condemned(name, now_s)}
+    for fingerprint in sorted(deaths, key=lambda name: (name not in condemned, name)):
+        yield _suspicion(fingerprint, deaths[fingerprint], fingerprint in condemned)
+
+
+def _suspicion(fingerprint: int, deaths: int, is_condemned: bool) -> Alarm:
+    if is_condemned:
+        return Alarm(
+            "request_condemned",
+            f"The request {fingerprint} ran alone on endpoints that died; it ran on "
+            f"{deaths} in the last hour and is refused.",
+            "Find its workspace by the log line 'request refused' with the kind "
+            "request_kills_endpoints, and ask it to stop sending it.",
+        )
+    return Alarm(
+        "request_suspected",
+        f"The request {fingerprint} ran on {deaths} endpoints that died in the last "
+        "hour; it runs alone until it completes.",
+        "Nothing, if endpoints died for another reason; else look at the engines' "
+        "logs of the time.",
+    )
+
+
+def refusal_alarms(refusals: RecentRefusals, now_s: float) -> Iterator[Alarm]:
+    """Alarm on calls that may have run, and when much is refused.
+
+    Parameters
+    ----------
+    refusals : RecentRefusals
+        Of this entry only.
+    now_s : float
+        Monotonic seconds.
+
+    Yields
+    ------
+    Alarm
+    """
+    unknown = refusals.refusals(UNKNOWN_OUTCOME_WINDOW_S, now_s)[OUTCOME_UNKNOWN]
+    if unknown:
+        yield Alarm(
+            "claims_without_outcome",
+            f"{unknown} calls in the last {UNKNOWN_OUTCOME_WINDOW_S:.0f} s may have "
+            "run, and nothing tells whether they did.",
+            "Look each key up at the service; the log line 'request refused' with "
+            "the kind outcome_unknown names workspace and request. Do not repeat.",
+        )
+    yield from _many_refusals(refusals, now_s)
+
+
+def _many_refusals(refusals: RecentRefusals, now_s: float) -> Iterator[Alarm]:
+    by_kind = refusals.refusals(REFUSAL_WINDOW_S, now_s)
+    kinds = [(kind, by_kind[kind]) for kind in sorted(SYSTEM_KINDS) if by_kind[kind]]
+    refused = sum(count for _, count in kinds)
+    asked = max(refusals.requests(REFUSAL_WINDOW_S, now_s), refused)
+    if refused < MIN_REFUSALS or refused < REFUSAL_FRACTION * asked:
+        return
+    listed = ", ".join(f"{count} {kind}" for kind, count in kinds)
+    yield Alarm(
+        "refusals_high",
+        f"This entry refused {refused} of {asked} requests in the last "
+        f"{REFUSAL_WINDOW_S:.0f} s: {listed}.",
+        "Mend what the other alarms name; if there is none and the kind is "
+        "overloaded, add endpoints or lower the workspaces' limits.",
+    )
--- /dev/null
+++ b/tests/entry/test_status.py
@@ -0,0 +1,161 @@
+import random
+
+import pytest
+
+from sorrelhoist.commands.operator_text import MAX_LISTED, status_lines
+from sorrelhoist.decisions.configuration_set import Configuration
+from sorrelhoist.decisions.documents import Endpoint, FailureDomain
+from sorrelhoist.decisions.membership_records import Member, MemberState
+from sorrelhoist.decisions.routing import ExpectedFirstToken, Router
+from sorrelhoist.decisions.suspicion import SuspicionTable
+from sorrelhoist.entry.refusals import RecentRefusals
+from sorrelhoist.entry.status_alarms import (
+    configuration_alarms,
+    endpoint_alarms,
+    phase_alarms,
+    refusal_alarms,
+    suspicion_alarms,
+)
+from sorrelhoist.messages.gen import ttypes
+
+AGENT = Member("agent-1", role="agent", failure_domain="praha-a", endpoint="praha-a-1")
+DEAD = Member(
+    "agent-1",
+    state=MemberState.DEAD,
+    failure_domain="praha-a",
+    endpoint="praha-a-1",
+)
+SECOND = Member("agent-2", failure_domain="praha-a", endpoint="praha-a-1")
+ELSEWHERE = Member("agent-1", failure_domain="praha-b", endpoint="praha-a-1")
+
+
+def a_configuration(state="in", endpoints=("praha-a-1",)):
+    documents = [Endpoint(name, "praha-a", "drafts") for name in endpoints]
+    return Configuration.of([FailureDomain("praha-a", state=state), *documents])
+
+
+def kinds(alarms):
+    alarms = list(alarms)
+    assert all(alarm.message and alarm.remedy for alarm in alarms)
+    return [alarm.kind for alarm in alarms]
+
+
+@pytest.mark.parametrize(
+    ("is_ready", "revision", "expected"),
+    [(True, 0, ["configuration_empty"]), (True, 1, []), (False, 0, [])],
+)
+def test_configuration_never_applied(is_ready, revision, expected):
+    assert kinds(configuration_alarms(is_ready, revision)) == expected
+
+
+@pytest.mark.parametrize(
+    ("configuration", "members", "expected"),
+    [
+        (a_configuration(), [AGENT], []),
+        (a_configuration(), [], ["endpoint_missing"]),
+        (a_configuration(), [DEAD], ["endpoint_missing"]),
+        (a_configuration("out"), [], []),
+        (a_configuration(endpoints=()), [AGENT], []),
+        (a_configuration(), [AGENT, SECOND], ["endpoint_contested"]),
+        (a_configuration(), [ELSEWHERE], ["endpoint_misplaced"]),
+    ],
+)
+def test_agents_of_endpoints(configuration, members, expected):
+    assert kinds(endpoint_alarms(configuration, members)) == expected
+
+
+@pytest.mark.parametrize(
+    ("phase", "configuration", "members", "expected"),
+    [
+        ("cold", a_configuration(), [AGENT], ["endpoint_cold"]),
+        ("unknown", a_configuration(), [AGENT], ["endpoint_cold"]),
+        ("serving", a_configuration(), [AGENT], []),
+        ("cold", a_configuration("out"), [AGENT], []),
+        ("cold", a_configuration(endpoints=()), [AGENT], []),
+        ("cold", a_configuration(), [DEAD], []),
+    ],
+)
+def test_phase_of_endpoints(phase, configuration, members, expected):
+    router = Router(ExpectedFirstToken(), random.Random(1))
+    load = ttypes.Load("praha-a-1", phase, 0, 0, 0, 0, 0, 0, 0, 0)
+    router.observe(load, now_s=3.0)
+    alarms = list(phase_alarms(configuration, members, router, now_s=10.0))
+    assert kinds(alarms) == expected
+    assert all("7 s ago" in alarm.message for alarm in alarms)
+
+
+def died(table, alone, *deaths):
+    for number in deaths:
+        table.endpoint_died(
+            f"praha-a-{number}", "boot", [7], 100.0 * number, 1 if alone else 2
+        )
+
+
+@pytest.mark.parametrize(
+    ("alone", "deaths", "completes", "now_s", "expected"),
+    [
+        (True, [], False, 300.0, []),
+        (True, [1], False, 300.0, ["request_suspected"]),
+        (True, [1, 2], False, 300.0, ["request_condemned"]),
+        (False, [1, 2], False, 300.0, ["request_suspected"]),
+        (True, [1, 2], True, 300.0, []),
+        (True, [1, 2], False, 9_000.0, []),
+    ],
+)
+def test_requests_under_suspicion(alone, deaths, completes, now_s, expected):
+    table = SuspicionTable()
+    died(table, alone, *deaths)
+    if completes:
+        table.completed(7, 250.0)
+    assert kinds(suspicion_alarms(table, now_s)) == expected
+
+
+@pytest.mark.parametrize(
+    ("kind", "count", "requests", "age_s", "expected"),
+    [
+        ("overloaded", 10, 100, 0.0, ["refusals_high"]),
+        ("overloaded", 9, 100, 0.0, []),
+        ("overloaded", 10, 1_000, 0.0, []),
+        ("overloaded", 10, 100, 90.0, []),
+        ("limit_exceeded", 90, 100, 0.0, []),
+        ("outcome_unknown", 1, 100, 0.0, ["claims_without_outcome"]),
+        ("outcome_unknown", 1, 100, 90.0, ["claims_without_outcome"]),
+        ("outcome_unknown", 1, 100, 700.0, []),
+    ],
+)
+def test_refusals_of_the_last_minutes(kind, count, requests, age_s, expected):
+    recent = RecentRefusals()
+    for _ in range(requests):
+        recent.requested(1_000.0)
+    for _ in range(count):
+        recent.refused(kind, 1_000.0)
+    assert kinds(refusal_alarms(recent, 1_000.0 + age_s)) == expected
+
+
+def test_memory_of_refusals_is_bounded():
+    recent = RecentRefusals()
+    for second in range(10_000):
+        recent.refused("overloaded", float(second))
+    assert len(recent._buckets) <= 61
+    assert recent.refusals(60.0, 9_999.0)["overloaded"] == 60
+
+
+def test_text_shows_each_kind_of_alarm_and_who_is_behind():
+    alarm = {"kind": "endpoint_missing", "message": "gone", "remedy": "start it"}
+    last = {"kind": "request_condemned", "message": "kills", "remedy": "stop it"}
+    status = {
+        "is_healthy": False,
+        "alarms": [alarm] * 400 + [last],
+        "configuration": {"revision": 2, "effective_offset": 9},
+        "members": [
+            {"node_id": "agent-1", "configuration_offset": 8},
+            {"node_id": "agent-2", "configuration_offset": 9},
+            {"node_id": "agent-3", "configuration_offset": None},
+        ],
+    }
+    lines = list(status_lines(status))
+    assert lines[0] == "NOT healthy: 401 alarms"
+    assert lines.count("    remedy: start it") == MAX_LISTED
+    assert "  endpoint_missing: ... and 380 more" in lines
+    assert "    remedy: stop it" in lines
+    assert lines[-1] == "  older configuration on 1: agent-1"
