Status: alarm for an endpoint that has not loaded the model asked for

Trial on a fleet of 6 agents: 90 s after a change of version every engine still had the old one, one of them waiting out the orders of an agent before, and status said healthy.

--- a/src/sorrelhoist/entry/status.py
+++ b/src/sorrelhoist/entry/status.py
@@ -14,6 +14,7 @@
 from .status_alarms import (
     configuration_alarms,
     endpoint_alarms,
+    model_alarms,
     phase_alarms,
     refusal_alarms,
     suspicion_alarms,
@@ -49,6 +50,7 @@
         *configuration_alarms(replica.is_ready, replica.state.revision),
         *endpoint_alarms(configuration, members),
         *phase_alarms(configuration, members, router, now_s),
+        *model_alarms(configuration, members),
         *suspicion_alarms(suspicions, now_s),
         *refusal_alarms(refusals, now_s),
     ]
--- a/src/sorrelhoist/entry/status_alarms.py
+++ b/src/sorrelhoist/entry/status_alarms.py
@@ -6,6 +6,7 @@
 from ..decisions.configuration_alarms import Alarm
 from ..decisions.configuration_set import Configuration
 from ..decisions.membership_records import Member
+from ..decisions.orders_placement import desired_for
 from ..decisions.routing import Router
 from ..decisions.suspicion import SuspicionTable
 from .refusals import RecentRefusals
@@ -123,6 +124,27 @@
             )
 
 
+def model_alarms(
+    configuration: Configuration, members: Sequence[Member]
+) -> Iterator[Alarm]:
+    """Alarm when an endpoint has not loaded what the configuration asks for."""
+    agents = [member for member in members if member.is_up and member.endpoint]
+    live = {agent.endpoint for agent in agents}
+    for agent in agents:
+        desired = desired_for(configuration, agent.endpoint, live)
+        if desired is None or not agent.models:
+            continue
+        wanted = f"{desired.model}@{desired.version}"
+        if wanted not in agent.models:
+            yield Alarm(
+                "endpoint_model",
+                f"The endpoint {agent.endpoint} has loaded {', '.join(agent.models)}; "
+                f"the configuration asks for {wanted}.",
+                "Nothing while versions change, a quarter of a group at a time; if it "
+                "lasts, look at orders.state in the dump of its agent.",
+            )
+
+
 def suspicion_alarms(suspicions: SuspicionTable, now_s: float) -> Iterator[Alarm]:
     """Alarm for each request that endpoints died with and that ran to no end.
 
--- a/tests/entry/test_status.py
+++ b/tests/entry/test_status.py
@@ -1,10 +1,16 @@
 import random
 
+import attrs
 import pytest
 
 from sorrelhoist.commands.operator_text import MAX_LISTED, status_lines
 from sorrelhoist.decisions.configuration_set import Configuration
-from sorrelhoist.decisions.documents import Endpoint, FailureDomain
+from sorrelhoist.decisions.documents import (
+    Endpoint,
+    FailureDomain,
+    ModelUse,
+    Service,
+)
 from sorrelhoist.decisions.membership_records import Member, MemberState
 from sorrelhoist.decisions.routing import ExpectedFirstToken, Router
 from sorrelhoist.decisions.suspicion import SuspicionTable
@@ -12,6 +18,7 @@
 from sorrelhoist.entry.status_alarms import (
     configuration_alarms,
     endpoint_alarms,
+    model_alarms,
     phase_alarms,
     refusal_alarms,
     suspicion_alarms,
@@ -84,6 +91,26 @@
     assert all("7 s ago" in alarm.message for alarm in alarms)
 
 
+@pytest.mark.parametrize(
+    ("loaded", "state", "expected"),
+    [
+        (("clown-large@3",), MemberState.ALIVE, ["endpoint_model"]),
+        (("clown-large@4",), MemberState.ALIVE, []),
+        ((), MemberState.ALIVE, []),
+        (("clown-large@3",), MemberState.DEAD, []),
+    ],
+)
+def test_model_of_endpoints(loaded, state, expected):
+    configuration = Configuration.of(
+        [
+            Service("drafts", "model", (ModelUse("clown-large", "4"),)),
+            Endpoint("praha-a-1", "praha-a", "drafts", "clown-large"),
+        ]
+    )
+    member = attrs.evolve(AGENT, models=loaded, state=state)
+    assert kinds(model_alarms(configuration, [member])) == expected
+
+
 def died(table, alone, *deaths):
     for number in deaths:
         table.endpoint_died(
