Agent: open only once the configuration names its endpoint

Cause: an agent that started on an empty log opened at once and guessed the service: a plain endpoint's claims went to the topic claims.ENDPOINT instead of claims.SERVICE, so that two agents of one service did not see each other's claims, and an engine's orders counted as not fenced (first order 194 s after the start).

--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -89,8 +89,12 @@
             yield self
 
     async def _open(self, stack: AsyncExitStack) -> None:
-        """Open the guard once the configuration is known."""
-        while not self.process.replica.is_ready:
+        """Open the guard once the configuration names the endpoint.
+
+        Its service decides which log holds the claims, and whether orders are
+        fenced; an agent that opened earlier would have to guess.
+        """
+        while not self._is_named():
             await asyncio.sleep(STALE_CHECK_INTERVAL_S / 10)
         if self.endpoint.type == "engine":
             await self._guard_engine(stack)
@@ -157,6 +161,12 @@
             loop = asyncio.get_running_loop()
             self._move = loop.call_later(domain.notice_s, guard.move_runs)
 
+    def _is_named(self) -> bool:
+        replica = self.process.replica
+        return (
+            replica.is_ready and self.endpoint.name in replica.configuration.endpoints
+        )
+
     def _is_domain_in(self, configuration: Configuration) -> bool:
         named = self.endpoint.name in configuration.endpoints
         return named and configuration.is_domain_in(self.settings.failure_domain)
@@ -249,8 +259,10 @@
 
     def problem(self) -> str:
         """Return why the agent takes no new work, or an empty text."""
-        if self.guard is None:
+        if not self.process.replica.is_ready:
             return "The agent has no configuration yet."
+        if self.guard is None:
+            return f"No configuration has named the endpoint {self.endpoint.name} yet."
         closed = self._closed()
         return closed.message if closed else ""
 
