--- a/tests/commands/test_operations.py
+++ b/tests/commands/test_operations.py
@@ -19,7 +19,8 @@
 
 def settings_rows():
     part = PAGE.partition("## Process settings")[2].partition("\n## ")[0]
-    rows = [re.split(r" *\| *", line.strip("| ")) for line in part.splitlines()]
+    lines = [line for line in part.splitlines() if line.startswith("|")]
+    rows = [re.split(r" *\| *", line.strip("| ")) for line in lines]
     return {row[0].strip("`"): row for row in rows if row[0].startswith("`")}
 
 
