Wait a part of the deadline for endpoints that start; close the gate at once

Cause of two failed process tests: an agent on a host listed as leaving gave one more grant, since its ledger heard of it up to 0.5 s late; and callers of a fleet of which every engine had just restarted were refused at once with 'cold' or 'endpoint_unknown' though they had 30 s left. The gate is now read with every request, and an entry waits up to a quarter of the deadline, 5 s at most, while all endpoints say that they are starting.

--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -179,11 +179,17 @@
 
     async def _watch_process(self, ledger: GrantLedger) -> None:
         while True:
-            now_s = self.clock()
-            ledger.set_configuration_stale(self.process.replica.is_stale(now_s))
-            ledger.set_leaving(self._is_host_leaving(), now_s)
+            self._update_gate(ledger)
             await asyncio.sleep(STALE_CHECK_INTERVAL_S)
 
+    def _update_gate(self, ledger: GrantLedger) -> None:
+        """Tell the ledger what the process knows now of leaving and staleness."""
+        now_s = self.clock()
+        ledger.set_configuration_stale(self.process.replica.is_stale(now_s))
+        is_leaving = self._is_host_leaving()
+        if is_leaving != ledger.health.is_leaving:
+            ledger.set_leaving(is_leaving, now_s)
+
     async def _guard_service(self, stack: AsyncExitStack) -> None:
         # All agents of a service must claim in the one topic of its name.
         while self.endpoint.name not in self.process.replica.configuration.endpoints:
@@ -230,8 +236,10 @@
         """Answer a call of an entry."""
         match self.guard, body:
             case EngineGuard() as guard, ttypes.GrantRequest():
+                self._update_gate(guard.ledger)
                 await guard.grant(body, responder)
             case EngineGuard() as guard, ttypes.Submit():
+                self._update_gate(guard.ledger)
                 await guard.submit(body, responder)
             case EngineGuard() as guard, ttypes.Attach():
                 await guard.attach(body, responder)
--- a/src/sorrelhoist/entry/errors.py
+++ b/src/sorrelhoist/entry/errors.py
@@ -5,6 +5,7 @@
 from ..exceptions import (
     DeadlineExceededError,
     EndpointFailedError,
+    EndpointsStartingError,
     InvalidRequestError,
     KeyExpiredError,
     KeyReusedError,
@@ -20,6 +21,8 @@
 
 DEFAULT_RETRY_AFTER_S = 1.0
 MS_PER_S = 1000.0
+# Denials of endpoints and agents that are about to open.
+STARTING_KINDS = frozenset({"cold", "endpoint_unknown", "not_ready"})
 
 _KINDS: dict[str, type[SorrelhoistError]] = {
     error.kind: error
@@ -72,10 +75,12 @@
     """
     times_s = [time_s for denial in denials if (time_s := retry_after_s(denial))]
     reasons = sorted({denial.kind for denial in denials if denial.kind})
+    is_starting = bool(reasons) and STARTING_KINDS.issuperset(reasons)
+    refusal = EndpointsStartingError if is_starting else OverloadedError
     message = "No endpoint can serve the request in time"
     if reasons:
         message += f" ({', '.join(reasons)})"
-    return OverloadedError(
+    return refusal(
         message + ".",
         not_run=True,
         retry_after_s=min(times_s, default=DEFAULT_RETRY_AFTER_S),
--- a/src/sorrelhoist/entry/generation.py
+++ b/src/sorrelhoist/entry/generation.py
@@ -12,6 +12,7 @@
 from ..exceptions import (
     DeadlineExceededError,
     EndpointFailedError,
+    EndpointsStartingError,
     OverloadedError,
     SorrelhoistError,
 )
@@ -22,7 +23,10 @@
 logger = logging.getLogger(__name__)
 
 MAX_ATTEMPTS = 32
-MAX_RESUME_WAIT_S = 0.5
+MIN_WAIT_S = 0.1
+MAX_WAIT_S = 0.5
+STARTING_WAIT_FRACTION = 0.25
+MAX_STARTING_WAIT_S = 5.0
 
 
 @attrs.frozen
@@ -124,23 +128,41 @@
 
     async def _place(self) -> Placement:
         self.ask.request.delivered_tokens = self.assembler.next_sequence
+        wait_until_s = self._wait_until_s()
         while True:
             try:
                 return await self.tools.placer.place(self.ask)
             except OverloadedError as error:
-                if not self._is_submitted:
+                if not self._may_wait(error, wait_until_s):
                     raise
-                await self._wait_to_resume(error)
+                await self._wait(error)
             except SorrelhoistError as error:
                 # What was true of this attempt is not true of those before.
                 error.not_run = error.not_run and not self._is_submitted
                 raise
 
-    async def _wait_to_resume(self, error: OverloadedError) -> None:
-        wait_s = min(error.retry_after_s or MAX_RESUME_WAIT_S, MAX_RESUME_WAIT_S)
+    def _wait_until_s(self) -> float:
+        """Return until when a request that nobody has may wait for starting endpoints.
+
+        A part of its time only: if that does not help, the caller hears it early.
+        """
+        now_s = self.tools.clock()
+        part_s = (self.ask.deadline_s - now_s) * STARTING_WAIT_FRACTION
+        return now_s + min(part_s, MAX_STARTING_WAIT_S)
+
+    def _may_wait(self, error: OverloadedError, wait_until_s: float) -> bool:
+        if self._is_submitted:
+            return True
+        is_starting = isinstance(error, EndpointsStartingError)
+        return is_starting and self.tools.clock() < wait_until_s
+
+    async def _wait(self, error: OverloadedError) -> None:
+        wait_s = min(error.retry_after_s or MAX_WAIT_S, MAX_WAIT_S)
+        wait_s = max(wait_s, MIN_WAIT_S)
         if self.tools.clock() + wait_s >= self.ask.deadline_s:
             raise DeadlineExceededError(
                 f"The deadline would pass after {self.assembler.next_sequence} tokens.",
+                not_run=not self._is_submitted,
                 retry_after_s=error.retry_after_s,
             )
         await asyncio.sleep(wait_s)
--- a/src/sorrelhoist/exceptions.py
+++ b/src/sorrelhoist/exceptions.py
@@ -155,6 +155,10 @@
     default_remedy = "Come back after the time in Retry-After."
 
 
+class EndpointsStartingError(OverloadedError):
+    """All endpoints that could serve the request are starting; a short wait helps."""
+
+
 class LogUnavailableError(SorrelhoistError):
     """The platform's log can't be reached."""
 
--- a/tests/entry/test_generation.py
+++ b/tests/entry/test_generation.py
@@ -17,6 +17,7 @@
 from sorrelhoist.exceptions import (
     DeadlineExceededError,
     EndpointFailedError,
+    EndpointsStartingError,
     InvalidRequestError,
     OverloadedError,
 )
@@ -93,7 +94,10 @@
 END = Finished("stop", 2, 6)
 BUSY = OverloadedError("No room.", not_run=True, retry_after_s=0.2)
 
+STARTING = EndpointsStartingError("Cold.", not_run=True, retry_after_s=0.1)
+
 WHOLE = {
+    "endpoints that start": ([STARTING, STARTING], [[6, END]], [0, 0, 0]),
     "at once": ([], [[6, END]], [0]),
     "another endpoint goes on": ([], [[2, LOST], [6, END]], [0, 2]),
     "three deaths": ([], [[2, LOST], [LOST], [5, LOST], [6, END]], [0, 2, 2, 5]),
