--- /dev/null
+++ b/src/sorrelhoist/bench/experiments/virtual_groups.py
@@ -0,0 +1,197 @@
+"""Entries that contend for groups of endpoints, in one process and in virtual time."""
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable, Iterator, Sequence
+from functools import partial
+
+import attrs
+
+from ...decisions.groups import FixedOrder
+from ...decisions.groups_parts import (
+    Action,
+    AskPart,
+    Ended,
+    GiveBack,
+    PartAnswer,
+    PartQueue,
+    Reserved,
+)
+
+ENDPOINTS = 7
+GROUP_SIZE = 3
+LATENCY_S = (0.0003, 0.002)
+HOLD_S = (4.0, 6.0)
+PAUSE_S = 0.5
+LEASE_S = 3.0
+PATIENCE_S = 600.0
+RUN_S = 600.0
+
+
+@attrs.frozen
+class Way:
+    """A protocol of the entries, and the order of the endpoints' queues."""
+
+    protocol: type[FixedOrder]
+    by_stamp: bool
+
+
+@attrs.define
+class Figures:
+    """What a run measured."""
+
+    waits_s: list[float] = attrs.field(factory=list)
+    messages: int = 0
+    owned_s: float = 0.0
+    run_s: float = 0.0
+    ended: int = 0
+
+
+@attrs.define
+class Contention:
+    """Entries, endpoints and messages in virtual time.
+
+    Parameters
+    ----------
+    way : Way
+    entries, endpoints : int
+    rng : random.Random
+    loss, deaths : float
+        Shares of messages that are lost, and of attempts that die midway.
+    patience_s : float
+        After it a reservation gives up.
+    stop_s : float
+        No attempt begins later.
+    """
+
+    way: Way
+    entries: int
+    rng: random.Random
+    endpoints: int = ENDPOINTS
+    loss: float = 0.0
+    deaths: float = 0.0
+    patience_s: float = PATIENCE_S
+    stop_s: float = RUN_S
+    now_s: float = attrs.field(init=False, default=0.0)
+    figures: Figures = attrs.field(init=False, factory=Figures)
+    attempts: dict[str, FixedOrder] = attrs.field(init=False, factory=dict)
+    queues: dict[str, PartQueue] = attrs.field(init=False)
+    _events: list[tuple[float, int, Callable[[], None]]] = attrs.field(
+        init=False, factory=list
+    )
+    _order: Iterator[int] = attrs.field(init=False, factory=itertools.count)
+    _begun: Iterator[int] = attrs.field(init=False, factory=itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        names = [f"e-{i}" for i in range(self.endpoints)]
+        by_stamp = self.way.by_stamp
+        self.queues = {name: PartQueue(name, LEASE_S, by_stamp) for name in names}
+        for _ in range(self.entries):
+            self._at(self.rng.uniform(0, PAUSE_S), self._begin)
+        for name in names:
+            self._at(LEASE_S / 10, partial(self._expire, name))
+
+    def step(self) -> bool:
+        """Do the next event; tell whether one was left."""
+        if not self._events:
+            return False
+        at_s, _, event = heapq.heappop(self._events)
+        owned = sum(queue.owner is not None for queue in self.queues.values())
+        self.figures.owned_s += owned * (at_s - self.now_s)
+        self.now_s = at_s
+        event()
+        return True
+
+    def run(self) -> Figures:
+        """Run until the time to stop."""
+        while self.now_s < self.stop_s:
+            self.step()
+        return self.figures
+
+    def _at(self, delay_s: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now_s + delay_s, next(self._order), event))
+
+    def _begin(self) -> None:
+        if self.now_s >= self.stop_s:
+            return
+        name = f"a-{next(self._begun)}"
+        group = self.rng.sample(sorted(self.queues), GROUP_SIZE)
+        deadline_s = self.now_s + self.patience_s
+        attempt = self.way.protocol(name, group, LEASE_S, deadline_s)
+        self.attempts[name] = attempt
+        self._perform(attempt, attempt.start(self.now_s))
+        if self.rng.random() < self.deaths:
+            self._at(self.rng.uniform(0, 2 * HOLD_S[1]), partial(self._die, name))
+
+    def _die(self, name: str) -> None:
+        if self.attempts.pop(name, None) is not None:
+            self._at(PAUSE_S, self._begin)
+
+    def _perform(self, attempt: FixedOrder, actions: Sequence[Action]) -> None:
+        for action in actions:
+            match action:
+                case AskPart() | GiveBack():
+                    self._count(attempt)
+                    self._send(partial(self._serve, action))
+                case Reserved():
+                    self._reserved(attempt)
+                case Ended():
+                    self.figures.ended += 1
+                    self._leave(attempt)
+        self._plan_tick(attempt)
+
+    def _reserved(self, attempt: FixedOrder) -> None:
+        self.figures.waits_s.append(self.now_s - attempt.stamp_s)
+        since_s = self.now_s
+        hold_s = self.rng.uniform(*HOLD_S)
+        self._at(hold_s, partial(self._finish, attempt, since_s))
+
+    def _finish(self, attempt: FixedOrder, since_s: float) -> None:
+        if attempt.attempt in self.attempts and not attempt.is_over:
+            self.figures.run_s += GROUP_SIZE * (self.now_s - since_s)
+            self._perform(attempt, attempt.release())
+            self._leave(attempt)
+
+    def _leave(self, attempt: FixedOrder) -> None:
+        del self.attempts[attempt.attempt]
+        self._at(self.rng.expovariate(1 / PAUSE_S), self._begin)
+
+    def _plan_tick(self, attempt: FixedOrder) -> None:
+        wake_s = attempt.wake_s
+        if wake_s < math.inf:
+            delay_s = max(0.0, wake_s - self.now_s)
+            self._at(delay_s, partial(self._tick, attempt, wake_s))
+
+    def _tick(self, attempt: FixedOrder, wake_s: float) -> None:
+        if attempt.attempt in self.attempts and attempt.wake_s == wake_s:
+            self._perform(attempt, attempt.tick(self.now_s))
+
+    def _expire(self, name: str) -> None:
+        queue = self.queues[name]
+        self._answer(queue.expire(self.now_s))
+        if self.now_s < self.stop_s or not queue.is_free or self.attempts:
+            self._at(LEASE_S / 10, partial(self._expire, name))
+
+    def _serve(self, message: AskPart | GiveBack) -> None:
+        self._answer(self.queues[message.part].on_message(message, self.now_s))
+
+    def _answer(self, answers: Sequence[PartAnswer]) -> None:
+        for answer in answers:
+            self._count(self.attempts.get(answer.attempt))
+            self._send(partial(self._take, answer))
+
+    def _take(self, answer: PartAnswer) -> None:
+        attempt = self.attempts.get(answer.attempt)
+        if attempt is not None:
+            self._perform(attempt, attempt.on_answer(answer, self.now_s))
+
+    def _count(self, attempt: FixedOrder | None) -> None:
+        """Count a message; renewals of a reserved group are alike in both ways."""
+        if attempt is None or not attempt.is_reserved:
+            self.figures.messages += 1
+
+    def _send(self, event: Callable[[], None]) -> None:
+        if self.rng.random() >= self.loss:
+            self._at(self.rng.uniform(*LATENCY_S), event)
--- a/src/sorrelhoist/entry/groups.py
+++ b/src/sorrelhoist/entry/groups.py
@@ -5,14 +5,12 @@
 and none holds what another needs while it waits for that one.
 """
 
-import math
-from collections import defaultdict
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 
 import attrs
 
-from ..decisions.endpoint_limits import DEFAULT_SHORT_FLOOR
+from ..decisions.groups import plan_groups, share_tokens
 from ..decisions.routing import Target
 from ..exceptions import InvalidRequestError, OverloadedError, PeerError
 from ..messages.gen import ttypes
@@ -21,8 +19,6 @@
 from .grants import Ask, GrantSeeker, HeldGrant
 from .leases import LeaseKeeper
 
-MAX_GROUP_SIZE = 8
-
 
 @attrs.frozen
 class HeldGroup:
@@ -50,58 +46,6 @@
         return self.leader.node_id
 
 
-def long_capacity_tokens(target: Target) -> int:
-    """Return the memory that one long prompt may take on an endpoint."""
-    return int(target.kv_capacity_tokens * (1 - DEFAULT_SHORT_FLOOR))
-
-
-def needs_group(kv_tokens: int, targets: Sequence[Target]) -> bool:
-    """Tell whether no single endpoint has the memory."""
-    largest = max((long_capacity_tokens(target) for target in targets), default=0)
-    return kv_tokens > largest > 0
-
-
-def plan_groups(kv_tokens: int, targets: Sequence[Target]) -> list[list[Target]]:
-    """Plan one group for each failure domain that is large enough.
-
-    Parameters
-    ----------
-    kv_tokens : int
-        Memory for the whole answer.
-    targets : sequence of Target
-
-    Returns
-    -------
-    list of list of Target
-        Each in the order of names; smallest groups first.
-    """
-    domains: dict[str, list[Target]] = defaultdict(list)
-    for target in targets:
-        domains[target.failure_domain].append(target)
-    plans = [_plan_group(kv_tokens, members) for members in domains.values()]
-    return sorted((plan for plan in plans if plan), key=len)
-
-
-def _plan_group(kv_tokens: int, targets: list[Target]) -> list[Target]:
-    largest_first = sorted(targets, key=lambda t: (-t.kv_capacity_tokens, t.endpoint))
-    for size in range(2, min(len(targets), MAX_GROUP_SIZE) + 1):
-        chosen = largest_first[:size]
-        if share_tokens(kv_tokens, size) <= long_capacity_tokens(chosen[-1]):
-            return sorted(chosen, key=lambda target: target.endpoint)
-    return []
-
-
-def share_tokens(kv_tokens: int, size: int) -> int:
-    """Return the memory that each part of a group holds.
-
-    Examples
-    --------
-    >>> share_tokens(1_000_001, 2)
-    500001
-    """
-    return math.ceil(kv_tokens / size)
-
-
 @attrs.define
 class GroupReserver:
     """Reserve groups.
--- a/src/sorrelhoist/entry/placement.py
+++ b/src/sorrelhoist/entry/placement.py
@@ -5,12 +5,13 @@
 
 import attrs
 
+from ..decisions.groups import needs_group
 from ..decisions.routing import Router
 from ..exceptions import RequestSuspectedError
 from ..messages.gen import ttypes
 from .fleet import Fleet
 from .grants import Ask, GrantSeeker, HeldGrant, RunningElsewhere
-from .groups import GroupReserver, HeldGroup, needs_group
+from .groups import GroupReserver, HeldGroup
 
 Placement = HeldGrant | RunningElsewhere | HeldGroup
 
