--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -89,8 +89,12 @@
             yield self
 
     async def _open(self, stack: AsyncExitStack) -> None:
-        """Open the guard once the configuration is known."""
-        while not self.process.replica.is_ready:
+        """Open the guard once the configuration names the endpoint.
+
+        Its service decides which log holds the claims, and whether orders are
+        fenced; an agent that opened earlier would have to guess.
+        """
+        while not self._is_named():
             await asyncio.sleep(STALE_CHECK_INTERVAL_S / 10)
         if self.endpoint.type == "engine":
             await self._guard_engine(stack)
@@ -158,6 +162,12 @@
             loop = asyncio.get_running_loop()
             self._move = loop.call_later(domain.notice_s, guard.move_runs)
 
+    def _is_named(self) -> bool:
+        replica = self.process.replica
+        return (
+            replica.is_ready and self.endpoint.name in replica.configuration.endpoints
+        )
+
     def _is_domain_in(self, configuration: Configuration) -> bool:
         named = self.endpoint.name in configuration.endpoints
         return named and configuration.is_domain_in(self.settings.failure_domain)
@@ -169,12 +179,21 @@
 
     async def _watch_process(self, ledger: GrantLedger) -> None:
         while True:
-            now_s = self.clock()
-            ledger.set_configuration_stale(self.process.replica.is_stale(now_s))
-            ledger.set_leaving(self._is_host_leaving(), now_s)
+            self._update_gate(ledger)
             await asyncio.sleep(STALE_CHECK_INTERVAL_S)
 
+    def _update_gate(self, ledger: GrantLedger) -> None:
+        """Tell the ledger what the process knows now of leaving and staleness."""
+        now_s = self.clock()
+        ledger.set_configuration_stale(self.process.replica.is_stale(now_s))
+        is_leaving = self._is_host_leaving()
+        if is_leaving != ledger.health.is_leaving:
+            ledger.set_leaving(is_leaving, now_s)
+
     async def _guard_service(self, stack: AsyncExitStack) -> None:
+        # All agents of a service must claim in the one topic of its name.
+        while self.endpoint.name not in self.process.replica.configuration.endpoints:
+            await asyncio.sleep(STALE_CHECK_INTERVAL_S / 10)
         service_name = self._service_name()
         service = self.process.replica.configuration.services.get(service_name)
         calls = ClaimedCalls(
@@ -192,8 +211,7 @@
 
     def _service_name(self) -> str:
         configuration = self.process.replica.configuration
-        endpoint = configuration.endpoints.get(self.endpoint.name)
-        return endpoint.service if endpoint else self.endpoint.name
+        return configuration.endpoints[self.endpoint.name].service
 
     def _closed(self) -> SorrelhoistError | None:
         """Return why no new work is taken, or None."""
@@ -218,8 +236,10 @@
         """Answer a call of an entry."""
         match self.guard, body:
             case EngineGuard() as guard, ttypes.GrantRequest():
+                self._update_gate(guard.ledger)
                 await guard.grant(body, responder)
             case EngineGuard() as guard, ttypes.Submit():
+                self._update_gate(guard.ledger)
                 await guard.submit(body, responder)
             case EngineGuard() as guard, ttypes.Attach():
                 await guard.attach(body, responder)
@@ -250,8 +270,10 @@
 
     def problem(self) -> str:
         """Return why the agent takes no new work, or an empty text."""
-        if self.guard is None:
+        if not self.process.replica.is_ready:
             return "The agent has no configuration yet."
+        if self.guard is None:
+            return f"No configuration has named the endpoint {self.endpoint.name} yet."
         closed = self._closed()
         return closed.message if closed else ""
 
--- a/tests/entry/test_generation.py
+++ b/tests/entry/test_generation.py
@@ -17,6 +17,7 @@
 from sorrelhoist.exceptions import (
     DeadlineExceededError,
     EndpointFailedError,
+    EndpointsStartingError,
     InvalidRequestError,
     OverloadedError,
 )
@@ -60,7 +61,7 @@
     def run(self, timeout_s=60.0):
         async def main():
             clock = asyncio.get_running_loop().time
-            placer = Placer(None, None, None, None, None, None, None, clock)
+            placer = Placer(*[None] * 8, clock)
             retries = RetryBudget(floor_per_s=0.0, ratio=0.0)
             retries._balance = self.balance
             tools = GenerationTools(placer, None, retries, clock, lambda: None)
@@ -77,7 +78,8 @@
     def make(places, attempts, **more):
         script = Script(places, attempts, **more)
         monkeypatch.setattr(Placer, "place", lambda _, ask: script.place(ask))
-        monkeypatch.setattr(Placer, "note_death", lambda _, *death: None)
+        monkeypatch.setattr(Placer, "note_failure", lambda _, *failure: None)
+        monkeypatch.setattr(Placer, "completed", lambda _, ask: None)
         own = lambda generation, placement: start(script, generation)  # noqa: E731
         monkeypatch.setattr(Generation, "_attempt", own)
         return script
@@ -92,7 +94,10 @@
 END = Finished("stop", 2, 6)
 BUSY = OverloadedError("No room.", not_run=True, retry_after_s=0.2)
 
+STARTING = EndpointsStartingError("Cold.", not_run=True, retry_after_s=0.1)
+
 WHOLE = {
+    "endpoints that start": ([STARTING, STARTING], [[6, END]], [0, 0, 0]),
     "at once": ([], [[6, END]], [0]),
     "another endpoint goes on": ([], [[2, LOST], [6, END]], [0, 2]),
     "three deaths": ([], [[2, LOST], [LOST], [5, LOST], [6, END]], [0, 2, 2, 5]),
