--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -74,6 +74,7 @@
         self.orders: EndpointOrders | None = None
         self._order_hooks: EngineOrderHooks | None = None
         self.is_leaving = False
+        self._notice_s = 0.0
         self._move: asyncio.TimerHandle | None = None
 
     @asynccontextmanager
@@ -155,12 +156,23 @@
         is_in = self._is_domain_in(configuration)
         guard.ledger.set_domain_in(is_in)
         domain = configuration.failure_domains.get(self.settings.failure_domain)
+        notice_s = domain.notice_s if domain is not None and not is_in else 0.0
+        self._plan_move(guard, notice_s)
+
+    def _plan_move(self, guard: EngineGuard, notice_s: float) -> None:
+        """Move running streams when the notice ends; 0 is no notice.
+
+        The notice counts from the change that gave it, whatever is applied since.
+        """
+        if notice_s == self._notice_s:
+            return
+        self._notice_s = notice_s
         if self._move is not None:
             self._move.cancel()
             self._move = None
-        if not is_in and domain is not None and domain.notice_s > 0:
+        if notice_s > 0:
             loop = asyncio.get_running_loop()
-            self._move = loop.call_later(domain.notice_s, guard.move_runs)
+            self._move = loop.call_later(notice_s, guard.move_runs)
 
     def _is_named(self) -> bool:
         replica = self.process.replica
@@ -191,11 +203,9 @@
             ledger.set_leaving(is_leaving, now_s)
 
     async def _guard_service(self, stack: AsyncExitStack) -> None:
-        # All agents of a service must claim in the one topic of its name.
-        while self.endpoint.name not in self.process.replica.configuration.endpoints:
-            await asyncio.sleep(STALE_CHECK_INTERVAL_S / 10)
-        service_name = self._service_name()
-        service = self.process.replica.configuration.services.get(service_name)
+        configuration = self.process.replica.configuration
+        service_name = configuration.endpoints[self.endpoint.name].service
+        service = configuration.services.get(service_name)
         calls = ClaimedCalls(
             LogClient(self.settings.platform_url, f"claims.{service_name}"),
             PlainServiceClient(self.endpoint.url),
@@ -209,10 +219,6 @@
         await stack.enter_async_context(calls.running())
         self.guard = ServiceGuard(calls, self._closed)
 
-    def _service_name(self) -> str:
-        configuration = self.process.replica.configuration
-        return configuration.endpoints[self.endpoint.name].service
-
     def _closed(self) -> SorrelhoistError | None:
         """Return why no new work is taken, or None."""
         replica = self.process.replica
