Split the engine's guard; an adopted stream keeps its idempotency key

Cause, found by reading: a stream that a restarted agent found on its engine had the fingerprint 0, so that the same request with the same key was refused as another body. It is unknown now, and the request attaches.

--- a/src/sorrelhoist/agent/engine.py
+++ b/src/sorrelhoist/agent/engine.py
@@ -4,7 +4,6 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Coroutine, Sequence
-from functools import partial
 from typing import Any
 
 import attrs
@@ -14,23 +13,18 @@
 from ..clients.engine_messages import StreamSpec
 from ..clients.exceptions import EngineRefusedError, EngineUnreachableError
 from ..decisions.denials import denial
-from ..decisions.grants import (
-    Cancelled,
-    DenialKind,
-    Denied,
-    GrantAsk,
-    Granted,
-    Queued,
-)
+from ..decisions.grants import Cancelled, DenialKind, Granted
 from ..decisions.holdings import HoldingState
 from ..decisions.ledger import GrantLedger
-from ..exceptions import KeyReusedError, PeerError
+from ..exceptions import PeerError
 from ..messages.gen import ttypes
 from ..node.metrics import AgentMetrics
 from ..node.peers import Responder
+from .cancels import EngineCancels
 from .driver import Ended, StreamDriver
 from .gatekeeper import Gatekeeper
-from .loads import MS_PER_S, denial_message, grant_message, load_message
+from .granting import Accepted, GrantAnswers
+from .loads import denial_message, grant_message, load_message
 from .monitor import EngineMonitor
 from .names import StreamName
 from .runs import Run, RunEnd, RunFailure, RunTable
@@ -40,14 +34,6 @@
 HOUSEKEEPING_INTERVAL_S = 0.2
 
 
-@attrs.frozen
-class Accepted:
-    """What was asked when a grant was given."""
-
-    request: ttypes.GrantRequest
-    granted: Granted
-
-
 @attrs.frozen(eq=False)
 class Follower:
     """An entry that reads a stream without its lease."""
@@ -87,10 +73,9 @@
     runs: RunTable = attrs.field(init=False, factory=RunTable)
     gatekeeper: Gatekeeper = attrs.field(init=False)
     monitor: EngineMonitor = attrs.field(init=False)
-    _accepted: dict[str, Accepted] = attrs.field(init=False, factory=dict)
-    _parts: dict[str, str] = attrs.field(init=False, factory=dict)
+    granting: GrantAnswers = attrs.field(init=False)
+    cancels: EngineCancels = attrs.field(init=False)
     _drivers: dict[str, asyncio.Task] = attrs.field(init=False, factory=dict)
-    _cancels: dict[str, asyncio.Task] = attrs.field(init=False, factory=dict)
     _followers: dict[str, list[Follower]] = attrs.field(
         init=False, factory=lambda: defaultdict(list)
     )
@@ -98,6 +83,21 @@
 
     def __attrs_post_init__(self) -> None:
         self.gatekeeper = Gatekeeper(self.ledger, self.clock)
+        self.granting = GrantAnswers(
+            self.gatekeeper,
+            self.runs,
+            self.metrics,
+            self.load,
+            self.is_suspected,
+            self.clock,
+        )
+        self.cancels = EngineCancels(
+            self.client,
+            self.ledger,
+            on_cancel=lambda: self.metrics.cancels.add(1),
+            on_freed=self.gatekeeper.pump,
+            clock=self.clock,
+        )
         self.monitor = EngineMonitor(
             self.client, self.ledger, self.clock, self._engine_died
         )
@@ -110,73 +110,14 @@
 
     async def grant(self, request: ttypes.GrantRequest, responder: Responder) -> None:
         """Decide on a request and tell the entry, at once or from the queue."""
-        known = self._known(request)
-        if known is not None:
-            await responder.send(known)
-            return
-        async for answer in self.gatekeeper.decide(self._ask(request)):
-            match answer:
-                case Queued(expected_wait_s=wait_s):
-                    reply: object = ttypes.Queued(
-                        request_id=request.request_id,
-                        queue_delay_ms=int(wait_s * MS_PER_S),
-                    )
-                case Granted():
-                    self._accepted[answer.grant_id] = Accepted(request, answer)
-                    self.metrics.grants.add(1)
-                    reply = grant_message(answer, self.load())
-                case Denied():
-                    self.metrics.denials.add(1, {"kind": answer.kind.value})
-                    reply = denial_message(answer, self.load())
-            await responder.send(reply)
-
-    def _known(self, request: ttypes.GrantRequest) -> ttypes.Denial | None:
-        if request.group_id:
-            return None
-        if self._is_key_reused(request):
-            return ttypes.Denial(
-                kind=KeyReusedError.kind,
-                message="The idempotency key came with another body before.",
-                remedy=KeyReusedError.default_remedy,
-                not_run=True,
-                retry_after_ms=0,
-            )
-        run = self.runs.get(request.request_id)
-        if run is None or isinstance(run.outcome, RunFailure):
-            return None
-        return ttypes.Denial(kind="exists", not_run=False, retry_after_ms=0)
-
-    def _is_key_reused(self, request: ttypes.GrantRequest) -> bool:
-        """Tell whether the id is in use for another prompt, running or granted."""
-        run = self.runs.get(request.request_id)
-        if run is not None and not isinstance(run.outcome, RunFailure):
-            return run.fingerprint != request.fingerprint
-        return any(
-            accepted.request.request_id == request.request_id
-            and accepted.request.fingerprint != request.fingerprint
-            for accepted in self._accepted.values()
-        )
-
-    def _ask(self, request: ttypes.GrantRequest) -> GrantAsk:
-        suspected = request.suspected or self.is_suspected(request.fingerprint)
-        return GrantAsk(
-            request_id=request.request_id,
-            workspace=request.workspace,
-            entry_id=request.entry_id,
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=request.output_tokens,
-            deadline_s=self.clock() + request.budget_ms / MS_PER_S,
-            weight=request.weight,
-            delivered_tokens=request.delivered_tokens,
-            kv_share_tokens=request.kv_share_tokens or None,
-            alone=bool(suspected),
-        )
+        async for answer in self.granting.answers(request):
+            await responder.send(answer)
 
     # Streams
 
     async def submit(self, submit: ttypes.Submit, responder: Responder) -> None:
         """Use a grant: run the stream, or hold a part of a group."""
-        accepted = self._accepted.get(submit.grant_id)
+        accepted = self.granting.get(submit.grant_id)
         match self.ledger.submitted(submit.grant_id, self.clock()):
             case Failure(denied):
                 await responder.send(denial_message(denied, self.load()))
@@ -237,11 +178,15 @@
         now_s = self.clock()
         self.ledger.release(run.grant_id, now_s, ended.outcome)
         if isinstance(ended.result, RunEnd):
-            self.on_completed(run.fingerprint)
+            self._completed(run)
         run.end(ended.result, now_s)
-        self._accepted.pop(run.grant_id, None)
+        self.granting.forget(run.grant_id)
         self.gatekeeper.pump()
 
+    def _completed(self, run: Run) -> None:
+        if run.fingerprint is not None:
+            self.on_completed(run.fingerprint)
+
     async def _relay(self, run: Run, from_sequence: int, responder: Responder) -> None:
         async for event in run.follow(from_sequence):
             match event:
@@ -274,7 +219,6 @@
         self, submit: ttypes.Submit, accepted: Accepted, responder: Responder
     ) -> None:
         name = str(StreamName(submit.grant_id, submit.request_id))
-        self._parts[submit.grant_id] = name
         try:
             await self.client.hold_part(name, accepted.granted.kv_tokens)
         except (EngineRefusedError, EngineUnreachableError) as error:
@@ -359,7 +303,7 @@
             request_id=attach.request_id,
             grant_id=granted.grant_id,
             boot_id=granted.boot_id,
-            fingerprint=0,
+            fingerprint=None,
             prompt_tokens=granted.kv_tokens,
             base_sequence=attach.from_sequence,
         )
@@ -401,40 +345,10 @@
         now_s = self.clock()
         if run is not None:
             run.end(RunFailure("cancelled", "The request was cancelled."), now_s)
-        self._accepted.pop(grant_id, None)
+        self.granting.forget(grant_id)
         self.ledger.release(grant_id, now_s, Cancelled())
         self.gatekeeper.pump()
-        self._cancel_on_engine()
-
-    def _cancel_on_engine(self) -> None:
-        for grant_id in self.ledger.cancelling():
-            if grant_id not in self._cancels:
-                task = asyncio.get_running_loop().create_task(self._free(grant_id))
-                self._cancels[grant_id] = task
-                task.add_done_callback(partial(self._cancel_done, grant_id))
-
-    def _cancel_done(self, grant_id: str, task: asyncio.Task) -> None:
-        self._cancels.pop(grant_id, None)
-
-    async def _free(self, grant_id: str) -> None:
-        """Cancel once; housekeeping repeats it until the engine confirms."""
-        holding = self.ledger.holdings.get(grant_id)
-        if holding is None:
-            return
-        name = str(StreamName(grant_id, holding.request_id))
-        self.metrics.cancels.add(1)
-        try:
-            # A stream and a part never share a name; an unknown one is free.
-            freed = await self.client.cancel(name)
-            freed = await self.client.free_part(name) and freed
-        except (EngineRefusedError, EngineUnreachableError) as error:
-            logger.info("cancel not confirmed", extra={"error": error.message})
-            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-            return
-        if freed:
-            self._parts.pop(grant_id, None)
-            self.ledger.freed(grant_id, self.clock())
-            self.gatekeeper.pump()
+        self.cancels.start()
 
     async def run(self) -> None:
         """Watch the engine and the leases until cancelled."""
@@ -449,14 +363,13 @@
     def _keep_house(self) -> None:
         now_s = self.clock()
         expired = self.ledger.expired(now_s)
-        for grant_id in expired.dropped:
-            self._accepted.pop(grant_id, None)
+        self.granting.forget_lapsed()
         self._hand_over(expired.orphaned)
         for grant_id in expired.to_cancel:
             logger.info("lease lapsed", extra={"grant": grant_id})
             self.metrics.lapsed_leases.add(1)
             self.cancel_grant(grant_id)
-        self._cancel_on_engine()
+        self.cancels.start()
         self.gatekeeper.pump()
         self.runs.forget_old(now_s)
 
@@ -469,7 +382,8 @@
             "endpoint died", extra={"endpoint": self.endpoint, "runs": len(lost)}
         )
         self.metrics.endpoint_deaths.add(1)
-        self.on_death(boot_id, [run.fingerprint for run in lost])
+        known = [run.fingerprint for run in lost if run.fingerprint is not None]
+        self.on_death(boot_id, known)
         sole = len(lost) == 1
         failure = RunFailure("endpoint_died", "The endpoint died.", True, sole)
         for run in lost:
@@ -477,7 +391,7 @@
             if driver is not None:
                 driver.cancel()
             run.end(failure, self.clock())
-            self._accepted.pop(run.grant_id, None)
+            self.granting.forget(run.grant_id)
         self.gatekeeper.pump()
 
     # Shutdown
@@ -490,8 +404,7 @@
         while self.runs.live() and self.clock() < deadline_s:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
         self.move_runs()
-        if self._cancels:
-            await asyncio.wait(self._cancels.values())
+        await self.cancels.wait()
 
     def move_runs(self) -> None:
         """Give running streams back to their entries, which run them elsewhere."""
@@ -505,7 +418,6 @@
         return {
             "ledger": self.ledger.dump(),
             "runs": self.runs.dump(),
-            "parts": dict(self._parts),
-            "cancelling": sorted(self._cancels),
+            "cancelling": sorted(self.cancels.tasks),
             "monitor": self.monitor.dump(),
         }
--- a/src/sorrelhoist/agent/runs.py
+++ b/src/sorrelhoist/agent/runs.py
@@ -52,8 +52,8 @@
     Parameters
     ----------
     request_id, grant_id, boot_id : str
-    fingerprint : int
-        Of the prompt.
+    fingerprint : int or None
+        Of the prompt; None for a stream found on the engine.
     prompt_tokens : int
     base_sequence : int
         Number of the first token in the buffer.
@@ -64,7 +64,7 @@
     request_id: str
     grant_id: str
     boot_id: str
-    fingerprint: int
+    fingerprint: int | None
     prompt_tokens: int
     base_sequence: int = 0
     tokens: list[str] = attrs.field(factory=list, repr=False)
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -98,7 +98,7 @@
         yield guard
     finally:
         work.cancel()
-        for task in [*guard._drivers.values(), *guard._cancels.values()]:
+        for task in [*guard._drivers.values(), *guard.cancels.tasks.values()]:
             task.cancel()
 
 
