--- a/src/sorrelhoist/entry/attempt.py
+++ b/src/sorrelhoist/entry/attempt.py
@@ -120,7 +120,7 @@
     assembler: StreamAssembler
     survives_caller: bool = False
     _stack: AsyncExitStack = attrs.field(init=False, factory=AsyncExitStack)
-    _lost: list[asyncio.Event] = attrs.field(init=False, factory=list)
+    _lost_parts: list[asyncio.Event] = attrs.field(init=False, factory=list)
     _place: RunningElsewhere | None = attrs.field(init=False, default=None)
 
     async def events(self, placement: Placement) -> AsyncGenerator[Event, None]:
@@ -180,14 +180,21 @@
             case HeldGroup(leader=leader):
                 self._place = RunningElsewhere(leader.target, leader.address)
                 for held in placement.members:
-                    self._hold(held)
+                    lost = self._hold(held)
+                    if held is not leader:
+                        self._lost_parts.append(lost)
                 self._stack.push_async_callback(placement.reservation.aclose)
                 names = [held.target.endpoint for held in placement.members]
                 return self._submit(leader.grant.grant_id, names)
 
-    def _hold(self, held: HeldGrant) -> None:
+    def _hold(self, held: HeldGrant) -> asyncio.Event:
+        """Keep a grant; return the event of its loss.
+
+        A stream that ended is no longer known to its agent either: only the loss
+        of a part, which tells nothing of itself, breaks an attempt.
+        """
         self._stack.push_async_exit(self._give_back(held))
-        self._lost.append(self._stack.enter_context(self.tools.leases.holding(held)))
+        return self._stack.enter_context(self.tools.leases.holding(held))
 
     def _give_back(self, held: HeldGrant) -> ExitCallback:
         async def give_back(
@@ -253,8 +260,8 @@
         )
 
     def _take_in(self, reply: object) -> Event | Gap | None:
-        if any(lost.is_set() for lost in self._lost):
-            return Broken("grant_lost", "An agent no longer holds the grant.")
+        if any(lost.is_set() for lost in self._lost_parts):
+            return Broken("part_lost", "An agent no longer holds its part of a group.")
         match reply:
             case ttypes.Piece():
                 return self._deliver(reply)
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 
 import pytest
 from hypothesis import given
@@ -15,6 +15,7 @@
 from sorrelhoist.entry.attempt import Attempt, AttemptTools, Broken, Finished
 from sorrelhoist.entry.calls import AgentCaller
 from sorrelhoist.entry.grants import Ask, HeldGrant
+from sorrelhoist.entry.groups import HeldGroup
 from sorrelhoist.entry.leases import LeaseKeeper
 from sorrelhoist.exceptions import DeadlineExceededError
 from sorrelhoist.messages.gen import ttypes
@@ -212,3 +213,34 @@
     """Tell whether an agent would lie about its own answer's length."""
     own = isinstance(reply, ttypes.StreamEnd) and reply.request_id == "r"
     return own and reply.total_tokens < len(TOKENS)
+
+
+@pytest.fixture
+def lost_leases(monkeypatch):
+    """Agents answer each renewal that they don't know the grant."""
+
+    @contextmanager
+    def holding(keeper, held):
+        lost = asyncio.Event()
+        lost.set()
+        yield lost
+
+    monkeypatch.setattr(LeaseKeeper, "holding", holding)
+
+
+def test_a_renewal_that_overtakes_the_end_does_not_break_the_stream(lost_leases):
+    assert isinstance(run(Script([piece(0, 8), end()])), Finished)
+
+
+def test_a_lost_part_of_a_group_breaks_the_attempt(lost_leases):
+    async def main():
+        async with running(Script([piece(0, 8), end()])) as (own, held):
+            group = HeldGroup([held, held_part(held)], AsyncExitStack())
+            return await gather(own, group)
+
+    assert asyncio.run(main()).kind == "part_lost"
+
+
+def held_part(held):
+    grant = ttypes.Grant(grant_id="part", lease_ms=3000)
+    return HeldGrant(TARGET, held.address, grant)
