A long request over the slow-start allowance does not hold up short ones

Past the bearing of a cold start, long requests no longer use up the allowance of short ones. Ruled out: doing so at the bearing of a cold start too, since it guards engines that hide their state. The new test fails without it.

--- a/src/sorrelhoist/decisions/endpoint_health.py
+++ b/src/sorrelhoist/decisions/endpoint_health.py
@@ -76,6 +76,7 @@
             foreign_requests=foreign_requests,
             long_requests=min(long_requests, limits.long_running_requests),
             long_kv_tokens=self.largest_kv_tokens(Lane.LONG),
+            long_in_allowance=allowed_requests <= limits.cold_running_requests,
         )
 
     def largest_kv_tokens(self, lane: Lane) -> int:
--- a/src/sorrelhoist/decisions/room.py
+++ b/src/sorrelhoist/decisions/room.py
@@ -35,6 +35,9 @@
         The part for short requests while a long one waits its turn.
     alone_waits : bool
         True while a solitary request waits its turn: nothing else may start.
+    long_in_allowance : bool
+        Whether long requests use up the allowance of short ones: while it is that
+        of a cold start.
     """
 
     kv_tokens: int
@@ -46,6 +49,7 @@
     short_requests: int | None = None
     short_kv_tokens: int | None = None
     alone_waits: bool = False
+    long_in_allowance: bool = True
 
 
 def fits(lane: Lane, kv_tokens: int, usage: Usage, bounds: Bounds) -> bool:
@@ -60,7 +64,8 @@
         return False
     if usage.requests + 1 > bounds.allowed_requests:
         return False
-    if usage.requests and usage.kv_tokens + kv_tokens > bounds.allowed_tokens:
+    allowance_used = _allowance_used(lane, usage, bounds)
+    if usage.requests and allowance_used + kv_tokens > bounds.allowed_tokens:
         return False
     match lane:
         case Lane.ALONE:
@@ -71,6 +76,14 @@
             return not bounds.alone_waits and _fits_short(kv_tokens, usage, bounds)
 
 
+def _allowance_used(lane: Lane, usage: Usage, bounds: Bounds) -> int:
+    # Past a cold start a long request that went over the allowance must not
+    # hold up short ones for as long as it runs.
+    if lane is Lane.SHORT and not bounds.long_in_allowance:
+        return usage.kv_tokens - usage.long_kv_tokens
+    return usage.kv_tokens
+
+
 def fits_long(kv_tokens: int, usage: Usage, bounds: Bounds) -> bool:
     """Tell whether a request fits beside the long ones in their part."""
     return (
--- a/tests/decisions/test_ledger.py
+++ b/tests/decisions/test_ledger.py
@@ -65,6 +65,16 @@
     return [answer.request_id for answer in answers if isinstance(answer, kind)]
 
 
+def test_a_long_request_over_the_allowance_does_not_hold_up_short_ones():
+    ledger = make_ledger(full=False)
+    ledger.health.completed(1000, 8, 1000, 0.0)
+    allowed_tokens = ledger.health.slow_start.allowed_tokens
+    assert ledger.health.slow_start.allowed_requests > LIMITS.cold_running_requests
+    assert allowed_tokens < 700
+    grant(ledger, "long", prompt=690)
+    grant(ledger, "short")
+
+
 SHUT = {
     "domain_out": lambda ledger: ledger.set_domain_in(False),
     "configuration_stale": lambda ledger: ledger.set_configuration_stale(True),
