--- /dev/null
+++ b/deploy/gateway.py
@@ -0,0 +1,10 @@
+"""Start a gateway from a checkout, with the packages that the build placed."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
+
+from sorrelhoist.platform.main import run  # noqa: E402
+
+run()
--- /dev/null
+++ b/src/sorrelhoist/decisions/directory.py
@@ -0,0 +1,133 @@
+"""Which endpoints may get new work, from a directory that lags and has outages."""
+
+import attrs
+
+REMOVAL_HOLD_S = 2.0
+"""Time after an outage in which live endpoints are back in the directory, by
+the platform's statement."""
+
+LONG_SILENCE_S = 1.5
+"""A gap between two reads that counts as an outage: several poll intervals."""
+
+
+@attrs.frozen(kw_only=True)
+class Endpoint:
+    """One run of an endpoint, as it registered itself.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    service, address, failure_domain : str
+        The address is ``IP:PORT``.
+    capacity : int
+        Requests that run at once.
+    is_leaving : bool
+    cold_until_s : float
+        When its cold start ends.
+    """
+
+    endpoint_id: str
+    service: str
+    address: str
+    failure_domain: str
+    capacity: int
+    is_leaving: bool = False
+    cold_until_s: float = 0.0
+
+
+@attrs.define
+class _Entry:
+    endpoint: Endpoint
+    seen_s: float
+    removed_s: float | None = None
+
+
+class Directory:
+    """The endpoints known here.
+
+    An endpoint that leaves is out at once. One whose entry lapsed while the
+    directory itself was away is held for `REMOVAL_HOLD_S` after its return, since
+    a live endpoint registers again within that time.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self._domains_out: frozenset[str] = frozenset()
+        self._read_s = float("-inf")
+        self._hold_until_s = float("-inf")
+
+    def read_succeeded(self, now_s: float) -> None:
+        """Note a complete read; a long gap before it was an outage."""
+        if now_s - self._read_s > LONG_SILENCE_S:
+            self._hold_until_s = now_s + REMOVAL_HOLD_S
+        self._read_s = now_s
+
+    def put(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Take in an entry; return whether anything but its age changed."""
+        known = self._entries.get(endpoint.endpoint_id)
+        self._entries[endpoint.endpoint_id] = _Entry(endpoint, now_s)
+        return known is None or known.endpoint != endpoint or known.removed_s is not None
+
+    def remove(self, endpoint_id: str, now_s: float) -> bool:
+        """Take out an entry; return whether it was known."""
+        entry = self._entries.get(endpoint_id)
+        if entry is None or entry.removed_s is not None:
+            return False
+        entry.removed_s = now_s
+        return True
+
+    def keep_only(self, endpoint_ids: set[str], now_s: float) -> None:
+        """Remove all others, after a read of the whole directory."""
+        for endpoint_id in self._entries.keys() - endpoint_ids:
+            self.remove(endpoint_id, now_s)
+
+    def take_domains_out(self, domains: frozenset[str]) -> None:
+        """Set the failure domains that get nothing."""
+        self._domains_out = domains
+
+    @property
+    def domains_out(self) -> frozenset[str]:
+        """The failure domains that get nothing."""
+        return self._domains_out
+
+    def usable(self, service: str, now_s: float) -> list[Endpoint]:
+        """Return the endpoints of a service that may get new work."""
+        self._forget(now_s)
+        return [
+            entry.endpoint
+            for entry in self._entries.values()
+            if entry.endpoint.service == service
+            and not entry.endpoint.is_leaving
+            and entry.endpoint.failure_domain not in self._domains_out
+            and (entry.removed_s is None or now_s < self._hold_until_s)
+        ]
+
+    def is_usable(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Tell whether an endpoint that was chosen before may still get work."""
+        entry = self._entries.get(endpoint.endpoint_id)
+        if entry is None or entry.endpoint.is_leaving:
+            return False
+        if entry.endpoint.failure_domain in self._domains_out:
+            return False
+        return entry.removed_s is None or now_s < self._hold_until_s
+
+    def _forget(self, now_s: float) -> None:
+        gone = [
+            key
+            for key, entry in self._entries.items()
+            if entry.removed_s is not None and now_s >= self._hold_until_s
+        ]
+        for key in gone:
+            del self._entries[key]
+
+    def dump(self, now_s: float) -> dict:
+        """Return the state as plain data."""
+        return {
+            "read_age_s": now_s - self._read_s,
+            "domains_out": sorted(self._domains_out),
+            "endpoints": {
+                key: attrs.asdict(entry.endpoint)
+                | {"removed": entry.removed_s is not None}
+                for key, entry in self._entries.items()
+            },
+        }
--- /dev/null
+++ b/src/sorrelhoist/decisions/event_stream.py
@@ -0,0 +1,64 @@
+"""Cut a stream of server-sent events into whole events."""
+
+import attrs
+
+MAX_EVENT_BYTES = 1024 * 1024
+"""Far above any event of an engine; more without an end is no event stream."""
+
+_END = b"\n\n"
+
+
+@attrs.define
+class EventSplitter:
+    r"""Collects bytes and gives out whole events only.
+
+    A source may break off in the middle of an event; what is left then is dropped,
+    so that another source can go on after the last whole one.
+
+    Examples
+    --------
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    [b'id: 1\ndata: a\n\n']
+    >>> splitter.feed(b"ta: b\n\n"), splitter.last_id
+    ([b'id: 2\ndata: b\n\n'], '2')
+    """
+
+    last_id: str = ""
+    _buffer: bytes = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take in bytes and return the events that are whole now.
+
+        Raises
+        ------
+        ValueError
+            If an event grows beyond `MAX_EVENT_BYTES`.
+        """
+        *events, self._buffer = (self._buffer + data).split(_END)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event is over {MAX_EVENT_BYTES} bytes")
+        whole = [event + _END for event in events if event.strip()]
+        for event in whole:
+            self.last_id = event_id(event) or self.last_id
+        return whole
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._buffer.strip())
+
+
+def event_id(event: bytes) -> str:
+    r"""Return the id of an event, or an empty string.
+
+    Examples
+    --------
+    >>> event_id(b"id: 12\ndata: x\n\n")
+    '12'
+    """
+    for line in event.split(b"\n"):
+        name, _, value = line.partition(b":")
+        if name.strip() == b"id":
+            return value.strip().decode("ascii", "replace")
+    return ""
--- /dev/null
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -0,0 +1,262 @@
+"""Where a prompt is read: by one endpoint, or in parts by several.
+
+Answers these load patterns:
+
+- "The mix turns from quick to long and back". Short prompts are packed on the first
+  endpoints of an order that all entries share, so that the others are free for long
+  reads; the boundary moves with each placement and needs no vote.
+- "A long read beside a quick stream". An endpoint decodes between the reads that
+  wait there, so a part may only be as long as the pauses of its streams allow.
+- "Long reads queue". A read is split over as many endpoints as bring its first token
+  forward, and started where the least reading is ahead.
+"""
+
+import math
+from collections.abc import Sequence
+
+import attrs
+
+from .directory import Endpoint
+from .load_book import EndpointUse
+from .rendezvous import ranked
+from .routes import EngineCosts
+
+MAX_HELPERS = 16
+"""The engines' limit."""
+
+SHORT_PART_MS = 120.0
+"""What a pass may read beside streams with a pause target of 250 ms: that target
+less the pass itself and the reads of two more short prompts."""
+
+LOOSE_PART_MS = 420.0
+"""What a pass may read beside streams with a pause target of 600 ms."""
+
+CROWDED_READ_MS = 75.0
+"""A short prompt goes on to the next endpoint when more reading is ahead: two
+short prompts."""
+
+HELPER_OVERHEAD_MS = 4.0
+"""Cost of one more part: its place in a pass, and one more that can fail."""
+
+SPARE_PLACES = 1
+"""Places kept free at first, for what another entry places at the same moment."""
+
+KV_SHARE = 0.97
+"""Part of the memory that is given out; the rest covers estimates of lengths."""
+
+
+@attrs.frozen(kw_only=True)
+class Demand:
+    """What one prompt needs.
+
+    Parameters
+    ----------
+    prompt_tokens, output_tokens : int
+    is_tight : bool
+        Whether its pauses must be short.
+    deadline_left_s : float
+        Until an answer is of no use.
+    excluded : frozenset of str
+        Ids of endpoints that failed it.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    is_tight: bool
+    deadline_left_s: float
+    excluded: frozenset[str] = frozenset()
+
+    @property
+    def kv_tokens(self) -> int:
+        """Memory at its end."""
+        return self.prompt_tokens + self.output_tokens
+
+
+@attrs.frozen(kw_only=True)
+class EndpointView:
+    """One endpoint and what is known of its load.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    use : EndpointUse
+    is_avoided : bool
+        Whether it failed requests lately.
+    """
+
+    endpoint: Endpoint
+    use: EndpointUse
+    is_avoided: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Spread:
+    """A placement.
+
+    Parameters
+    ----------
+    first : Endpoint
+        Receives the request.
+    helpers : tuple of Endpoint
+        Read parts of its prompt.
+    part_ms : float
+        The reading at each of them.
+    first_event_ms : float
+        Expected time to the first event.
+    """
+
+    first: Endpoint
+    helpers: tuple[Endpoint, ...] = ()
+    part_ms: float = 0.0
+    first_event_ms: float = 0.0
+
+
+@attrs.frozen
+class Busy:
+    """No endpoint has room now."""
+
+
+@attrs.frozen
+class Impossible:
+    """No endpoint can take it, whatever room it has."""
+
+    reason: str
+
+
+Placement = Spread | Busy | Impossible
+
+
+def spread(
+    demand: Demand, views: Sequence[EndpointView], costs: EngineCosts, now_s: float
+) -> Placement:
+    """Choose where a prompt is read.
+
+    Parameters
+    ----------
+    demand : Demand
+    views : sequence of EndpointView
+        Of all usable endpoints of the service.
+    costs : EngineCosts
+    now_s : float
+
+    Returns
+    -------
+    Spread, Busy or Impossible
+    """
+    if demand.kv_tokens > costs.kv_capacity_tokens * KV_SHARE:
+        return Impossible("larger than the memory of one engine")
+    read_ms = costs.read_ms(demand.prompt_tokens)
+    least_ms = read_ms / (MAX_HELPERS + 1) + costs.pass_ms
+    if least_ms > demand.deadline_left_s * 1000:
+        return Impossible("can't be read before its deadline")
+    usable = [view for view in views if view.endpoint.endpoint_id not in demand.excluded]
+    if not usable:
+        return Busy()
+    sound = [view for view in usable if not view.is_avoided]
+    ordered = _in_shared_order(sound or usable)
+    if read_ms <= SHORT_PART_MS:
+        return _place_short(demand, ordered, read_ms, costs, now_s)
+    return _place_long(demand, ordered[::-1], read_ms, costs, now_s)
+
+
+def _in_shared_order(views: Sequence[EndpointView]) -> list[EndpointView]:
+    by_id = {view.endpoint.endpoint_id: view for view in views}
+    return [by_id[endpoint_id] for endpoint_id in ranked("packing", by_id)]
+
+
+def _has_room(
+    view: EndpointView, demand: Demand, costs: EngineCosts, spare: int
+) -> bool:
+    kv_tokens = view.use.kv_tokens + demand.kv_tokens
+    return (
+        view.use.streams + spare < costs.max_running
+        and kv_tokens <= costs.kv_capacity_tokens * KV_SHARE
+    )
+
+
+def _place_short(
+    demand: Demand,
+    ordered: Sequence[EndpointView],
+    read_ms: float,
+    costs: EngineCosts,
+    now_s: float,
+) -> Placement:
+    for spare, crowded_ms in ((SPARE_PLACES, CROWDED_READ_MS), (0, 2 * CROWDED_READ_MS)):
+        for view in ordered:
+            backlog_ms = view.use.backlog_ms(now_s)
+            if backlog_ms <= crowded_ms and _has_room(view, demand, costs, spare):
+                return _short_spread(view, read_ms, costs, now_s)
+    with_room = [view for view in ordered if _has_room(view, demand, costs, 0)]
+    if not with_room:
+        return Busy()
+    best = min(with_room, key=lambda view: view.use.backlog_ms(now_s))
+    if best.use.backlog_ms(now_s) > demand.deadline_left_s * 1000:
+        return Busy()
+    return _short_spread(best, read_ms, costs, now_s)
+
+
+def _short_spread(
+    view: EndpointView, read_ms: float, costs: EngineCosts, now_s: float
+) -> Spread:
+    expected_ms = view.use.backlog_ms(now_s) + read_ms + 2 * costs.pass_ms
+    return Spread(first=view.endpoint, part_ms=read_ms, first_event_ms=expected_ms)
+
+
+def _largest_part_ms(view: EndpointView) -> float:
+    if view.use.tight_streams:
+        return SHORT_PART_MS
+    return LOOSE_PART_MS if view.use.streams else math.inf
+
+
+def _place_long(
+    demand: Demand,
+    ordered: Sequence[EndpointView],
+    read_ms: float,
+    costs: EngineCosts,
+    now_s: float,
+) -> Placement:
+    """Split a read over the endpoints with the least reading ahead."""
+    by_backlog = sorted(ordered, key=lambda view: view.use.backlog_ms(now_s))
+    best: Spread | None = None
+    best_ms = math.inf
+    for parts in range(1, min(MAX_HELPERS + 1, len(by_backlog)) + 1):
+        part_ms = read_ms / parts
+        able = [
+            view
+            for view in by_backlog
+            if _largest_part_ms(view) >= part_ms and view.use.helps < costs.max_running
+        ]
+        found = _choose_parts(demand, able, parts, costs)
+        if found is None:
+            continue
+        wait_ms = max(view.use.backlog_ms(now_s) for view in found)
+        expected_ms = wait_ms + part_ms + 2 * costs.pass_ms
+        cost_ms = expected_ms + parts * HELPER_OVERHEAD_MS
+        if cost_ms < best_ms:
+            best_ms = cost_ms
+            best = Spread(
+                first=found[0].endpoint,
+                helpers=tuple(view.endpoint for view in found[1:]),
+                part_ms=part_ms,
+                first_event_ms=expected_ms,
+            )
+    if best is None or best.first_event_ms > demand.deadline_left_s * 1000:
+        return Busy()
+    return best
+
+
+def _choose_parts(
+    demand: Demand, able: Sequence[EndpointView], parts: int, costs: EngineCosts
+) -> list[EndpointView] | None:
+    """Choose the first endpoint by room, the others by backlog."""
+    if len(able) < parts:
+        return None
+    nearest = able[: max(parts, 2)]
+    firsts = [view for view in nearest if _has_room(view, demand, costs, 0)] or [
+        view for view in able if _has_room(view, demand, costs, 0)
+    ]
+    if not firsts:
+        return None
+    first = min(firsts, key=lambda view: (view.use.tight_streams, view.use.kv_tokens))
+    helpers = [view for view in able if view is not first][: parts - 1]
+    return [first, *helpers]
--- /dev/null
+++ b/src/sorrelhoist/gateway/load_exchange.py
@@ -0,0 +1,151 @@
+"""Tells the other gateways what is placed here, and hears the same of them."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+
+import attrs
+
+from ..decisions.load_book import EndpointUse
+from ..exceptions import PeerError
+from ..messages.frames import Message, decode, encode
+from ..messages.gen import ttypes
+from .state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+SENDS_PER_S = 160.0
+"""Datagrams that one process sends a second at most, whatever the fleet's size."""
+
+SHORTEST_INTERVAL_S = 0.025
+"""Between two reports to all peers: about one decode pass."""
+
+LONGEST_QUIET_S = 0.5
+"""An unchanged report is sent again after it, so that peers don't drop it."""
+
+
+@attrs.frozen(order=True)
+class PeerAddress:
+    """Where a peer hears reports."""
+
+    host: str
+    port: int
+
+
+class LoadExchange(asyncio.DatagramProtocol):
+    """Sends and receives load reports.
+
+    Parameters
+    ----------
+    state : GatewayState
+    boot_ms : int
+        Start of this process; tells its reports from those before a restart.
+    """
+
+    def __init__(self, state: GatewayState, boot_ms: int) -> None:
+        self._state = state
+        self._boot_ms = boot_ms
+        self._sequence = 0
+        self._sent_version = -1
+        self._sent_s = float("-inf")
+        self._peers: frozenset[PeerAddress] = frozenset()
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport) -> None:
+        """Keep the socket."""
+        self._transport = transport
+
+    def set_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Set who gets the reports."""
+        self._peers = frozenset(peers)
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Take in a report."""
+        try:
+            body = decode(data).body
+        except PeerError as error:
+            logger.warning(
+                "datagram not understood",
+                extra={"event": "bad_datagram", "peer": addr[0], "reason": str(error)},
+            )
+            return
+        if not isinstance(body, ttypes.LoadReport):
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._state.loads.peer_reported(
+            body.node_id,
+            body.boot_ms,
+            body.sequence,
+            (_from_wire(load, now_s) for load in body.loads or ()),
+            now_s,
+        )
+        self._state.suspicions.merge(body.suspicions or (), now_s)
+
+    async def run(self) -> None:
+        """Send reports until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            interval_s = max(SHORTEST_INTERVAL_S, len(self._peers) / SENDS_PER_S)
+            await asyncio.sleep(interval_s)
+            self._report(loop.time())
+
+    def _report(self, now_s: float) -> None:
+        loads = self._state.loads
+        is_new = loads.version != self._sent_version
+        if not is_new and now_s - self._sent_s < LONGEST_QUIET_S:
+            return
+        self._sent_version = loads.version
+        self._sent_s = now_s
+        self._sequence += 1
+        report = ttypes.LoadReport(
+            node_id=self._state.node_id,
+            boot_ms=self._boot_ms,
+            sequence=self._sequence,
+            loads=[_to_wire(use, now_s) for use in loads.own_uses()],
+            suspicions=self._state.suspicions.for_gossip(now_s),
+        )
+        data = encode(Message(0, report))
+        for peer in self._peers:
+            if self._transport is not None:
+                with contextlib.suppress(OSError):  # the next report replaces it
+                    self._transport.sendto(data, (peer.host, peer.port))
+
+
+def _to_wire(use: EndpointUse, now_s: float) -> ttypes.EndpointLoad:
+    reading_ms = 0 if not use.read_ms else int((now_s - use.reading_s) * 1000)
+    return ttypes.EndpointLoad(
+        address=use.address,
+        streams=use.streams,
+        tight_streams=use.tight_streams,
+        kv_tokens=use.kv_tokens,
+        read_ms=int(use.read_ms),
+        reading_age_ms=reading_ms,
+        helps=use.helps,
+    )
+
+
+def _from_wire(load: ttypes.EndpointLoad, now_s: float) -> EndpointUse:
+    read_ms = load.read_ms or 0
+    return EndpointUse(
+        address=load.address or "",
+        streams=load.streams or 0,
+        tight_streams=load.tight_streams or 0,
+        kv_tokens=load.kv_tokens or 0,
+        read_ms=read_ms,
+        reading_s=now_s - (load.reading_age_ms or 0) / 1000
+        if read_ms
+        else float("inf"),
+        helps=load.helps or 0,
+    )
+
+
+@contextmanager
+def running(coroutine) -> Iterator[asyncio.Task]:
+    """Run a coroutine beside others and cancel it at the end."""
+    task = asyncio.ensure_future(coroutine)
+    try:
+        yield task
+    finally:
+        task.cancel()
--- /dev/null
+++ b/src/sorrelhoist/gateway/server.py
@@ -0,0 +1,185 @@
+"""The callers' HTTP and the readiness answers."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import attrs
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.netutil import bind_sockets
+
+from ..decisions.routes import CallerLimits
+from ..exceptions import InvalidRequestError
+from .dispatch import Dispatcher
+from .exchange import CallerConnection, Exchange
+from .ports import Dialect
+from .state import GatewayState, boot_time_s
+
+logger = logging.getLogger(__name__)
+
+CONNECTION_BACKLOG = 1024
+"""A full queue of new connections costs a caller seconds."""
+
+IDLE_MARGIN = 1.25
+"""Idle connections are kept so much longer than the limit that callers know."""
+
+
+@attrs.define(eq=False)
+class Front(HTTPServerConnectionDelegate):
+    """Takes the callers' requests.
+
+    Parameters
+    ----------
+    state : GatewayState
+    dispatcher : Dispatcher
+    dialect : Dialect
+    """
+
+    state: GatewayState
+    dispatcher: Dispatcher
+    dialect: Dialect
+    running: set[asyncio.Task] = attrs.field(factory=set)
+
+    def start_request(self, server_conn, request_conn) -> HTTPMessageDelegate:
+        """Read one request."""
+        return _Incoming(self, request_conn)
+
+    def on_close(self, server_conn) -> None:
+        """Nothing is kept for a connection."""
+
+
+@attrs.define(eq=False)
+class _Incoming(HTTPMessageDelegate):
+    front: Front
+    connection: object
+    start: RequestStartLine | None = None
+    headers: HTTPHeaders = attrs.field(factory=HTTPHeaders)
+    received_s: float = 0.0
+    body: list[bytes] = attrs.field(factory=list)
+    work: asyncio.Task | None = None
+
+    def headers_received(self, start_line, headers: HTTPHeaders) -> None:
+        self.start = start_line
+        self.headers = headers
+        self.received_s = asyncio.get_running_loop().time()
+
+    def data_received(self, chunk: bytes) -> None:
+        self.body.append(chunk)
+
+    def finish(self) -> None:
+        assert self.start is not None
+        self.work = asyncio.ensure_future(self._serve(self.start))
+        self.front.running.add(self.work)
+        self.work.add_done_callback(self._ended)
+
+    def on_connection_close(self) -> None:
+        if self.work is not None:
+            self.work.cancel()
+
+    async def _serve(self, start: RequestStartLine) -> None:
+        front = self.front
+        caller = CallerConnection(self.connection, front.dialect)
+        caller.closes_after = front.state.is_stopping
+        try:
+            request = front.dialect.read_request(
+                start.method, start.path, self.headers, b"".join(self.body)
+            )
+        except InvalidRequestError as error:
+            logger.info(
+                "invalid request", extra={"event": "invalid", "reason": str(error)}
+            )
+            await caller.answer(400, HTTPHeaders(), str(error))
+            return
+        exchange = Exchange(
+            request=request,
+            caller=caller,
+            state=front.state,
+            dispatcher=front.dispatcher,
+            dialect=front.dialect,
+            received_s=self.received_s,
+        )
+        await exchange.run()
+
+    def _ended(self, work: asyncio.Task) -> None:
+        self.front.running.discard(work)
+        if not work.cancelled() and work.exception() is not None:
+            logger.error(
+                "exchange failed",
+                exc_info=work.exception(),
+                extra={"event": "internal_error"},
+            )
+            stream = getattr(self.connection, "stream", None)
+            if stream is not None:
+                stream.close()
+
+
+@attrs.define(eq=False)
+class Probe(HTTPServerConnectionDelegate):
+    """Answers GET requests with a status and a text.
+
+    Parameters
+    ----------
+    answer : callable
+        Takes the path and returns status and text.
+    """
+
+    answer: Callable[[str], tuple[int, str]]
+
+    def start_request(self, server_conn, request_conn) -> HTTPMessageDelegate:
+        """Read one request."""
+        return _ProbeRequest(self.answer, request_conn)
+
+    def on_close(self, server_conn) -> None:
+        """Nothing is kept for a connection."""
+
+
+@attrs.define(eq=False)
+class _ProbeRequest(HTTPMessageDelegate):
+    answer: Callable[[str], tuple[int, str]]
+    connection: object
+    path: str = "/"
+
+    def headers_received(self, start_line, headers: HTTPHeaders) -> None:
+        self.path = start_line.path
+
+    def finish(self) -> None:
+        status, text = self.answer(self.path)
+        body = text.encode()
+        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        line = ResponseStartLine("HTTP/1.1", status, "OK" if status == 200 else "-")
+        self.connection.write_headers(line, headers, body)
+        self.connection.finish()
+
+
+def readiness(state: GatewayState) -> Callable[[str], tuple[int, str]]:
+    """Return the answer to the balancer's question."""
+
+    def answer(path: str) -> tuple[int, str]:
+        if state.is_ready(boot_time_s()):
+            return 200, "ready\n"
+        return 503, "not ready\n"
+
+    return answer
+
+
+def listen(
+    delegate: HTTPServerConnectionDelegate, address: str, limits: CallerLimits
+) -> HTTPServer:
+    """Serve HTTP on ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    server = HTTPServer(
+        delegate,
+        idle_connection_timeout=limits.idle_timeout_s * IDLE_MARGIN,
+        max_header_size=limits.max_header_bytes * 2,
+        max_body_size=limits.max_body_bytes,
+        max_buffer_size=limits.max_body_bytes + 2 * limits.max_header_bytes,
+    )
+    server.add_sockets(bind_sockets(int(port), host, backlog=CONNECTION_BACKLOG))
+    return server
--- /dev/null
+++ b/src/sorrelhoist/gateway/state.py
@@ -0,0 +1,105 @@
+"""What a gateway believes: the configuration, the endpoints and their load."""
+
+import logging
+import random
+import time
+
+import attrs
+
+from ..decisions.directory import Directory
+from ..decisions.endpoint_trouble import TroubleBook
+from ..decisions.load_book import EndpointUse, LoadBook
+from ..decisions.retries import RetryBudget
+from ..decisions.routes import RouteTable
+from ..decisions.spreading import EndpointView
+from ..decisions.store_contact import StoreContact
+from ..decisions.suspicion import SuspicionTable
+
+logger = logging.getLogger(__name__)
+
+
+def boot_time_s() -> float:
+    """Return seconds that also count while the host stands still."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.define(eq=False, kw_only=True)
+class GatewayState:
+    """Beliefs and budgets of one gateway.
+
+    Parameters
+    ----------
+    node_id, failure_domain : str
+    contact : StoreContact
+        Aged by `boot_time_s`.
+    retries : RetryBudget
+    rng : random.Random
+    """
+
+    node_id: str
+    failure_domain: str
+    contact: StoreContact
+    retries: RetryBudget = attrs.field(factory=RetryBudget)
+    rng: random.Random = attrs.field(factory=random.Random)
+    table: RouteTable | None = None
+    directory: Directory = attrs.field(factory=Directory)
+    loads: LoadBook = attrs.field(factory=LoadBook)
+    troubles: TroubleBook = attrs.field(factory=TroubleBook)
+    suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
+    is_stopping: bool = False
+
+    def adopt(self, table: RouteTable) -> bool:
+        """Put a version into force unless a later one is.
+
+        Returns
+        -------
+        bool
+        """
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        logger.info(
+            "configuration adopted",
+            extra={
+                "event": "configuration",
+                "version": table.version,
+                "replaced_version": self.table.version if self.table else None,
+                "routes": len(table.routes),
+            },
+        )
+        self.table = table
+        return True
+
+    def is_ready(self, now_boot_s: float) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return (
+            self.table is not None
+            and not self.is_stopping
+            and self.contact.is_sound(now_boot_s)
+        )
+
+    def views(self, service: str, now_s: float) -> list[EndpointView]:
+        """Return the usable endpoints of a service with their load."""
+        totals = self.loads.totals(now_s)
+        return [
+            EndpointView(
+                endpoint=endpoint,
+                use=totals.get(endpoint.address)
+                or EndpointUse(address=endpoint.address),
+                is_avoided=self.troubles.is_avoided(endpoint.endpoint_id, now_s),
+            )
+            for endpoint in self.directory.usable(service, now_s)
+        ]
+
+    def dump(self, now_s: float) -> dict:
+        """Return all of it as plain data."""
+        return {
+            "node_id": self.node_id,
+            "version": self.table.version if self.table else None,
+            "is_stopping": self.is_stopping,
+            "contact_age_s": self.contact.age_s(boot_time_s()),
+            "directory": self.directory.dump(now_s),
+            "loads": self.loads.dump(now_s),
+            "troubles": self.troubles.dump(now_s),
+            "retries": self.retries.dump(),
+            "suspicions": self.suspicions.dump(now_s),
+        }
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3494,6 +3494,280 @@
         return not (self == other)
 
 
+class EndpointLoad(object):
+    """
+    Attributes:
+     - address
+     - streams
+     - tight_streams
+     - kv_tokens
+     - read_ms
+     - reading_age_ms
+     - helps
+
+    """
+
+    __slots__ = (
+        'address',
+        'streams',
+        'tight_streams',
+        'kv_tokens',
+        'read_ms',
+        'reading_age_ms',
+        'helps',
+    )
+
+
+    def __init__(self, address=None, streams=None, tight_streams=None, kv_tokens=None, read_ms=None, reading_age_ms=None, helps=None,):
+        self.address = address
+        self.streams = streams
+        self.tight_streams = tight_streams
+        self.kv_tokens = kv_tokens
+        self.read_ms = read_ms
+        self.reading_age_ms = reading_age_ms
+        self.helps = helps
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.tight_streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.kv_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.read_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.reading_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.helps = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLoad')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 2)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.tight_streams is not None:
+            oprot.writeFieldBegin('tight_streams', TType.I32, 3)
+            oprot.writeI32(self.tight_streams)
+            oprot.writeFieldEnd()
+        if self.kv_tokens is not None:
+            oprot.writeFieldBegin('kv_tokens', TType.I64, 4)
+            oprot.writeI64(self.kv_tokens)
+            oprot.writeFieldEnd()
+        if self.read_ms is not None:
+            oprot.writeFieldBegin('read_ms', TType.I32, 5)
+            oprot.writeI32(self.read_ms)
+            oprot.writeFieldEnd()
+        if self.reading_age_ms is not None:
+            oprot.writeFieldBegin('reading_age_ms', TType.I32, 6)
+            oprot.writeI32(self.reading_age_ms)
+            oprot.writeFieldEnd()
+        if self.helps is not None:
+            oprot.writeFieldBegin('helps', TType.I32, 7)
+            oprot.writeI32(self.helps)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadReport(object):
+    """
+    Attributes:
+     - node_id
+     - boot_ms
+     - sequence
+     - loads
+     - suspicions
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'boot_ms',
+        'sequence',
+        'loads',
+        'suspicions',
+    )
+
+
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None,):
+        self.node_id = node_id
+        self.boot_ms = boot_ms
+        self.sequence = sequence
+        self.loads = loads
+        self.suspicions = suspicions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.boot_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = EndpointLoad()
+                        _elem103.read(iprot)
+                        self.loads.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.suspicions = []
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = Suspicion()
+                        _elem109.read(iprot)
+                        self.suspicions.append(_elem109)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadReport')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.boot_ms is not None:
+            oprot.writeFieldBegin('boot_ms', TType.I64, 2)
+            oprot.writeI64(self.boot_ms)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter110 in self.loads:
+                iter110.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspicions is not None:
+            oprot.writeFieldBegin('suspicions', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
+            for iter111 in self.suspicions:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -3525,6 +3799,7 @@
      - demand_heard
      - host_leaving
      - host_leaving_heard
+     - load_report
 
     """
 
@@ -3557,10 +3832,11 @@
         'demand_heard',
         'host_leaving',
         'host_leaving_heard',
+        'load_report',
     )
 
 
-    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None,):
+    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None,):
         self.call_id = call_id
         self.grant_request = grant_request
         self.grant = grant
@@ -3589,6 +3865,7 @@
         self.demand_heard = demand_heard
         self.host_leaving = host_leaving
         self.host_leaving_heard = host_leaving_heard
+        self.load_report = load_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3766,6 +4043,12 @@
                     self.host_leaving_heard.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.STRUCT:
+                    self.load_report = LoadReport()
+                    self.load_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3888,6 +4171,10 @@
             oprot.writeFieldBegin('host_leaving_heard', TType.STRUCT, 28)
             self.host_leaving_heard.write(oprot)
             oprot.writeFieldEnd()
+        if self.load_report is not None:
+            oprot.writeFieldBegin('load_report', TType.STRUCT, 29)
+            self.load_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4168,6 +4455,26 @@
 all_structs.append(HostLeavingHeard)
 HostLeavingHeard.thrift_spec = (
 )
+all_structs.append(EndpointLoad)
+EndpointLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'streams', None, None, ),  # 2
+    (3, TType.I32, 'tight_streams', None, None, ),  # 3
+    (4, TType.I64, 'kv_tokens', None, None, ),  # 4
+    (5, TType.I32, 'read_ms', None, None, ),  # 5
+    (6, TType.I32, 'reading_age_ms', None, None, ),  # 6
+    (7, TType.I32, 'helps', None, None, ),  # 7
+)
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'boot_ms', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
+    (5, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 5
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -4199,6 +4506,7 @@
     (26, TType.STRUCT, 'demand_heard', [DemandHeard, None], None, ),  # 26
     (27, TType.STRUCT, 'host_leaving', [HostLeaving, None], None, ),  # 27
     (28, TType.STRUCT, 'host_leaving_heard', [HostLeavingHeard, None], None, ),  # 28
+    (29, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 29
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -251,6 +251,26 @@
 struct HostLeavingHeard {
 }
 
+// The sum of what a gateway has placed on one endpoint.
+struct EndpointLoad {
+  1: string address,
+  2: i32 streams,
+  3: i32 tight_streams,
+  4: i64 kv_tokens,
+  5: i32 read_ms,
+  6: i32 reading_age_ms,
+  7: i32 helps,
+}
+
+// All that a gateway has placed. A later report replaces an earlier one.
+struct LoadReport {
+  1: string node_id,
+  2: i64 boot_ms,
+  3: i64 sequence,
+  4: list<EndpointLoad> loads,
+  5: list<Suspicion> suspicions,
+}
+
 struct Envelope {
   1: i64 call_id,
   2: optional GrantRequest grant_request,
@@ -280,4 +300,5 @@
   26: optional DemandHeard demand_heard,
   27: optional HostLeaving host_leaving,
   28: optional HostLeavingHeard host_leaving_heard,
+  29: optional LoadReport load_report,
 }
--- /dev/null
+++ b/src/sorrelhoist/platform/settings.py
@@ -0,0 +1,85 @@
+"""The settings file that the platform writes, decoded into the product's words."""
+
+import os
+import tomllib
+from pathlib import Path
+
+import attrs
+
+from ..exceptions import SettingsError
+
+PATH_VARIABLE = "SORRELHOIST_SETTINGS"
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """What a process learns of itself and its surroundings.
+
+    Parameters
+    ----------
+    node_id, role, failure_domain, address : str
+    front_address, ready_address : str
+        ``IP:PORT``; empty where the role serves no callers.
+    peer_port, metrics_port : int
+    store_address : str
+        ``IP:PORT`` of the platform's store.
+    revoke_s : float
+        Bound on the use of a key that was taken away.
+    grace_s : float
+        From the signal to stop to the kill.
+    retry_ratio, retry_slack, retry_window_s : float
+        The retry budget of all processes together.
+    """
+
+    node_id: str
+    role: str
+    failure_domain: str
+    address: str
+    front_address: str
+    ready_address: str
+    peer_port: int
+    metrics_port: int
+    store_address: str
+    revoke_s: float
+    grace_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+
+
+def load_settings(path: Path | None = None) -> PlatformSettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If it can't be read or lacks a field.
+    """
+    path = path or Path(os.environ.get(PATH_VARIABLE, ""))
+    try:
+        fields = tomllib.loads(path.read_text())
+        return _decode(fields)
+    except (OSError, KeyError, TypeError, ValueError, IndexError) as error:
+        raise SettingsError(f"{path}: {error!r}.") from error
+
+
+def _decode(fields: dict) -> PlatformSettings:
+    bounds = fields["bounds"]
+    listen = fields.get("listen", {})
+    lowest_port = int(fields["port_range"][0])
+    return PlatformSettings(
+        node_id=fields["node"],
+        role=fields["role"],
+        failure_domain=fields["zone"],
+        address=fields["ip"],
+        front_address=listen.get("front", ""),
+        ready_address=listen.get("ready", ""),
+        peer_port=lowest_port,
+        metrics_port=lowest_port + 1,
+        store_address=fields["provider"]["addr"],
+        revoke_s=bounds["revoke_ms"] / 1000,
+        grace_s=float(bounds["grace_period_s"]),
+        retry_ratio=float(bounds["retry_ratio"]),
+        retry_slack=float(bounds["retry_slack"]),
+        retry_window_s=float(bounds["retry_window_s"]),
+    )
--- /dev/null
+++ b/src/sorrelhoist/platform/store.py
@@ -0,0 +1,182 @@
+"""The client of the platform's store: a log, and the newest record of each key."""
+
+import base64
+import json
+import struct
+from urllib.parse import urlencode
+
+import attrs
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from ..exceptions import PlatformError
+
+CONNECT_TIMEOUT_S = 0.7
+"""Several times the store's delay; the store may be cut off."""
+
+ANSWER_TIMEOUT_S = 1.0
+"""For an answer beyond the time that the store is asked to wait."""
+
+EXPIRED_STATUS = 410
+_COUNT = struct.Struct(">Q")
+_LENGTH = struct.Struct(">I")
+
+
+class RecordsExpiredError(PlatformError):
+    """The records asked for are deleted; read the newest of each key instead."""
+
+    kind = "records_expired"
+
+
+@attrs.frozen
+class KeyedRecord:
+    """A key and its value; None where the key was dropped."""
+
+    key: str
+    value: bytes | None
+
+
+@attrs.frozen
+class Records:
+    """Some records and the offset at which to read on."""
+
+    records: tuple[KeyedRecord, ...]
+    end_offset: int
+
+
+class StoreClient:
+    """Reads and writes topics whose records have keys.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._client = AsyncHTTPClient(force_instance=True, max_clients=8)
+
+    async def newest(self, topic: str) -> Records:
+        """Read the newest record of each key.
+
+        Returns
+        -------
+        Records
+            The end is that of the first page, so that a change during the read is
+            seen again by reading on from it.
+        """
+        found: list[KeyedRecord] = []
+        end_offset: int | None = None
+        after = ""
+        while True:
+            query = {"stream": topic, "part": 0}
+            if after:
+                query["after"] = after
+            body = await self._call("GET", "/log-newest", query)
+            page = _json(body)
+            if end_offset is None:
+                end_offset = int(page["end_offset"])
+            for item in page["items"]:
+                found.append(KeyedRecord(item["key"], base64.b64decode(item["val"])))
+                after = item["key"]
+            if not page.get("has_more"):
+                return Records(tuple(found), end_offset)
+
+    async def read(self, topic: str, offset: int, wait_s: float = 0.0) -> Records:
+        """Read records from an offset.
+
+        Parameters
+        ----------
+        topic : str
+        offset : int
+        wait_s : float
+            How long the store may wait for a record.
+
+        Raises
+        ------
+        RecordsExpiredError
+            If they are deleted.
+        PlatformError
+            If the store gives no answer.
+        """
+        query = {"stream": topic, "part": 0, "from": offset}
+        if wait_s:
+            query["wait_max_ms"] = int(wait_s * 1000)
+        data = await self._call("GET", "/log-read", query, wait_s=wait_s)
+        return _decode_records(data, offset)
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write a record; without an answer it may be written or not."""
+        name = key.encode()
+        content = bytes([len(name)]) + name + value
+        body = _LENGTH.pack(len(content)) + content
+        await self._call("POST", "/log-append", {"stream": topic, "part": 0}, body)
+
+    def close(self) -> None:
+        """Close the client."""
+        self._client.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict,
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+    ) -> bytes:
+        request = HTTPRequest(
+            f"{self._base}{path}?{urlencode(query)}",
+            method=method,
+            body=body,
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=wait_s + ANSWER_TIMEOUT_S,
+            decompress_response=False,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (OSError, HTTPClientError) as error:
+            raise PlatformError(f"{path}: {error!r}.") from error
+        if response.code == EXPIRED_STATUS:
+            raise RecordsExpiredError(f"{path}: the records are deleted.")
+        if response.code != 200:
+            raise PlatformError(f"{path}: status {response.code}: {response.error}.")
+        return response.body
+
+
+def _json(body: bytes) -> dict:
+    try:
+        found = json.loads(body)
+    except ValueError as error:
+        raise PlatformError(f"The store's answer is no JSON: {error}.") from error
+    if not isinstance(found, dict):
+        raise PlatformError("The store's answer is no object.")
+    return found
+
+
+def _decode_records(data: bytes, offset: int) -> Records:
+    r"""Decode what ``/log-read`` returns.
+
+    Examples
+    --------
+    >>> head = (5).to_bytes(8, "big") + (0).to_bytes(8, "big")
+    >>> _decode_records(head + b"\0\0\0\5\3keyv", 4)
+    Records(records=(KeyedRecord(key='key', value=b'v'),), end_offset=5)
+    """
+    position = 2 * _COUNT.size
+    if len(data) < position:
+        raise PlatformError("The store's answer is too short.")
+    found: list[KeyedRecord] = []
+    while position + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, position)
+        position += _LENGTH.size
+        content = data[position : position + length]
+        if len(content) < length:
+            raise PlatformError("The store's answer breaks off in a record.")
+        position += length
+        offset += 1
+        if content:
+            key_length = content[0]
+            key = content[1 : 1 + key_length].decode("utf-8", "replace")
+            value = content[1 + key_length :]
+            found.append(KeyedRecord(key, value or None))
+    return Records(tuple(found), offset)
--- /dev/null
+++ b/src/sorrelhoist/platform/wire.py
@@ -0,0 +1,161 @@
+"""The platform's words for routes, services and endpoints, decoded once."""
+
+import json
+
+from ..decisions.directory import Endpoint
+from ..decisions.routes import (
+    CallerLimits,
+    EngineCosts,
+    Repeat,
+    Route,
+    RouteTable,
+    ServicePlan,
+    Target,
+    Workspace,
+)
+
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+DEFAULT_RUNNING = 8
+"""Places of an endpoint that doesn't state them; the smallest in use."""
+
+
+class UnreadableRecord(ValueError):
+    """A record that another writer left, or that is damaged."""
+
+
+def decode_table(value: bytes) -> RouteTable:
+    """Decode the operators' configuration.
+
+    Raises
+    ------
+    UnreadableRecord
+        If a field is missing or of another type.
+    """
+    try:
+        fields = json.loads(value)
+        routes = [_route(found) for found in fields["routes"]]
+        by_place: dict[tuple[str, str], Route] = {}
+        for route in routes:
+            by_place.setdefault((route.host, route.path_prefix), route)
+        return RouteTable(
+            version=int(fields["version"]),
+            routes=by_place,
+            services={found["name"]: _service(found) for found in fields["backends"]},
+            workspaces=_workspaces(fields.get("tenants")),
+            limits=_limits(fields.get("limits") or {}),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UnreadableRecord(f"configuration: {error!r}") from error
+
+
+def _route(fields: dict) -> Route:
+    # A "backend" is a service here; "split" divides a route between several.
+    targets = tuple(
+        Target(part["backend"], float(part["weight"]))
+        for part in fields.get("split") or ()
+        if part["weight"] > 0
+    ) or (Target(fields["backend"], 1.0),)
+    pause_ms = fields.get("gap_target_ms")
+    return Route(
+        name=fields["name"],
+        host=fields["host"].lower(),
+        path_prefix=fields["path_prefix"],
+        targets=targets,
+        repeat=_repeat(fields),
+        is_stream=fields.get("kind") == "streaming",
+        timeout_s=fields["timeout_ms"] / 1000,
+        objective_s=fields.get("goal_ms", fields["timeout_ms"]) / 1000,
+        pause_s=pause_ms / 1000 if pause_ms else float("inf"),
+        max_endpoints=int(fields.get("attempts", 1)),
+        priority=int(fields.get("priority", 0)),
+        is_public=bool(fields.get("public", False)),
+    )
+
+
+def _repeat(fields: dict) -> Repeat:
+    match fields.get("kind"):
+        case "idempotent":
+            return Repeat.REPEATABLE
+        case "streaming" if fields.get("resumable"):
+            return Repeat.RESUMABLE
+        case _:
+            return Repeat.ONCE
+
+
+def _service(fields: dict) -> ServicePlan:
+    runtime = fields.get("runtime")
+    return ServicePlan(
+        name=fields["name"],
+        health_path=fields.get("health_path", "/"),
+        max_connections=int(fields.get("max_conns", 0)),
+        cold_requests_per_s=float(fields.get("cold_per_s", 0.0)),
+        engine=_engine(runtime) if runtime else None,
+    )
+
+
+def _engine(fields: dict) -> EngineCosts:
+    return EngineCosts(
+        max_running=int(fields["capacity"]),
+        kv_capacity_tokens=int(fields["kv_capacity"]),
+        # Decode steps of one pass, and so the tokens of one event.
+        tokens_per_event=int(fields["step_count"]),
+        step_ms=float(fields["step_ms"]),
+        prefill_tokens_per_s=float(fields["read_per_s"]),
+        pair_ms_per_million=float(fields["pairs_per_m"]),
+        hop_ms=float(fields.get("hop_ms", 0.0)),
+    )
+
+
+def _workspaces(tenants: list | None) -> dict[str, Workspace] | None:
+    if tenants is None:
+        return None
+    return {
+        key: Workspace(tenant["name"], tenant.get("priority"))
+        for tenant in tenants
+        for key in tenant["api_keys"]
+    }
+
+
+def _limits(fields: dict) -> CallerLimits:
+    known = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=int(fields.get("max_header_bytes", known.max_header_bytes)),
+        max_body_bytes=int(fields.get("max_body_bytes", known.max_body_bytes)),
+        header_timeout_s=fields.get("header_timeout_ms", 3000) / 1000,
+        idle_timeout_s=fields.get("idle_timeout_ms", 15000) / 1000,
+    )
+
+
+def decode_endpoint(key: str, value: bytes, now_s: float) -> Endpoint:
+    """Decode an entry of the directory.
+
+    Raises
+    ------
+    UnreadableRecord
+        If a field that is needed is missing or of another type, or the state is
+        unknown: such an entry names no endpoint to use.
+    """
+    try:
+        fields = json.loads(value)
+        address, state = fields["addr"], fields["state"]
+        host, _, port = address.rpartition(":")
+        if state not in ("ready", "draining") or not host or not 0 < int(port) < 65536:
+            raise ValueError(f"state {state!r} at {address!r}")
+        for name in ("backend", "zone"):
+            if not isinstance(fields[name], str):
+                raise TypeError(name)
+        capacity = fields.get("capacity", DEFAULT_RUNNING)
+        # How long the endpoint stays in its cold start.
+        cold_ms = fields.get("cold_left_ms", 0)
+        return Endpoint(
+            endpoint_id=key,
+            service=fields["backend"],
+            address=address,
+            failure_domain=fields["zone"],
+            capacity=max(1, int(capacity)),
+            is_leaving=state == "draining",
+            cold_until_s=now_s + cold_ms / 1000 if cold_ms > 0 else 0.0,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UnreadableRecord(f"endpoint {key}: {error!r}") from error
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import fcntl
+import os
+import re
+import shutil
 import tempfile
 from contextlib import contextmanager
 from pathlib import Path
@@ -11,6 +14,8 @@
 from sorrelhoist.bench.fleet import load_documents, running_fleet
 from tests.process.support import mend
 
+KEPT_LOGS = Path(__file__).parents[2] / "build" / "process-logs"
+FIRST_FAILED = pytest.StashKey[str]()
 CONFIGURATION = Path(__file__).parent / "configuration"
 ENGINE_OPTIONS = (
     *("--warm-work", "1", "--cold-slow-factor", "1.0"),
@@ -43,12 +48,32 @@
     runner.run(context.__aexit__(None, None, None))
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Tell later tests of the same fleet which one failed first."""
+    report = yield
+    if report.failed and "run" in getattr(item, "fixturenames", ()):
+        first = item.session.stash.setdefault(FIRST_FAILED, item.nodeid)
+        report.sections.append(("first failure on this fleet", first))
+    return report
+
+
 @pytest.fixture
-def run(runner, shared_fleet):
+def run(runner, shared_fleet, request):
     """Run a test's coroutine function with the fleet, all of it working."""
 
     def run(main):
-        runner.run(mend(shared_fleet))
-        runner.run(main(shared_fleet))
+        try:
+            runner.run(mend(shared_fleet))
+            runner.run(main(shared_fleet))
+        except BaseException:
+            keep_logs(shared_fleet, request.node.name)
+            raise
 
     return run
+
+
+def keep_logs(fleet, test_name):
+    """Copy settings and logs of all processes out of the temporary folder."""
+    name = re.sub(r"\W+", "-", test_name)
+    shutil.copytree(fleet.folder, KEPT_LOGS / f"{name}-{os.getpid()}")
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -1,6 +1,7 @@
 """Callers of a fleet, and what the tests look at."""
 
 import asyncio
+import inspect
 import json
 import signal
 
@@ -28,12 +29,23 @@
 NO_SERVICE_FAULTS = {"delay_s": 0, "lose_answer_count": 0, "refuse_count": 0}
 
 
-async def until(condition):
-    """Ask an async condition until it holds; return what it gave."""
-    async with asyncio.timeout(PATIENCE_S):
-        while not (found := await condition()):
-            await asyncio.sleep(POLL_INTERVAL_S)
-        return found
+async def until(condition, state=None):
+    """Ask an async condition until it holds; return what it gave.
+
+    A condition that never holds fails with its source and, where an async
+    ``state`` is given, with what that returned last.
+    """
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            while not (found := await condition()):
+                await asyncio.sleep(POLL_INTERVAL_S)
+            return found
+    except TimeoutError:
+        seen = await state() if state else "not recorded"
+        source = inspect.getsource(condition).strip()
+        raise AssertionError(
+            f"not met within {PATIENCE_S:g} s: {source}\nlast state: {seen}"
+        ) from None
 
 
 def engines(fleet):
@@ -78,6 +90,12 @@
     return await kv_used_tokens(fleet) == 0
 
 
+async def inventories(fleet):
+    """Return what each engine holds, by name, as text for a failure."""
+    found = {name: await inventory(child) for name, child in engines(fleet).items()}
+    return json.dumps(found, indent=1)
+
+
 async def streams_in_decode(fleet):
     found = [await inventory(child) for child in engines(fleet).values()]
     streams = [s for one in found if one for s in one["streams"]]
@@ -114,7 +132,7 @@
     applied = await until(lambda: applied_by(fleet))
     assert applied
     await fleet.wait_ready()
-    await until(lambda: memory_is_free(fleet))
+    await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
     for number in range(12):  # so that no engine is cold
         await until(lambda number=number: answers(fleet, f"warm {number}"))
 
--- a/tests/process/test_streams.py
+++ b/tests/process/test_streams.py
@@ -11,6 +11,7 @@
     boot_ids,
     busy_endpoint,
     engines,
+    inventories,
     memory_is_free,
     open_caller,
     read_on,
@@ -46,7 +47,7 @@
         texts, event_id = caller.events()
         rest = await read_on(fleet.child("entry-2"), event_id)
         assert "".join(texts) + rest.text() == caller.expected(), bytes(rest.data)
-        await until(lambda: memory_is_free(fleet))
+        await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
 
     run(main)
 
@@ -59,12 +60,12 @@
         caller, _ = await begun(
             fleet, "killed entry", output_tokens=ENDLESS, headers=patient
         )
-        await until(lambda: all_run(fleet, 3))
+        await until(lambda: all_run(fleet, 3), lambda: inventories(fleet))
         for writer in gone:
             writer.close()
         fleet.child("entry-1").kill()
         await caller.ended()
-        await until(lambda: memory_is_free(fleet))
+        await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
 
     run(main)
 
@@ -75,7 +76,7 @@
         fleet.child(f"agent-{endpoint}").kill()
         await fleet.restart_role(f"agent-{endpoint}")
         await caller.must_be_whole()
-        await until(lambda: memory_is_free(fleet))
+        await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
 
     run(main)
 
@@ -85,7 +86,7 @@
         caller, endpoint = await begun(fleet, "dead engine")
         await strike(engines(fleet)[endpoint], die=True)
         await caller.must_be_whole()
-        await until(lambda: memory_is_free(fleet))
+        await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
 
     run(main)
 
@@ -98,7 +99,7 @@
         frozen.signal(signal.SIGSTOP)
         await caller.must_be_whole()
         frozen.signal(signal.SIGCONT)
-        await until(lambda: memory_is_free(fleet))
+        await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
 
     run(main)
 
@@ -107,7 +108,7 @@
     async def main(fleet):
         caller = Caller(fleet.entries()[0], "contract " * 17_000, 20)
         await caller.must_be_whole()
-        await until(lambda: memory_is_free(fleet))
+        await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
 
     run(main)
 
@@ -123,7 +124,7 @@
         assert await fleet.child(name).stop(60.0) == 0
         for one in [caller, *beside]:
             await one.must_be_whole()
-        await until(lambda: memory_is_free(fleet))
+        await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
 
     run(main)
 
