--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -66,7 +66,9 @@
         """Take in an entry; return whether anything but its age changed."""
         known = self._entries.get(endpoint.endpoint_id)
         self._entries[endpoint.endpoint_id] = _Entry(endpoint, now_s)
-        return known is None or known.endpoint != endpoint or known.removed_s is not None
+        return (
+            known is None or known.endpoint != endpoint or known.removed_s is not None
+        )
 
     def remove(self, endpoint_id: str, now_s: float) -> bool:
         """Take out an entry; return whether it was known."""
--- a/src/sorrelhoist/decisions/load_book.py
+++ b/src/sorrelhoist/decisions/load_book.py
@@ -189,9 +189,7 @@
             if now_s - report.heard_s >= PEER_LIFETIME_S:
                 continue
             for use in report.uses.values():
-                sums.setdefault(
-                    use.address, EndpointUse(address=use.address)
-                ).join(use)
+                sums.setdefault(use.address, EndpointUse(address=use.address)).join(use)
         return sums
 
     def of(self, address: str, now_s: float) -> EndpointUse:
--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -149,7 +149,9 @@
     least_ms = read_ms / (MAX_HELPERS + 1) + costs.pass_ms
     if least_ms > demand.deadline_left_s * 1000:
         return Impossible("can't be read before its deadline")
-    usable = [view for view in views if view.endpoint.endpoint_id not in demand.excluded]
+    usable = [
+        view for view in views if view.endpoint.endpoint_id not in demand.excluded
+    ]
     if not usable:
         return Busy()
     sound = [view for view in usable if not view.is_avoided]
@@ -181,7 +183,10 @@
     costs: EngineCosts,
     now_s: float,
 ) -> Placement:
-    for spare, crowded_ms in ((SPARE_PLACES, CROWDED_READ_MS), (0, 2 * CROWDED_READ_MS)):
+    for spare, crowded_ms in (
+        (SPARE_PLACES, CROWDED_READ_MS),
+        (0, 2 * CROWDED_READ_MS),
+    ):
         for view in ordered:
             backlog_ms = view.use.backlog_ms(now_s)
             if backlog_ms <= crowded_ms and _has_room(view, demand, costs, spare):
--- a/src/sorrelhoist/entry/grants.py
+++ b/src/sorrelhoist/entry/grants.py
@@ -1,5 +1,6 @@
 """Get a grant for a request: ask agents in order until one agrees."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -15,6 +16,9 @@
 
 MAX_ASKED_ENDPOINTS = 8
 GRANT_REPLY_MARGIN_S = 1.0
+QUEUE_PATIENCE_S = 2.0
+"""How long a request waits in one agent's queue while another endpoint looks free:
+several times the age of what an entry knows of loads."""
 # Denials that no other endpoint would answer differently.
 FINAL_KINDS = frozenset(
     {"idempotency_key_reused", "invalid_request", "request_kills_endpoints"}
@@ -91,12 +95,15 @@
         Address of a node id, or None.
     clock : callable
         Monotonic seconds.
+    queue_patience_s : float
+        Wait in one queue before another endpoint is asked.
     """
 
     router: Router
     ask_agent: AskAgent
     address_of: Callable[[str], PeerAddress | None]
     clock: Callable[[], float]
+    queue_patience_s: float = QUEUE_PATIENCE_S
 
     async def seek(
         self, ask: Ask, targets: Sequence[Target]
@@ -119,14 +126,29 @@
             When no endpoint agrees; nothing was submitted.
         """
         left = list(targets)
+        left_queues: list[Target] = []
         denials: list[ttypes.Denial] = []
         for _ in range(MAX_ASKED_ENDPOINTS):
-            chosen = self.router.choose(ask.route, left, self.clock())
+            chosen = self.router.choose(ask.route, left or left_queues, self.clock())
             if not chosen or self.clock() >= ask.deadline_s:
                 break
             target = chosen[0]
-            left.remove(target)
-            answer = await self._ask(ask, target)
+            (left if left else left_queues).remove(target)
+            try:
+                async with asyncio.timeout(self._patience_s(ask, left)):
+                    answer = await self._ask(ask, target)
+            except TimeoutError:
+                logger.info(
+                    "queue left",
+                    extra={
+                        "request_id": ask.request.request_id,
+                        "endpoint": target.endpoint,
+                        "waited_s": self.queue_patience_s,
+                        "others": len(left),
+                    },
+                )
+                left_queues.append(target)
+                continue
             match answer:
                 case HeldGrant() | RunningElsewhere():
                     return answer
@@ -136,6 +158,17 @@
                     denials.append(answer)
         raise refusal_of(denials)
 
+    def _patience_s(self, ask: Ask, others: Sequence[Target]) -> float | None:
+        """Wait without bound unless another endpoint looks free."""
+        now_s = self.clock()
+        for target in others:
+            expected_s = self.router.expected_first_token_s(
+                ask.route, target, False, now_s
+            )
+            if expected_s < self.queue_patience_s:
+                return self.queue_patience_s
+        return None
+
     async def _ask(
         self, ask: Ask, target: Target
     ) -> HeldGrant | RunningElsewhere | ttypes.Denial:
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -176,9 +176,7 @@
                 Use(address=helper.address, read_ms=found.part_ms, is_stream=False)
                 for helper in found.helpers
             )
-            self._state.loads.place(
-                ask.request.request_id, (first, *helpers), now_s
-            )
+            self._state.loads.place(ask.request.request_id, (first, *helpers), now_s)
         return found
 
     def _place_call(self, ask: Ask, now_s: float) -> Placement:
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -102,9 +102,7 @@
         if stream is not None:
             stream.close()
 
-    async def answer(
-        self, status: int, headers: HTTPHeaders, text: str
-    ) -> None:
+    async def answer(self, status: int, headers: HTTPHeaders, text: str) -> None:
         """Send an answer of our own."""
         body = (text + "\n").encode()
         headers["Content-Type"] = "text/plain"
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -158,9 +158,7 @@
     host, _, port = address.rpartition(":")
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    connection.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-    )
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     stream = IOStream(connection)
     try:
         try:
--- a/tests/process/test_streams.py
+++ b/tests/process/test_streams.py
@@ -57,12 +57,14 @@
         entry = fleet.child("entry-2")
         gone = [await open_caller(entry, f"gone {n}", ENDLESS) for n in range(2)]
         patient = {"X-Request-Timeout-S": str(LONG_TIMEOUT_S)}
-        caller, _ = await begun(
-            fleet, "killed entry", output_tokens=ENDLESS, headers=patient
-        )
-        await until(lambda: all_run(fleet, 3), lambda: inventories(fleet))
-        for writer in gone:
-            writer.close()
+        try:
+            caller, _ = await begun(
+                fleet, "killed entry", output_tokens=ENDLESS, headers=patient
+            )
+            await until(lambda: all_run(fleet, 3), lambda: inventories(fleet))
+        finally:  # also after a failure, for the next test of this fleet
+            for writer in gone:
+                writer.close()
         fleet.child("entry-1").kill()
         await caller.ended()
         await until(lambda: memory_is_free(fleet), lambda: inventories(fleet))
