--- a/src/sorrelhoist/decisions/load_book.py
+++ b/src/sorrelhoist/decisions/load_book.py
@@ -141,7 +141,9 @@
         placement = self._placements.get(request_id)
         if placement is not None and placement.is_reading:
             placement.is_reading = False
-            placement.uses = tuple(use for use in placement.uses if use.is_stream)
+            placement.uses = tuple(
+                use for use in placement.uses if use.is_stream or use.kv_tokens
+            )
             self.version += 1
 
     def release(self, request_id: str) -> None:
--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -41,6 +41,13 @@
 SPARE_PLACES = 1
 """Places kept free at first, for what another entry places at the same moment."""
 
+LARGEST_TICKET_TOKENS = 300_000
+"""Memory reserved on one endpoint for a prompt that is larger than one engine's: an
+endpoint that decodes short prompts keeps room for them."""
+
+TICKET_SLACK_TOKENS = 256
+"""Added to each ticket, since engines give out memory in blocks."""
+
 KV_SHARE = 0.97
 """Part of the memory that is given out; the rest covers estimates of lengths."""
 
@@ -89,6 +96,14 @@
     is_avoided: bool = False
 
 
+@attrs.frozen
+class Ticket:
+    """Memory to be reserved on an endpoint before a prompt is sent."""
+
+    endpoint: Endpoint
+    tokens: int
+
+
 @attrs.frozen(kw_only=True)
 class Spread:
     """A placement.
@@ -99,6 +114,8 @@
         Receives the request.
     helpers : tuple of Endpoint
         Read parts of its prompt.
+    tickets : tuple of Ticket
+        For a prompt larger than the first endpoint's memory; all of them helpers.
     part_ms : float
         The reading at each of them.
     first_event_ms : float
@@ -107,6 +124,7 @@
 
     first: Endpoint
     helpers: tuple[Endpoint, ...] = ()
+    tickets: tuple[Ticket, ...] = ()
     part_ms: float = 0.0
     first_event_ms: float = 0.0
 
@@ -143,8 +161,6 @@
     -------
     Spread, Busy or Impossible
     """
-    if demand.kv_tokens > costs.kv_capacity_tokens * KV_SHARE:
-        return Impossible("larger than the memory of one engine")
     read_ms = costs.read_ms(demand.prompt_tokens)
     least_ms = read_ms / (MAX_HELPERS + 1) + costs.pass_ms
     if least_ms > demand.deadline_left_s * 1000:
@@ -166,16 +182,32 @@
     return [by_id[endpoint_id] for endpoint_id in ranked("packing", by_id)]
 
 
+def first_kv_tokens(demand: Demand, costs: EngineCosts) -> int:
+    """Return the memory at the endpoint that receives the request."""
+    if ticket_count(demand, costs):
+        return demand.output_tokens
+    return demand.kv_tokens
+
+
+def ticket_count(demand: Demand, costs: EngineCosts) -> int:
+    """Return the number of tickets for a prompt; 0 if one engine can hold it."""
+    if demand.kv_tokens <= costs.kv_capacity_tokens * KV_SHARE:
+        return 0
+    return math.ceil(demand.prompt_tokens / LARGEST_TICKET_TOKENS)
+
+
 def _has_room(
     view: EndpointView, demand: Demand, costs: EngineCosts, spare: int
 ) -> bool:
-    kv_tokens = view.use.kv_tokens + demand.kv_tokens
-    return (
-        view.use.streams + spare < costs.max_running
-        and kv_tokens <= costs.kv_capacity_tokens * KV_SHARE
+    return view.use.streams + spare < costs.max_running and _has_memory(
+        view, first_kv_tokens(demand, costs), costs
     )
 
 
+def _has_memory(view: EndpointView, tokens: int, costs: EngineCosts) -> bool:
+    return view.use.kv_tokens + tokens <= costs.kv_capacity_tokens * KV_SHARE
+
+
 def _place_short(
     demand: Demand,
     ordered: Sequence[EndpointView],
@@ -234,6 +266,9 @@
         found = _choose_parts(demand, able, parts, costs)
         if found is None:
             continue
+        tickets = _choose_tickets(demand, found[1:], costs)
+        if tickets is None:
+            continue
         wait_ms = max(view.use.backlog_ms(now_s) for view in found)
         expected_ms = wait_ms + part_ms + 2 * costs.pass_ms
         cost_ms = expected_ms + parts * HELPER_OVERHEAD_MS
@@ -242,6 +277,7 @@
             best = Spread(
                 first=found[0].endpoint,
                 helpers=tuple(view.endpoint for view in found[1:]),
+                tickets=tickets,
                 part_ms=part_ms,
                 first_event_ms=expected_ms,
             )
@@ -265,3 +301,18 @@
     first = min(firsts, key=lambda view: (view.use.tight_streams, view.use.kv_tokens))
     helpers = [view for view in able if view is not first][: parts - 1]
     return [first, *helpers]
+
+
+def _choose_tickets(
+    demand: Demand, helpers: Sequence[EndpointView], costs: EngineCosts
+) -> tuple[Ticket, ...] | None:
+    """Spread a prompt's memory over the helpers that have most of it free."""
+    count = ticket_count(demand, costs)
+    if not count:
+        return ()
+    tokens = math.ceil(demand.prompt_tokens / count) + TICKET_SLACK_TOKENS
+    able = [view for view in helpers if _has_memory(view, tokens, costs)]
+    if len(able) < count:
+        return None
+    able.sort(key=lambda view: view.use.kv_tokens)
+    return tuple(Ticket(view.endpoint, tokens) for view in able[:count])
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -4,7 +4,8 @@
 import json
 import logging
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import attrs
 
@@ -12,6 +13,7 @@
 from .dispatch import Dispatcher
 from .load_exchange import LoadExchange, running
 from .ports import Dialect
+from .reservations import Reserver
 from .server import Front, Probe, listen, readiness
 from .state import GatewayState
 
@@ -53,7 +55,7 @@
     addresses: Addresses,
     grace_s: float,
     boot_ms: int,
-    follow: Callable[[LoadExchange], Awaitable[None]],
+    follow: Callable[[LoadExchange], Coroutine[Any, Any, None]],
     metrics_text: Callable[[], str],
 ) -> None:
     """Serve until a signal asks to stop, and finish what is running.
@@ -78,7 +80,8 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _note_reload)
     dispatcher = Dispatcher(state)
-    front = Front(state, dispatcher, dialect)
+    reserver = Reserver(dialect)
+    front = Front(state, dispatcher, reserver, dialect)
     limits = state.table.limits if state.table else _DEFAULT_LIMITS
     exchange = LoadExchange(state, boot_ms)
     transport, _ = await loop.create_datagram_endpoint(
@@ -110,7 +113,8 @@
     loop = asyncio.get_running_loop()
     quiet_at_s = loop.time() + ROTATION_S
     while loop.time() < stop_at_s:
-        if not front.running and loop.time() >= quiet_at_s:
+        is_idle = not front.running and front.reserver.is_idle
+        if is_idle and loop.time() >= quiet_at_s:
             return
         await asyncio.sleep(POLL_INTERVAL_S)
 
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -6,13 +6,14 @@
 import attrs
 
 from ..decisions.load_book import TIGHT_PAUSE_S, Use
-from ..decisions.routes import EngineCosts, Repeat, Route
+from ..decisions.routes import EngineCosts, Route
 from ..decisions.spreading import (
     Busy,
     Demand,
     Impossible,
     Placement,
     Spread,
+    first_kv_tokens,
     spread,
 )
 from ..decisions.waiting_room import Waiting, WaitingRoom
@@ -197,6 +198,21 @@
         return Spread(first=best.endpoint)
 
 
-def may_be_resumed(route: Route) -> bool:
-    """Tell whether another endpoint may go on with a stream of a route."""
-    return route.is_stream and route.repeat is Repeat.RESUMABLE
+def _uses(found: Spread, demand: Demand, costs: EngineCosts) -> tuple[Use, ...]:
+    first = Use(
+        address=found.first.address,
+        read_ms=found.part_ms,
+        kv_tokens=first_kv_tokens(demand, costs),
+        is_tight=demand.is_tight,
+    )
+    held = {ticket.endpoint.address: ticket.tokens for ticket in found.tickets}
+    helpers = (
+        Use(
+            address=helper.address,
+            read_ms=found.part_ms,
+            kv_tokens=held.get(helper.address, 0),
+            is_stream=False,
+        )
+        for helper in found.helpers
+    )
+    return (first, *helpers)
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -5,19 +5,18 @@
 import logging
 
 import attrs
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from ..decisions.directory import Endpoint
 from ..decisions.event_stream import EventSplitter
 from ..decisions.forwarding import (
     Broken,
     Declined,
     Failed,
-    Failure,
     FailUnknown,
+    Failure,
     NextStep,
-    NotSent,
     PassOn,
     Progress,
     RefuseNotRun,
@@ -29,7 +28,8 @@
 from ..decisions.routes import Route, Workspace
 from ..decisions.spreading import Busy, Impossible, Spread
 from .dispatch import Ask, Dispatcher
-from .ports import CallerRequest, Dialect, Send
+from .ports import CallerRequest, Dialect, Helper, Send
+from .reservations import ReservationError, Reserver
 from .state import GatewayState, boot_time_s
 from .upstream import AnswerHead, ExchangeError, Upstream, connected
 
@@ -74,7 +74,7 @@
     dialect : Dialect
     """
 
-    def __init__(self, connection, dialect: Dialect) -> None:
+    def __init__(self, connection: HTTP1Connection, dialect: Dialect) -> None:
         self._connection = connection
         self._dialect = dialect
         self.has_begun = False
@@ -123,6 +123,7 @@
     caller : CallerConnection
     state : GatewayState
     dispatcher : Dispatcher
+    reserver : Reserver
     dialect : Dialect
     received_s : float
         Monotonic time at which its headers came.
@@ -132,6 +133,7 @@
     caller: CallerConnection
     state: GatewayState
     dispatcher: Dispatcher
+    reserver: Reserver
     dialect: Dialect
     received_s: float
     _route: Route = attrs.field(init=False)
@@ -264,7 +266,17 @@
         return step
 
     async def _attempt(self, place: Spread) -> Failure | None:
-        """Send it to one endpoint; return what went wrong, if anything."""
+        """Reserve what it needs and send it; return what went wrong, if anything."""
+        try:
+            async with self.reserver.holding(
+                self.request.request_id, place.tickets
+            ) as ticket_ids:
+                helpers = _helpers(place, ticket_ids)
+                return await self._send(place, helpers)
+        except ReservationError as error:
+            return error.failure
+
+    async def _send(self, place: Spread, helpers: tuple[Helper, ...]) -> Failure | None:
         loop = asyncio.get_running_loop()
         endpoint = place.first
         left_s = self._deadline_s - loop.time()
@@ -274,7 +286,7 @@
             return Declined("the endpoint is leaving", is_full=True)
         send = Send(
             endpoint=endpoint,
-            helpers=place.helpers,
+            helpers=helpers,
             wait_s=left_s,
             workspace=self._workspace,
             resume_after=self._splitter.last_id,
@@ -423,4 +435,10 @@
         )
 
 
-__all__ = ["CallerConnection", "Endpoint", "Exchange", "NotSent"]
+def _helpers(place: Spread, ticket_ids: dict[str, str]) -> tuple[Helper, ...]:
+    """List the helpers that hold tickets first: their memory is filled in turn."""
+    helpers = [
+        Helper(endpoint, ticket_ids.get(endpoint.endpoint_id, ""))
+        for endpoint in place.helpers
+    ]
+    return tuple(sorted(helpers, key=lambda helper: not helper.ticket_id))
--- a/src/sorrelhoist/gateway/load_exchange.py
+++ b/src/sorrelhoist/gateway/load_exchange.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Iterable, Iterator
+from collections.abc import Coroutine, Iterable, Iterator
 from contextlib import contextmanager
+from typing import Any
 
 import attrs
 
@@ -53,7 +54,7 @@
         self._peers: frozenset[PeerAddress] = frozenset()
         self._transport: asyncio.DatagramTransport | None = None
 
-    def connection_made(self, transport) -> None:
+    def connection_made(self, transport: Any) -> None:
         """Keep the socket."""
         self._transport = transport
 
@@ -142,7 +143,7 @@
 
 
 @contextmanager
-def running(coroutine) -> Iterator[asyncio.Task]:
+def running(coroutine: Coroutine[Any, Any, None]) -> Iterator[asyncio.Task]:
     """Run a coroutine beside others and cancel it at the end."""
     task = asyncio.ensure_future(coroutine)
     try:
--- a/src/sorrelhoist/gateway/ports.py
+++ b/src/sorrelhoist/gateway/ports.py
@@ -54,6 +54,23 @@
     body: bytes = b""
 
 
+@attrs.frozen
+class Helper:
+    """An endpoint that reads a part of a prompt, and holds one if it has a ticket."""
+
+    endpoint: Endpoint
+    ticket_id: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Order:
+    """An order to an endpoint's engine, as it is sent."""
+
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
 @attrs.frozen(kw_only=True)
 class Send:
     """How one request is sent to one endpoint.
@@ -61,7 +78,7 @@
     Parameters
     ----------
     endpoint : Endpoint
-    helpers : tuple of Endpoint
+    helpers : tuple of Helper
     wait_s : float
         Time that is left for it.
     workspace : Workspace or None
@@ -72,7 +89,7 @@
 
     endpoint: Endpoint
     wait_s: float
-    helpers: tuple[Endpoint, ...] = ()
+    helpers: tuple[Helper, ...] = ()
     workspace: Workspace | None = None
     resume_after: str = ""
     engine_priority: int | None = None
@@ -103,5 +120,13 @@
     def caller_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers of an endpoint's answer that a caller gets."""
 
+    def reserve_order(
+        self, endpoint: Endpoint, ticket_id: str, tokens: int, hold_s: float
+    ) -> Order:
+        """Return the order that reserves memory, or renews a reservation."""
+
+    def release_order(self, endpoint: Endpoint, ticket_id: str) -> Order:
+        """Return the order that ends a reservation."""
+
     def refusal_headers(self, request_id: str) -> HTTPHeaders:
         """Return the headers of an answer of our own."""
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 from tornado.httpserver import HTTPServer
@@ -20,6 +21,7 @@
 from .dispatch import Dispatcher
 from .exchange import CallerConnection, Exchange
 from .ports import Dialect
+from .reservations import Reserver
 from .state import GatewayState, boot_time_s
 
 logger = logging.getLogger(__name__)
@@ -39,33 +41,37 @@
     ----------
     state : GatewayState
     dispatcher : Dispatcher
+    reserver : Reserver
     dialect : Dialect
     """
 
     state: GatewayState
     dispatcher: Dispatcher
+    reserver: Reserver
     dialect: Dialect
     running: set[asyncio.Task] = attrs.field(factory=set)
 
-    def start_request(self, server_conn, request_conn) -> HTTPMessageDelegate:
+    def start_request(
+        self, server_conn: object, request_conn: Any
+    ) -> HTTPMessageDelegate:
         """Read one request."""
         return _Incoming(self, request_conn)
 
-    def on_close(self, server_conn) -> None:
+    def on_close(self, server_conn: object) -> None:
         """Nothing is kept for a connection."""
 
 
 @attrs.define(eq=False)
 class _Incoming(HTTPMessageDelegate):
     front: Front
-    connection: object
+    connection: Any
     start: RequestStartLine | None = None
     headers: HTTPHeaders = attrs.field(factory=HTTPHeaders)
     received_s: float = 0.0
     body: list[bytes] = attrs.field(factory=list)
     work: asyncio.Task | None = None
 
-    def headers_received(self, start_line, headers: HTTPHeaders) -> None:
+    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         self.start = start_line
         self.headers = headers
         self.received_s = asyncio.get_running_loop().time()
@@ -102,6 +108,7 @@
             caller=caller,
             state=front.state,
             dispatcher=front.dispatcher,
+            reserver=front.reserver,
             dialect=front.dialect,
             received_s=self.received_s,
         )
@@ -132,21 +139,23 @@
 
     answer: Callable[[str], tuple[int, str]]
 
-    def start_request(self, server_conn, request_conn) -> HTTPMessageDelegate:
+    def start_request(
+        self, server_conn: object, request_conn: Any
+    ) -> HTTPMessageDelegate:
         """Read one request."""
         return _ProbeRequest(self.answer, request_conn)
 
-    def on_close(self, server_conn) -> None:
+    def on_close(self, server_conn: object) -> None:
         """Nothing is kept for a connection."""
 
 
 @attrs.define(eq=False)
 class _ProbeRequest(HTTPMessageDelegate):
     answer: Callable[[str], tuple[int, str]]
-    connection: object
+    connection: Any
     path: str = "/"
 
-    def headers_received(self, start_line, headers: HTTPHeaders) -> None:
+    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         self.path = start_line.path
 
     def finish(self) -> None:
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -118,7 +118,7 @@
         """Read the whole body."""
         return b"".join([chunk async for chunk in self.chunks()])
 
-    async def _next(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next(self) -> object:
         while True:
             try:
                 event = self._protocol.next_event()
--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -1,11 +1,13 @@
 """The headers that callers and endpoints of the platform speak."""
 
+import json
+
 from tornado.httputil import HTTPHeaders
 
 from ..decisions.directory import Endpoint
 from ..decisions.forwarding import Declined
 from ..exceptions import InvalidRequestError
-from ..gateway.ports import CallerRequest, PromptSize, Send
+from ..gateway.ports import CallerRequest, Helper, Order, PromptSize, Send
 
 REQUEST_ID = "X-Attempt-Id"
 WAIT_MS = "X-Deadline-Ms"
@@ -18,6 +20,7 @@
 ENGINE_PRIORITY = "X-Request-Priority"
 HELPERS = "X-Helpers"
 FAULTY = "At-Server"
+ORDER_PATH = "/order"
 KEY_SCHEME = "Token "
 
 # Headers of one connection, and those that are only ours to set.
@@ -117,13 +120,42 @@
                 found.add(name, value)
         return found
 
+    def reserve_order(
+        self, endpoint: Endpoint, ticket_id: str, tokens: int, hold_s: float
+    ) -> Order:
+        """Return the order that reserves memory, or renews a reservation."""
+        fields = {
+            "operation": "reserve",
+            "id": ticket_id,
+            "tokens": tokens,
+            "hold_ms": int(hold_s * 1000),
+        }
+        return _order(endpoint, fields)
+
+    def release_order(self, endpoint: Endpoint, ticket_id: str) -> Order:
+        """Return the order that ends a reservation."""
+        return _order(endpoint, {"operation": "release", "id": ticket_id})
+
     def refusal_headers(self, request_id: str) -> HTTPHeaders:
         """Return the headers of an answer of our own."""
         return HTTPHeaders({REQUEST_ID: request_id})
 
 
-def _helper(endpoint: Endpoint) -> str:
-    return endpoint.address
+def _helper(helper: Helper) -> str:
+    address = helper.endpoint.address
+    return f"{address}/{helper.ticket_id}" if helper.ticket_id else address
+
+
+def _order(endpoint: Endpoint, fields: dict) -> Order:
+    body = json.dumps(fields).encode()
+    headers = (
+        ("Host", endpoint.address),
+        ("Content-Type", "application/json"),
+        (EXPECTED_ENDPOINT, endpoint.endpoint_id),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+    )
+    return Order(path=ORDER_PATH, headers=headers, body=body)
 
 
 def _named_by_connection(headers: HTTPHeaders) -> frozenset[str]:
