Exchange split into modules; metrics, bounded logs, reload, cold starts, suspicion

One module per job: caller, attempt, exchange, reservations, request_log. OpenTelemetry counters and latency histograms on the metrics address. Settings are read again on SIGHUP and when the file changes. Requests that bring endpoints down are refused after the third. Endpoints in a cold start get a bounded share from each gateway. Retry-After comes from the observed drain.

--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -66,9 +66,11 @@
         """Take in an entry; return whether anything but its age changed."""
         known = self._entries.get(endpoint.endpoint_id)
         self._entries[endpoint.endpoint_id] = _Entry(endpoint, now_s)
-        return (
-            known is None or known.endpoint != endpoint or known.removed_s is not None
-        )
+        if known is None or known.removed_s is not None:
+            return True
+        # The end of a cold start is told anew with each heartbeat.
+        cold = attrs.evolve(endpoint, cold_until_s=known.endpoint.cold_until_s)
+        return cold != known.endpoint
 
     def remove(self, endpoint_id: str, now_s: float) -> bool:
         """Take out an entry; return whether it was known."""
--- a/src/sorrelhoist/decisions/forwarding.py
+++ b/src/sorrelhoist/decisions/forwarding.py
@@ -40,9 +40,17 @@
 
 @attrs.frozen
 class Broken:
-    """The request was sent and there is no whole answer: it may have run."""
+    """The request was sent and there is no whole answer: it may have run.
+
+    Parameters
+    ----------
+    detail : str
+    is_silent : bool
+        Whether nothing came, instead of an end that came too soon.
+    """
 
     detail: str
+    is_silent: bool = False
 
 
 @attrs.frozen
--- a/src/sorrelhoist/decisions/suspicion.py
+++ b/src/sorrelhoist/decisions/suspicion.py
@@ -102,14 +102,17 @@
         Returns
         -------
         bool
-            True from the second death on at which the request ran alone.
+            True from the second death on at which the request ran alone, or from
+            the number of deaths in company that the options name.
         """
-        alone = [
-            key
+        deaths = [
+            item
             for key, item in self._evidence(fingerprint, now_s).items()
-            if item.running_requests == 1 and not self._is_crowded(key, item, now_s)
+            if not self._is_crowded(key, item, now_s)
         ]
-        return len(alone) >= CONDEMNING_DEATHS
+        alone = sum(item.running_requests == 1 for item in deaths)
+        in_company = self._options.deaths_in_company
+        return alone >= CONDEMNING_DEATHS or 0 < in_company <= len(deaths)
 
     def completed(self, fingerprint: int, now_s: float) -> None:
         """Clear a request of the deaths so far: it ran to its end."""
--- a/src/sorrelhoist/decisions/suspicion_evidence.py
+++ b/src/sorrelhoist/decisions/suspicion_evidence.py
@@ -21,12 +21,16 @@
         Deaths no further apart count as one event.
     crowd_deaths : int
         So many other deaths in the window, without the request, excuse it.
+    deaths_in_company : int
+        So many deaths condemn a request that never ran alone; 0 for none. For
+        callers who can't be given an endpoint of their own.
     """
 
     lifetime_s: float = 3600.0
     max_items: int = 4096
     crowd_window_s: float = 5.0
     crowd_deaths: int = 3
+    deaths_in_company: int = 0
 
 
 @attrs.frozen
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -4,14 +4,18 @@
 import json
 import logging
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
 from typing import Any
 
 import attrs
+from tornado.httpserver import HTTPServer
 
 from ..decisions.routes import CallerLimits
 from .dispatch import Dispatcher
 from .load_exchange import LoadExchange, running
+from .metrics import create_metrics
+from .parts import GatewayParts
 from .ports import Dialect
 from .reservations import Reserver
 from .server import Front, Probe, listen, readiness
@@ -23,12 +27,12 @@
 """Time in which the balancer notices that the process isn't ready: two questions,
 a second apart, and some slack."""
 
-POLL_INTERVAL_S = 0.05
+EXIT_MARGIN_S = 0.7
+"""Kept of the grace period for the end of the process itself."""
 
+DRAIN_POLL_S = 0.05
 DUMP_PATH = "/dump"
 
-_DEFAULT_LIMITS = CallerLimits()
-
 
 @attrs.frozen(kw_only=True)
 class Addresses:
@@ -49,16 +53,9 @@
     metrics_port: int
 
 
-async def run_gateway(
-    state: GatewayState,
-    dialect: Dialect,
-    addresses: Addresses,
-    grace_s: float,
-    boot_ms: int,
-    follow: Callable[[LoadExchange], Coroutine[Any, Any, None]],
-    metrics_text: Callable[[], str],
-) -> None:
-    """Serve until a signal asks to stop, and finish what is running.
+@attrs.frozen(kw_only=True)
+class Gateway:
+    """What makes up one gateway process.
 
     Parameters
     ----------
@@ -66,71 +63,103 @@
     dialect : Dialect
     addresses : Addresses
     grace_s : float
-        From the signal to the kill.
+        From the signal to stop to the kill.
     boot_ms : int
         Start of the process, Unix milliseconds.
     follow : callable
         Feeds the state until cancelled.
-    metrics_text : callable
-        Returns the metrics for a scraper.
+    reload : callable
+        Reads the settings again.
     """
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
-    dispatcher = Dispatcher(state)
-    reserver = Reserver(dialect)
-    front = Front(state, dispatcher, reserver, dialect)
-    limits = state.table.limits if state.table else _DEFAULT_LIMITS
-    exchange = LoadExchange(state, boot_ms)
-    transport, _ = await loop.create_datagram_endpoint(
-        lambda: exchange, local_addr=(addresses.host, addresses.peer_port)
-    )
-    probe = Probe(_operator_answers(state, dispatcher, metrics_text))
-    servers = [
-        listen(front, addresses.front, limits),
-        listen(Probe(readiness(state)), addresses.ready, limits),
-        listen(probe, f"{addresses.host}:{addresses.metrics_port}", limits),
-    ]
-    logger.info("started", extra={"event": "start", "addresses": str(addresses)})
-    with running(follow(exchange)) as following, running(exchange.run()):
-        stopped = asyncio.ensure_future(stop.wait())
-        await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
-        if following.done():
-            following.result()
-        stop_at_s = loop.time() + grace_s - 1.0
-        logger.info("stopping", extra={"event": "stop", "running": len(front.running)})
-        state.is_stopping = True
-        await _drain(front, stop_at_s)
-    for server in servers:
-        server.stop()
-    transport.close()
-    logger.info("stopped", extra={"event": "stopped", "running": len(front.running)})
+
+    state: GatewayState
+    dialect: Dialect
+    addresses: Addresses
+    grace_s: float
+    boot_ms: int
+    follow: Callable[[LoadExchange], Coroutine[Any, Any, None]]
+    reload: Callable[[], None]
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop, and finish what is running."""
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        async with self._serving() as (front, exchange):
+            with running(self.follow(exchange)) as following, running(exchange.run()):
+                stopped = asyncio.ensure_future(stop.wait())
+                await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
+                if following.done():
+                    following.result()
+                stop_at_s = loop.time() + self.grace_s - EXIT_MARGIN_S
+                count = len(front.running)
+                logger.info("stopping", extra={"event": "stop", "running": count})
+                self.state.is_stopping = True
+                await _drain(front, stop_at_s)
+        count = len(front.running)
+        logger.info("stopped", extra={"event": "stopped", "running": count})
+
+    @asynccontextmanager
+    async def _serving(self) -> AsyncIterator[tuple[Front, LoadExchange]]:
+        """Listen at all addresses until the end of the context."""
+        loop = asyncio.get_running_loop()
+        process_metrics, metrics = create_metrics(self.state)
+        parts = GatewayParts(
+            state=self.state,
+            dispatcher=Dispatcher(self.state),
+            reserver=Reserver(self.dialect),
+            dialect=self.dialect,
+            metrics=metrics,
+        )
+        front = Front(parts)
+        exchange = LoadExchange(self.state, self.boot_ms)
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: exchange, local_addr=(self.addresses.host, self.addresses.peer_port)
+        )
+        servers = self._listen(front, process_metrics.text)
+        logger.info(
+            "started", extra={"event": "start", "addresses": str(self.addresses)}
+        )
+        try:
+            yield front, exchange
+        finally:
+            for server in servers:
+                server.stop()
+            transport.close()
+
+    def _listen(
+        self, front: Front, metrics_text: Callable[[], bytes]
+    ) -> list[HTTPServer]:
+        addresses, limits = self.addresses, CallerLimits()
+        operators = Probe(_operator_answers(front.parts, metrics_text))
+        metrics_address = f"{addresses.host}:{addresses.metrics_port}"
+        return [
+            listen(front, addresses.front, limits),
+            listen(Probe(readiness(self.state)), addresses.ready, limits),
+            listen(operators, metrics_address, limits),
+        ]
 
 
 async def _drain(front: Front, stop_at_s: float) -> None:
     loop = asyncio.get_running_loop()
     quiet_at_s = loop.time() + ROTATION_S
     while loop.time() < stop_at_s:
-        is_idle = not front.running and front.reserver.is_idle
+        is_idle = not front.running and front.parts.reserver.is_idle
         if is_idle and loop.time() >= quiet_at_s:
             return
-        await asyncio.sleep(POLL_INTERVAL_S)
-
-
-def _note_reload() -> None:
-    logger.info("settings unchanged", extra={"event": "reload"})
+        await asyncio.sleep(DRAIN_POLL_S)
 
 
 def _operator_answers(
-    state: GatewayState, dispatcher: Dispatcher, metrics_text: Callable[[], str]
-) -> Callable[[str], tuple[int, str]]:
-    def answer(path: str) -> tuple[int, str]:
+    parts: GatewayParts, metrics_text: Callable[[], bytes]
+) -> Callable[[str], tuple[int, bytes]]:
+    def answer(path: str) -> tuple[int, bytes]:
         if path.partition("?")[0] == DUMP_PATH:
             now_s = asyncio.get_running_loop().time()
-            found = state.dump(now_s) | {"dispatcher": dispatcher.dump()}
-            return 200, json.dumps(found, default=str)
+            found = parts.state.dump(now_s) | {"dispatcher": parts.dispatcher.dump()}
+            return 200, json.dumps(found, default=str).encode()
         return 200, metrics_text()
 
     return answer
--- /dev/null
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -0,0 +1,246 @@
+"""One request at one endpoint, and its answer on the way to the caller."""
+
+import asyncio
+
+import attrs
+from tornado.httputil import HTTPHeaders
+
+from ..decisions.event_stream import EventSplitter
+from ..decisions.forwarding import Broken, Failed, Failure, Progress
+from ..decisions.load_book import TIGHT_PAUSE_S
+from ..decisions.routes import Route, Workspace
+from ..decisions.spreading import Spread
+from .caller import CallerConnection
+from .parts import GatewayParts
+from .ports import CallerRequest, Helper, Send
+from .request_log import RequestLog
+from .reservations import ReservationError
+from .upstream import AnswerHead, ExchangeError, Upstream, connected
+
+STREAM_SILENCE_PAUSES = 4.0
+"""A stream that is silent for so many pause targets is taken to be dead."""
+
+LEAST_SILENCE_S = 0.9
+"""Longer than the longest pass beside short reads."""
+
+FIRST_EVENT_SLACK_S = 2.0
+"""Beyond the expected first event; engines stall for up to 1.5 s on a helper that
+died, and answer after that."""
+
+HURRIED_PRIORITY = 2
+"""Engine priority of streams with tight pauses; the default is 5."""
+
+
+@attrs.define(eq=False, kw_only=True)
+class Admitted:
+    """A request that was let in, and how far its answer got.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    route : Route
+    service : str
+    workspace : Workspace or None
+    fingerprint : int
+        The same for each repetition of a request by the same caller.
+    received_s, deadline_s : float
+    progress : Progress
+    splitter : EventSplitter
+        Knows the last event that the caller has.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    workspace: Workspace | None
+    fingerprint: int
+    received_s: float
+    deadline_s: float
+    progress: Progress
+    splitter: EventSplitter
+    excluded: set[str] = attrs.field(factory=set)
+
+
+@attrs.define(eq=False, kw_only=True)
+class Attempt:
+    """One send.
+
+    Parameters
+    ----------
+    parts : GatewayParts
+    admitted : Admitted
+    caller : CallerConnection
+    log : RequestLog
+    place : Spread
+    """
+
+    parts: GatewayParts
+    admitted: Admitted
+    caller: CallerConnection
+    log: RequestLog
+    place: Spread
+
+    async def run(self) -> Failure | None:
+        """Reserve what it needs and send it.
+
+        Returns
+        -------
+        Failure or None
+            None when the caller has the whole answer.
+        """
+        request_id = self.admitted.request.request_id
+        try:
+            async with self.parts.reserver.holding(
+                request_id, self.place.tickets
+            ) as ticket_ids:
+                return await self._send(_helpers(self.place, ticket_ids))
+        except ReservationError as error:
+            return error.failure
+
+    async def _send(self, helpers: tuple[Helper, ...]) -> Failure | None:
+        loop = asyncio.get_running_loop()
+        request, endpoint = self.admitted.request, self.place.first
+        left_s = self.admitted.deadline_s - loop.time()
+        send = Send(
+            endpoint=endpoint,
+            helpers=helpers,
+            wait_s=left_s,
+            workspace=self.admitted.workspace,
+            resume_after=self.admitted.splitter.last_id,
+            engine_priority=self._engine_priority(),
+        )
+        self._log_send(left_s)
+        self.parts.state.count_cold_send(endpoint, loop.time())
+        headers = self.parts.dialect.endpoint_headers(request, send)
+        try:
+            async with connected(endpoint.address, left_s) as upstream:
+                await upstream.send(request.method, request.path, headers, request.body)
+                failure = await self._read_answer(upstream)
+        except ExchangeError as error:
+            return error.failure
+        except TimeoutError:
+            # The endpoint may still be at work on it when the time is over.
+            self.admitted.progress.runs += 1
+            raise
+        if failure is None:
+            self.parts.state.troubles.succeeded(endpoint.endpoint_id, loop.time())
+            self.parts.state.suspicions.completed(
+                self.admitted.fingerprint, loop.time()
+            )
+        return failure
+
+    def _log_send(self, left_s: float) -> None:
+        now_s = asyncio.get_running_loop().time()
+        table = self.parts.state.table
+        self.log.write(
+            "sent",
+            outcome="sent",
+            endpoint=self.place.first.endpoint_id,
+            helpers=len(self.place.helpers),
+            tickets=len(self.place.tickets),
+            expected_ms=round(self.place.first_event_ms),
+            waited_ms=round((now_s - self.admitted.received_s) * 1000),
+            left_ms=round(left_s * 1000),
+            version=table.version if table else None,
+            resume_after=self.admitted.splitter.last_id,
+        )
+
+    def _engine_priority(self) -> int | None:
+        if self.admitted.request.size is None:
+            return None
+        return HURRIED_PRIORITY if self.admitted.route.pause_s < TIGHT_PAUSE_S else None
+
+    async def _read_answer(self, upstream: Upstream) -> Failure | None:
+        limit_s = None
+        if self.admitted.route.is_stream:
+            limit_s = self.place.first_event_ms / 1000 + FIRST_EVENT_SLACK_S
+        try:
+            async with asyncio.timeout(limit_s) as limit:
+                head = await upstream.head()
+                failure = self._check_head(head)
+                if failure is not None:
+                    return failure
+                if not self.admitted.route.is_stream or head.status != 200:
+                    limit.reschedule(None)
+                    return await self._pass_whole(upstream, head)
+                return await self._pass_stream(upstream, head, limit)
+        except TimeoutError as error:
+            now_s = asyncio.get_running_loop().time()
+            if not limit.expired() or now_s >= self.admitted.deadline_s:
+                raise
+            return Broken(f"silent: {error!r}", is_silent=True)
+
+    def _check_head(self, head: AnswerHead) -> Failure | None:
+        dialect = self.parts.dialect
+        declined = dialect.declined(head.status, head.headers)
+        if declined is not None:
+            return declined
+        if not dialect.answers(self.admitted.request, head.headers):
+            return Broken("an answer to another request")
+        if not dialect.is_genuine(head.headers):
+            return Broken(f"status {head.status} without a signature")
+        return None
+
+    async def _pass_whole(self, upstream: Upstream, head: AnswerHead) -> Failure | None:
+        """Pass an answer on once it is whole."""
+        body = await upstream.body()
+        progress = self.admitted.progress
+        is_last = progress.runs + 1 >= progress.max_endpoints
+        if self.caller.has_begun:
+            return Failed(head.status)
+        if head.status >= 500 and progress.may_repeat and not is_last:
+            return Failed(head.status)
+        headers = self._caller_headers(head)
+        headers["Content-Length"] = str(len(body))
+        self.log.write("answered", outcome="answered", status=head.status)
+        await self.caller.begin(head, headers)
+        await self.caller.write(body)
+        self.caller.finish()
+        return None
+
+    async def _pass_stream(
+        self, upstream: Upstream, head: AnswerHead, limit: asyncio.Timeout
+    ) -> Failure | None:
+        """Pass whole events on as they come."""
+        loop = asyncio.get_running_loop()
+        pause_s = self.admitted.route.pause_s
+        silence_s = max(LEAST_SILENCE_S, STREAM_SILENCE_PAUSES * pause_s)
+        splitter = EventSplitter(last_id=self.admitted.splitter.last_id)
+        self.admitted.splitter = splitter
+        async for chunk in upstream.chunks():
+            events = splitter.feed(chunk)
+            if not events:
+                continue
+            if not self.caller.has_begun:
+                await self._begin_stream(head)
+            limit.reschedule(loop.time() + silence_s)
+            self.parts.state.loads.read_ended(self.admitted.request.request_id)
+            await self.caller.write(b"".join(events))
+        if splitter.has_rest:
+            return Broken("the stream ended in the middle of an event")
+        if not self.caller.has_begun:
+            await self._begin_stream(head)
+        self.caller.finish()
+        self.log.write("answered", outcome="answered", last_id=splitter.last_id)
+        return None
+
+    async def _begin_stream(self, head: AnswerHead) -> None:
+        self.admitted.progress.has_begun = True
+        waited_s = asyncio.get_running_loop().time() - self.admitted.received_s
+        self.parts.metrics.first_event.record(waited_s)
+        self.log.write(
+            "first event", outcome="streaming", first_event_ms=round(waited_s * 1000)
+        )
+        await self.caller.begin(head, self._caller_headers(head))
+
+    def _caller_headers(self, head: AnswerHead) -> HTTPHeaders:
+        return self.parts.dialect.caller_headers(head.headers)
+
+
+def _helpers(place: Spread, ticket_ids: dict[str, str]) -> tuple[Helper, ...]:
+    """List the helpers that hold tickets first: their memory is filled in turn."""
+    helpers = [
+        Helper(endpoint, ticket_ids.get(endpoint.endpoint_id, ""))
+        for endpoint in place.helpers
+    ]
+    return tuple(sorted(helpers, key=lambda helper: not helper.ticket_id))
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -5,7 +5,9 @@
 
 import attrs
 
+from ..decisions.drain_rate import DrainRate
 from ..decisions.load_book import TIGHT_PAUSE_S, Use
+from ..decisions.retry_after import Backlog, Informed, retry_after_s
 from ..decisions.routes import EngineCosts, Route
 from ..decisions.spreading import (
     Busy,
@@ -31,6 +33,9 @@
 CALL_WAIT_SHARE = 0.5
 """Of a plain call's objective that it may wait for a free place."""
 
+RETRY_ADVICE = Informed(jitter=1.0)
+"""Callers come back over up to twice the time of the drain, not all together."""
+
 DEFAULT_SIZE = PromptSize(prompt_tokens=1000, output_tokens=200)
 """Assumed where a caller doesn't say how large its prompt is."""
 
@@ -71,6 +76,7 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._room = WaitingRoom()
+        self._drains: dict[str, DrainRate] = {}
         self._asks: dict[Waiting, tuple[Ask, asyncio.Future[Placement]]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -109,9 +115,21 @@
             self._room.leave(waiting)
             del self._asks[waiting]
 
+    def ended(self, service: str, now_s: float) -> None:
+        """Note that a place became free."""
+        self._drains.setdefault(service, DrainRate()).ended(now_s)
+
+    def retry_after_s(self, service: str) -> float:
+        """Advise a refused caller when a place will be free for it."""
+        drain = self._drains.get(service) or DrainRate()
+        waiting = sum(ask.service == service for ask, _ in self._asks.values())
+        backlog = Backlog(position=waiting, drain_interval_s=drain.interval_s)
+        return retry_after_s(RETRY_ADVICE, backlog, self._state.rng)
+
     def dump(self) -> dict:
         """Return the state as plain data."""
-        return {"waiting": len(self._room)}
+        drains = {name: drain.interval_s for name, drain in self._drains.items()}
+        return {"waiting": len(self._room), "drain_intervals_s": drains}
 
     def _is_overtaking(self, ask: Ask) -> bool:
         return any(
--- /dev/null
+++ b/src/sorrelhoist/gateway/parts.py
@@ -0,0 +1,29 @@
+"""What all exchanges of a gateway share."""
+
+import attrs
+
+from .dispatch import Dispatcher
+from .metrics import GatewayMetrics
+from .ports import Dialect
+from .reservations import Reserver
+from .state import GatewayState
+
+
+@attrs.frozen(kw_only=True)
+class GatewayParts:
+    """The parts of one gateway.
+
+    Parameters
+    ----------
+    state : GatewayState
+    dispatcher : Dispatcher
+    reserver : Reserver
+    dialect : Dialect
+    metrics : GatewayMetrics
+    """
+
+    state: GatewayState
+    dispatcher: Dispatcher
+    reserver: Reserver
+    dialect: Dialect
+    metrics: GatewayMetrics
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -18,10 +18,9 @@
 
 from ..decisions.routes import CallerLimits
 from ..exceptions import InvalidRequestError
-from .dispatch import Dispatcher
-from .exchange import CallerConnection, Exchange
-from .ports import Dialect
-from .reservations import Reserver
+from .caller import CallerConnection
+from .exchange import Exchange
+from .parts import GatewayParts
 from .state import GatewayState, boot_time_s
 
 logger = logging.getLogger(__name__)
@@ -39,16 +38,10 @@
 
     Parameters
     ----------
-    state : GatewayState
-    dispatcher : Dispatcher
-    reserver : Reserver
-    dialect : Dialect
+    parts : GatewayParts
     """
 
-    state: GatewayState
-    dispatcher: Dispatcher
-    reserver: Reserver
-    dialect: Dialect
+    parts: GatewayParts
     running: set[asyncio.Task] = attrs.field(factory=set)
 
     def start_request(
@@ -90,11 +83,11 @@
             self.work.cancel()
 
     async def _serve(self, start: RequestStartLine) -> None:
-        front = self.front
-        caller = CallerConnection(self.connection, front.dialect)
-        caller.closes_after = front.state.is_stopping
+        parts = self.front.parts
+        caller = CallerConnection(self.connection)
+        caller.closes_after = parts.state.is_stopping
         try:
-            request = front.dialect.read_request(
+            request = parts.dialect.read_request(
                 start.method, start.path, self.headers, b"".join(self.body)
             )
         except InvalidRequestError as error:
@@ -106,10 +99,7 @@
         exchange = Exchange(
             request=request,
             caller=caller,
-            state=front.state,
-            dispatcher=front.dispatcher,
-            reserver=front.reserver,
-            dialect=front.dialect,
+            parts=parts,
             received_s=self.received_s,
         )
         await exchange.run()
@@ -129,15 +119,15 @@
 
 @attrs.define(eq=False)
 class Probe(HTTPServerConnectionDelegate):
-    """Answers GET requests with a status and a text.
+    """Answers GET requests with a status and a body.
 
     Parameters
     ----------
     answer : callable
-        Takes the path and returns status and text.
+        Takes the path and returns status and body.
     """
 
-    answer: Callable[[str], tuple[int, str]]
+    answer: Callable[[str], tuple[int, bytes]]
 
     def start_request(
         self, server_conn: object, request_conn: Any
@@ -151,7 +141,7 @@
 
 @attrs.define(eq=False)
 class _ProbeRequest(HTTPMessageDelegate):
-    answer: Callable[[str], tuple[int, str]]
+    answer: Callable[[str], tuple[int, bytes]]
     connection: Any
     path: str = "/"
 
@@ -159,21 +149,20 @@
         self.path = start_line.path
 
     def finish(self) -> None:
-        status, text = self.answer(self.path)
-        body = text.encode()
+        status, body = self.answer(self.path)
         headers = HTTPHeaders({"Content-Length": str(len(body))})
         line = ResponseStartLine("HTTP/1.1", status, "OK" if status == 200 else "-")
         self.connection.write_headers(line, headers, body)
         self.connection.finish()
 
 
-def readiness(state: GatewayState) -> Callable[[str], tuple[int, str]]:
+def readiness(state: GatewayState) -> Callable[[str], tuple[int, bytes]]:
     """Return the answer to the balancer's question."""
 
-    def answer(path: str) -> tuple[int, str]:
+    def answer(path: str) -> tuple[int, bytes]:
         if state.is_ready(boot_time_s()):
-            return 200, "ready\n"
-        return 503, "not ready\n"
+            return 200, b"ready\n"
+        return 503, b"not ready\n"
 
     return answer
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from ..decisions.directory import Directory
+from ..decisions.cold_start import ColdStarts
+from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_trouble import TroubleBook
 from ..decisions.load_book import EndpointUse, LoadBook
 from ..decisions.retries import RetryBudget
@@ -45,6 +46,7 @@
     directory: Directory = attrs.field(factory=Directory)
     loads: LoadBook = attrs.field(factory=LoadBook)
     troubles: TroubleBook = attrs.field(factory=TroubleBook)
+    cold_starts: ColdStarts = attrs.field(factory=ColdStarts)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
     is_stopping: bool = False
 
@@ -80,6 +82,8 @@
     def views(self, service: str, now_s: float) -> list[EndpointView]:
         """Return the usable endpoints of a service with their load."""
         totals = self.loads.totals(now_s)
+        plan = self.table.services.get(service) if self.table else None
+        cold_rate = plan.cold_requests_per_s if plan else 0.0
         return [
             EndpointView(
                 endpoint=endpoint,
@@ -88,8 +92,26 @@
                 is_avoided=self.troubles.is_avoided(endpoint.endpoint_id, now_s),
             )
             for endpoint in self.directory.usable(service, now_s)
+            if self._bears_more(endpoint, cold_rate, now_s)
         ]
 
+    def _bears_more(self, endpoint: Endpoint, cold_rate: float, now_s: float) -> bool:
+        if not cold_rate or now_s >= endpoint.cold_until_s:
+            return True
+        gateways = len(self.loads.peers(now_s)) + 1
+        return self.cold_starts.has_room(
+            endpoint.endpoint_id, cold_rate, gateways, now_s
+        )
+
+    def count_cold_send(self, endpoint: Endpoint, now_s: float) -> None:
+        """Count a request that goes to an endpoint in a cold start."""
+        plan = self.table.services.get(endpoint.service) if self.table else None
+        if plan and plan.cold_requests_per_s and now_s < endpoint.cold_until_s:
+            gateways = len(self.loads.peers(now_s)) + 1
+            self.cold_starts.try_send(
+                endpoint.endpoint_id, plan.cold_requests_per_s, gateways, now_s
+            )
+
     def dump(self, now_s: float) -> dict:
         """Return all of it as plain data."""
         return {
--- a/src/sorrelhoist/platform/main.py
+++ b/src/sorrelhoist/platform/main.py
@@ -1,12 +1,18 @@
 """Start a gateway on the users' platform."""
 
 import asyncio
+import logging
 import random
 import time
 
+import attrs
+
 from ..decisions.retries import RetryBudget
 from ..decisions.store_contact import StoreContact
-from ..gateway.app import Addresses, run_gateway
+from ..decisions.suspicion import SuspicionTable
+from ..decisions.suspicion_evidence import SuspicionOptions
+from ..exceptions import SettingsError
+from ..gateway.app import Addresses, Gateway
 from ..gateway.load_exchange import LoadExchange
 from ..gateway.state import GatewayState
 from ..node.logs import configure_logging
@@ -14,12 +20,20 @@
 from .settings import PlatformSettings, load_settings
 from .source import PlatformSource
 
+logger = logging.getLogger(__name__)
+
 ASSUMED_GATEWAYS = 5
 """Processes that share the retry budget; the sites of the milestone have 4 and 5."""
 
 BUDGET_SHARE = 0.5
 """Part of the shared budget that is used, since load is uneven over gateways."""
 
+DEATHS_IN_COMPANY = 3
+"""Endpoints that a request may have brought down before it is refused."""
+
+SETTINGS_POLL_S = 2.0
+"""Between two looks at the settings file, which may change without a signal."""
+
 MS_PER_S = 1000
 
 
@@ -33,6 +47,44 @@
     )
 
 
+@attrs.define(eq=False)
+class SettingsWatch:
+    """Applies settings that change while the process runs.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Those in force.
+    state : GatewayState
+    """
+
+    settings: PlatformSettings
+    state: GatewayState
+
+    def reload(self) -> None:
+        """Read the file again; one that can't be used changes nothing."""
+        try:
+            found = load_settings()
+        except SettingsError as error:
+            logger.error(
+                "settings refused", extra={"event": "reload", "reason": str(error)}
+            )
+            return
+        if found == self.settings:
+            return
+        before, after = attrs.asdict(self.settings), attrs.asdict(found)
+        changed = sorted(name for name in after if after[name] != before[name])
+        logger.info("settings changed", extra={"event": "reload", "fields": changed})
+        self.settings = found
+        self.state.contact.revoke_s = found.revoke_s
+
+    async def run(self) -> None:
+        """Look at the file until cancelled."""
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            self.reload()
+
+
 def run() -> None:
     """Serve until a signal asks to stop."""
     settings = load_settings()
@@ -43,10 +95,16 @@
         contact=StoreContact(settings.revoke_s),
         retries=retry_budget(settings),
         rng=random.Random(f"{settings.node_id} {time.time_ns()}"),
+        suspicions=SuspicionTable(
+            SuspicionOptions(deaths_in_company=DEATHS_IN_COMPANY)
+        ),
     )
+    watch = SettingsWatch(settings, state)
 
     async def follow(exchange: LoadExchange) -> None:
-        await PlatformSource(settings, state, exchange).run()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(PlatformSource(settings, state, exchange).run())
+            group.create_task(watch.run())
 
     addresses = Addresses(
         host=settings.address,
@@ -55,14 +113,13 @@
         peer_port=settings.peer_port,
         metrics_port=settings.metrics_port,
     )
-    asyncio.run(
-        run_gateway(
-            state=state,
-            dialect=PlatformDialect(),
-            addresses=addresses,
-            grace_s=settings.grace_s,
-            boot_ms=int(time.time() * MS_PER_S),
-            follow=follow,
-            metrics_text=lambda: "",
-        )
+    gateway = Gateway(
+        state=state,
+        dialect=PlatformDialect(),
+        addresses=addresses,
+        grace_s=settings.grace_s,
+        boot_ms=int(time.time() * MS_PER_S),
+        follow=follow,
+        reload=watch.reload,
     )
+    asyncio.run(gateway.run())
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -9,6 +9,8 @@
 from ..exceptions import SettingsError
 
 PATH_VARIABLE = "SORRELHOIST_SETTINGS"
+METRICS_PORT = 9464
+"""Named in ``deploy/system.toml``; the usual port of OpenTelemetry's exporter."""
 
 
 @attrs.frozen(kw_only=True)
@@ -66,7 +68,6 @@
 def _decode(fields: dict) -> PlatformSettings:
     bounds = fields["bounds"]
     listen = fields.get("listen", {})
-    lowest_port = int(fields["port_range"][0])
     return PlatformSettings(
         node_id=fields["node"],
         role=fields["role"],
@@ -74,8 +75,8 @@
         address=fields["ip"],
         front_address=listen.get("front", ""),
         ready_address=listen.get("ready", ""),
-        peer_port=lowest_port,
-        metrics_port=lowest_port + 1,
+        peer_port=int(fields["port_range"][0]),
+        metrics_port=METRICS_PORT,
         store_address=fields["provider"]["addr"],
         revoke_s=bounds["revoke_ms"] / 1000,
         grace_s=float(bounds["grace_period_s"]),
