--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -26,15 +26,15 @@
 ENDPOINT_TOPIC = "keyed.servers"
 PEER_TOPIC = "keyed.gateways"
 
-OPERATOR_WAIT_S = 0.8
+OPERATOR_WAIT_S = 1.2
 """How long the store holds a read of the configuration open: each answer renews
 the proof that no key was taken away."""
 
-ENDPOINT_INTERVAL_S = 0.5
-"""Between two reads of the directory: a quarter of the time in which a leaving
+ENDPOINT_INTERVAL_S = 0.9
+"""Between two reads of the directory: under half of the time in which a leaving
 endpoint must get nothing more."""
 
-PEER_INTERVAL_S = 2.0
+PEER_INTERVAL_S = 5.0
 """Between two reads of the list of gateways."""
 
 PEER_RENEWAL_S = 20.0
