Two gateways read the store; the others ask them how fresh they are

Cause: each gateway read the store itself, so that calls grew with the fleet and were the largest price on the grown sites. Where it isn't confirmed, or knows less, it reads by itself. Tests: calls with five gateways, a key taken away, the store gone, both readers gone.

--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -1,6 +1,7 @@
 """Which endpoints may get new work, from a directory that lags and has outages."""
 
 import attrs
+import xxhash
 
 REMOVAL_HOLD_S = 2.0
 """Time after an outage in which live endpoints are back in the directory, by
@@ -42,6 +43,20 @@
     removed_s: float | None = None
 
 
+def _digest_of(endpoint: Endpoint) -> int:
+    fields = (
+        endpoint.endpoint_id,
+        endpoint.service,
+        endpoint.address,
+        endpoint.failure_domain,
+        str(endpoint.capacity),
+        str(endpoint.is_leaving),
+        str(endpoint.cold_until_s > 0),
+    )
+    # Within the signed 64 bits of a message.
+    return xxhash.xxh3_64_intdigest("\0".join(fields).encode()) >> 1
+
+
 class Directory:
     """The endpoints known here.
 
@@ -124,6 +139,18 @@
         for key in gone:
             del self._entries[key]
 
+    @property
+    def digest(self) -> int:
+        """Name the endpoints and their states; equal on processes that know the same.
+
+        Heartbeats that change nothing leave it as it is.
+        """
+        value = 0
+        for entry in self._entries.values():
+            if entry.removed_s is None:
+                value ^= _digest_of(entry.endpoint)
+        return value
+
     def dump(self, now_s: float) -> dict:
         """Return the state as plain data."""
         return {
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -13,9 +13,9 @@
 
 from ..decisions.routes import CallerLimits
 from .dispatch import Dispatcher
-from .load_exchange import LoadExchange, running
 from .metrics import create_metrics
 from .parts import GatewayParts
+from .peer_exchange import PeerExchange, running
 from .ports import Dialect
 from .reservations import Reserver
 from .server import Front, Probe, listen, readiness
@@ -77,7 +77,7 @@
     addresses: Addresses
     grace_s: float
     boot_ms: int
-    follow: Callable[[LoadExchange], Coroutine[Any, Any, None]]
+    follow: Callable[[PeerExchange], Coroutine[Any, Any, None]]
     reload: Callable[[], None]
 
     async def run(self) -> None:
@@ -88,7 +88,11 @@
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         async with self._serving() as (front, exchange):
-            with running(self.follow(exchange)) as following, running(exchange.run()):
+            with (
+                running(self.follow(exchange)) as following,
+                running(exchange.run()),
+                running(exchange.freshness.run()),
+            ):
                 stopped = asyncio.ensure_future(stop.wait())
                 await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
                 if following.done():
@@ -102,7 +106,7 @@
         logger.info("stopped", extra={"event": "stopped", "running": count})
 
     @asynccontextmanager
-    async def _serving(self) -> AsyncIterator[tuple[Front, LoadExchange]]:
+    async def _serving(self) -> AsyncIterator[tuple[Front, PeerExchange]]:
         """Listen at all addresses until the end of the context."""
         loop = asyncio.get_running_loop()
         process_metrics, metrics = create_metrics(self.state)
@@ -114,7 +118,7 @@
             metrics=metrics,
         )
         front = Front(parts)
-        exchange = LoadExchange(self.state, self.boot_ms)
+        exchange = PeerExchange(self.state, self.boot_ms)
         transport, _ = await loop.create_datagram_endpoint(
             lambda: exchange, local_addr=(self.addresses.host, self.addresses.peer_port)
         )
--- a/src/sorrelhoist/gateway/load_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -1,9 +1,9 @@
-"""Tells the other gateways what is placed here, and hears the same of them."""
+"""Datagrams between gateways: what each has placed, and how fresh its knowledge is."""
 
 import asyncio
 import contextlib
 import logging
-from collections.abc import Coroutine, Iterable, Iterator
+from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
 from typing import Any
 
@@ -13,6 +13,7 @@
 from ..exceptions import PeerError
 from ..messages.frames import Message, decode, encode
 from ..messages.gen import ttypes
+from .freshness import Freshness
 from .state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -27,6 +28,10 @@
 """An unchanged report is sent again after it, so that peers don't drop it."""
 
 
+PEER_SILENCE_S = 30.0
+"""A peer that wasn't heard of for so long gets no more reports until it is."""
+
+
 @attrs.frozen(order=True)
 class PeerAddress:
     """Where a peer hears reports."""
@@ -35,8 +40,14 @@
     port: int
 
 
-class LoadExchange(asyncio.DatagramProtocol):
-    """Sends and receives load reports.
+@attrs.frozen
+class _Peer:
+    address: PeerAddress
+    known_s: float
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Sends and receives load reports and questions of freshness.
 
     Parameters
     ----------
@@ -51,16 +62,23 @@
         self._sequence = 0
         self._sent_version = -1
         self._sent_s = float("-inf")
-        self._peers: frozenset[PeerAddress] = frozenset()
+        self._peers: dict[str, _Peer] = {}
+        self.freshness = Freshness(state, self._send_to)
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Keep the socket."""
         self._transport = transport
 
-    def set_peers(self, peers: Iterable[PeerAddress]) -> None:
-        """Set who gets the reports."""
-        self._peers = frozenset(peers)
+    def add_peer(self, node_id: str, address: PeerAddress) -> None:
+        """Send reports to a gateway, at a new address if it moved."""
+        if node_id != self._state.node_id:
+            now_s = asyncio.get_running_loop().time()
+            self._peers[node_id] = _Peer(address, now_s)
+
+    def drop_peer(self, node_id: str) -> None:
+        """Send no more reports to a gateway that has gone."""
+        self._peers.pop(node_id, None)
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Take in a report."""
@@ -72,8 +90,13 @@
                 extra={"event": "bad_datagram", "peer": addr[0], "reason": str(error)},
             )
             return
-        if not isinstance(body, ttypes.LoadReport):
-            return
+        if isinstance(body, ttypes.LoadReport):
+            self.add_peer(body.node_id, PeerAddress(addr[0], addr[1]))
+            self._report_received(body)
+        else:
+            self.freshness.received(body)
+
+    def _report_received(self, body: ttypes.LoadReport) -> None:
         now_s = asyncio.get_running_loop().time()
         self._state.loads.peer_reported(
             body.node_id,
@@ -108,10 +131,21 @@
             suspicions=self._state.suspicions.for_gossip(now_s),
         )
         data = encode(Message(0, report))
-        for peer in self._peers:
-            if self._transport is not None:
-                with contextlib.suppress(OSError):  # the next report replaces it
-                    self._transport.sendto(data, (peer.host, peer.port))
+        for node_id, peer in list(self._peers.items()):
+            if now_s - peer.known_s > PEER_SILENCE_S:
+                self.drop_peer(node_id)
+            else:
+                self._send(data, peer.address)
+
+    def _send_to(self, node_id: str, body: object) -> None:
+        peer = self._peers.get(node_id)
+        if peer is not None:
+            self._send(encode(Message(0, body)), peer.address)
+
+    def _send(self, data: bytes, peer: PeerAddress) -> None:
+        if self._transport is not None:
+            with contextlib.suppress(OSError):  # the next message replaces it
+                self._transport.sendto(data, (peer.host, peer.port))
 
 
 def _to_wire(use: EndpointUse, now_s: float) -> ttypes.EndpointLoad:
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3768,6 +3768,214 @@
         return not (self == other)
 
 
+class FreshnessAsk(object):
+    """
+    Attributes:
+     - node_id
+     - ask_id
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'ask_id',
+    )
+
+
+    def __init__(self, node_id=None, ask_id=None,):
+        self.node_id = node_id
+        self.ask_id = ask_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FreshnessAsk')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 2)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FreshnessAnswer(object):
+    """
+    Attributes:
+     - node_id
+     - ask_id
+     - configuration_offset
+     - configuration_age_ms
+     - directory_digest
+     - directory_age_ms
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'ask_id',
+        'configuration_offset',
+        'configuration_age_ms',
+        'directory_digest',
+        'directory_age_ms',
+    )
+
+
+    def __init__(self, node_id=None, ask_id=None, configuration_offset=None, configuration_age_ms=None, directory_digest=None, directory_age_ms=None,):
+        self.node_id = node_id
+        self.ask_id = ask_id
+        self.configuration_offset = configuration_offset
+        self.configuration_age_ms = configuration_age_ms
+        self.directory_digest = directory_digest
+        self.directory_age_ms = directory_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.configuration_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.configuration_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.directory_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.directory_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FreshnessAnswer')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 2)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.configuration_offset is not None:
+            oprot.writeFieldBegin('configuration_offset', TType.I64, 3)
+            oprot.writeI64(self.configuration_offset)
+            oprot.writeFieldEnd()
+        if self.configuration_age_ms is not None:
+            oprot.writeFieldBegin('configuration_age_ms', TType.I32, 4)
+            oprot.writeI32(self.configuration_age_ms)
+            oprot.writeFieldEnd()
+        if self.directory_digest is not None:
+            oprot.writeFieldBegin('directory_digest', TType.I64, 5)
+            oprot.writeI64(self.directory_digest)
+            oprot.writeFieldEnd()
+        if self.directory_age_ms is not None:
+            oprot.writeFieldBegin('directory_age_ms', TType.I32, 6)
+            oprot.writeI32(self.directory_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -3800,6 +4008,8 @@
      - host_leaving
      - host_leaving_heard
      - load_report
+     - freshness_ask
+     - freshness_answer
 
     """
 
@@ -3833,10 +4043,12 @@
         'host_leaving',
         'host_leaving_heard',
         'load_report',
+        'freshness_ask',
+        'freshness_answer',
     )
 
 
-    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None,):
+    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None, freshness_ask=None, freshness_answer=None,):
         self.call_id = call_id
         self.grant_request = grant_request
         self.grant = grant
@@ -3866,6 +4078,8 @@
         self.host_leaving = host_leaving
         self.host_leaving_heard = host_leaving_heard
         self.load_report = load_report
+        self.freshness_ask = freshness_ask
+        self.freshness_answer = freshness_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4049,6 +4263,18 @@
                     self.load_report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.freshness_ask = FreshnessAsk()
+                    self.freshness_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.STRUCT:
+                    self.freshness_answer = FreshnessAnswer()
+                    self.freshness_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4175,6 +4401,14 @@
             oprot.writeFieldBegin('load_report', TType.STRUCT, 29)
             self.load_report.write(oprot)
             oprot.writeFieldEnd()
+        if self.freshness_ask is not None:
+            oprot.writeFieldBegin('freshness_ask', TType.STRUCT, 30)
+            self.freshness_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.freshness_answer is not None:
+            oprot.writeFieldBegin('freshness_answer', TType.STRUCT, 31)
+            self.freshness_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4475,6 +4709,22 @@
     (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
     (5, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 5
 )
+all_structs.append(FreshnessAsk)
+FreshnessAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'ask_id', None, None, ),  # 2
+)
+all_structs.append(FreshnessAnswer)
+FreshnessAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'ask_id', None, None, ),  # 2
+    (3, TType.I64, 'configuration_offset', None, None, ),  # 3
+    (4, TType.I32, 'configuration_age_ms', None, None, ),  # 4
+    (5, TType.I64, 'directory_digest', None, None, ),  # 5
+    (6, TType.I32, 'directory_age_ms', None, None, ),  # 6
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -4507,6 +4757,8 @@
     (27, TType.STRUCT, 'host_leaving', [HostLeaving, None], None, ),  # 27
     (28, TType.STRUCT, 'host_leaving_heard', [HostLeavingHeard, None], None, ),  # 28
     (29, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 29
+    (30, TType.STRUCT, 'freshness_ask', [FreshnessAsk, None], None, ),  # 30
+    (31, TType.STRUCT, 'freshness_answer', [FreshnessAnswer, None], None, ),  # 31
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -271,6 +271,23 @@
   5: list<Suspicion> suspicions,
 }
 
+// Ask another gateway how fresh its knowledge is.
+struct FreshnessAsk {
+  1: string node_id,
+  2: i64 ask_id,
+}
+
+// What a gateway had read from the store, and how long before this answer the
+// read was sent. The asker counts the age from the time at which it asked.
+struct FreshnessAnswer {
+  1: string node_id,
+  2: i64 ask_id,
+  3: i64 configuration_offset,
+  4: i32 configuration_age_ms,
+  5: i64 directory_digest,
+  6: i32 directory_age_ms,
+}
+
 struct Envelope {
   1: i64 call_id,
   2: optional GrantRequest grant_request,
@@ -301,4 +318,6 @@
   27: optional HostLeaving host_leaving,
   28: optional HostLeavingHeard host_leaving_heard,
   29: optional LoadReport load_report,
+  30: optional FreshnessAsk freshness_ask,
+  31: optional FreshnessAnswer freshness_answer,
 }
--- a/src/sorrelhoist/platform/main.py
+++ b/src/sorrelhoist/platform/main.py
@@ -13,7 +13,7 @@
 from ..decisions.suspicion_evidence import SuspicionOptions
 from ..exceptions import SettingsError
 from ..gateway.app import Addresses, Gateway
-from ..gateway.load_exchange import LoadExchange
+from ..gateway.peer_exchange import PeerExchange
 from ..gateway.state import GatewayState
 from ..node.logs import configure_logging
 from .dialect import PlatformDialect
@@ -101,7 +101,7 @@
     )
     watch = SettingsWatch(settings, state)
 
-    async def follow(exchange: LoadExchange) -> None:
+    async def follow(exchange: PeerExchange) -> None:
         async with asyncio.TaskGroup() as group:
             group.create_task(PlatformSource(settings, state, exchange).run())
             group.create_task(watch.run())
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ..exceptions import PlatformError
-from ..gateway.load_exchange import LoadExchange, PeerAddress
+from ..gateway.peer_exchange import PeerAddress, PeerExchange
 from ..gateway.state import GatewayState, boot_time_s
 from .settings import PlatformSettings
 from .store import KeyedRecord, Records, RecordsExpiredError, StoreClient
@@ -26,7 +26,7 @@
 ENDPOINT_TOPIC = "keyed.servers"
 PEER_TOPIC = "keyed.gateways"
 
-OPERATOR_WAIT_S = 1.2
+OPERATOR_WAIT_S = 0.8
 """How long the store holds a read of the configuration open: each answer renews
 the proof that no key was taken away."""
 
@@ -34,14 +34,17 @@
 """Between two reads of the directory: under half of the time in which a leaving
 endpoint must get nothing more."""
 
-PEER_INTERVAL_S = 5.0
-"""Between two reads of the list of gateways."""
+CONFIRMATION_POLL_S = 0.1
+"""Between two looks at what other gateways confirm."""
 
-PEER_RENEWAL_S = 20.0
+PEER_INTERVAL_S = 15.0
+"""Between two reads of the list of gateways, which also hear of each other."""
+
+PEER_RENEWAL_S = 60.0
 """Between two writes of the own entry there."""
 
-PEER_LIFETIME_S = 90.0
-"""A gateway whose entry is older has gone: several renewals."""
+RENEWAL_RETRY_S = 1.0
+"""After a write without an answer."""
 
 BACKOFF_S = 0.1
 """After a failed call: short against the bounds, and few calls a second."""
@@ -61,6 +64,8 @@
         Takes the records of a read of all newest ones.
     completed : callable
         Takes the boot time at which a complete read was sent.
+    is_confirmed : callable
+        Tells whether another gateway has confirmed that nothing is new.
     interval_s, wait_s : float
         Pause between reads, and how long the store may wait.
     """
@@ -70,20 +75,26 @@
     apply: Callable[[KeyedRecord], None]
     reset: Callable[[Records], None]
     completed: Callable[[float], None]
+    is_confirmed: Callable[[], bool] = lambda: False
     interval_s: float = 0.0
     wait_s: float = 0.0
-    _offset: int | None = None
+    offset: int | None = None
     _is_lost: bool = False
+    _was_confirmed: bool = False
 
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
+            if self.offset is not None and self.is_confirmed():
+                self._was_confirmed = True
+                await asyncio.sleep(CONFIRMATION_POLL_S)
+                continue
             sent_s = boot_time_s()
             try:
                 await self._read()
             except RecordsExpiredError as error:
                 self._note("history gone", str(error))
-                self._offset = None
+                self.offset = None
                 continue
             except PlatformError as error:
                 self._failed(error)
@@ -95,16 +106,19 @@
                 await asyncio.sleep(self.interval_s)
 
     async def _read(self) -> None:
-        if self._offset is None:
+        if self.offset is None:
             found = await self.store.newest(self.topic)
             self.reset(found)
         else:
-            # A store that is just back is asked for a plain answer first.
-            wait_s = 0.0 if self._is_lost else self.wait_s
-            found = await self.store.read(self.topic, self._offset, wait_s)
+            # After an outage, or when no other gateway vouches any more, a plain
+            # answer comes sooner.
+            is_urgent = self._is_lost or self._was_confirmed
+            wait_s = 0.0 if is_urgent else self.wait_s
+            found = await self.store.read(self.topic, self.offset, wait_s)
         for record in found.records:
             self.apply(record)
-        self._offset = found.end_offset
+        self.offset = found.end_offset
+        self._was_confirmed = False
 
     def _failed(self, error: PlatformError) -> None:
         if not self._is_lost:
@@ -123,7 +137,7 @@
                 "event": message.replace(" ", "_"),
                 "dependency": self.topic,
                 "reason": reason,
-                "offset": self._offset,
+                "offset": self.offset,
             },
         )
 
@@ -135,54 +149,48 @@
     ----------
     settings : PlatformSettings
     state : GatewayState
-    exchange : LoadExchange
+    exchange : PeerExchange
         Learns of the other gateways.
     """
 
     def __init__(
-        self, settings: PlatformSettings, state: GatewayState, exchange: LoadExchange
+        self, settings: PlatformSettings, state: GatewayState, exchange: PeerExchange
     ) -> None:
         self._settings = settings
         self._state = state
         self._exchange = exchange
+        self._freshness = exchange.freshness
         self._store = StoreClient(settings.store_address)
         self._evacuated: set[str] = set()
-        self._peers: dict[str, _Peer] = {}
-        self._renewed_s = float("-inf")
+        self._operator = Follower(
+            self._store,
+            OPERATOR_TOPIC,
+            self._apply_operator,
+            self._reset_operator,
+            self._operator_read,
+            is_confirmed=self._operator_confirmed,
+            wait_s=OPERATOR_WAIT_S,
+        )
 
     async def run(self) -> None:
         """Follow all topics until cancelled."""
         followers = (
-            Follower(
-                self._store,
-                OPERATOR_TOPIC,
-                self._apply_operator,
-                self._reset_operator,
-                self._state.contact.read_completed,
-                wait_s=OPERATOR_WAIT_S,
-            ),
+            self._operator,
             Follower(
                 self._store,
                 ENDPOINT_TOPIC,
                 self._apply_endpoint,
                 self._reset_endpoints,
                 self._endpoints_read,
+                is_confirmed=self._endpoints_confirmed,
                 interval_s=ENDPOINT_INTERVAL_S,
             ),
-            Follower(
-                self._store,
-                PEER_TOPIC,
-                self._apply_peer,
-                lambda found: None,
-                self._peers_read,
-                interval_s=PEER_INTERVAL_S,
-            ),
         )
         try:
             async with asyncio.TaskGroup() as group:
                 for follower in followers:
                     group.create_task(follower.run())
-                group.create_task(self._renew())
+                group.create_task(self._follow_peers())
         finally:
             self._store.close()
 
@@ -209,6 +217,19 @@
         }
         self._set_evacuated()
 
+    def _operator_read(self, sent_s: float) -> None:
+        self._state.contact.read_completed(sent_s)
+        self._freshness.own.configuration_offset = self._operator.offset or 0
+
+    def _operator_confirmed(self) -> bool:
+        if self._freshness.is_reader(asyncio.get_running_loop().time()):
+            return False
+        confirmed_s = self._freshness.configuration_s()
+        if confirmed_s is None:
+            return False
+        self._state.contact.read_completed(confirmed_s)
+        return True
+
     def _set_evacuated(self) -> None:
         domains = frozenset(self._evacuated)
         if domains != self._state.directory.domains_out:
@@ -242,8 +263,20 @@
         self._state.directory.keep_only(keys, now_s)
 
     def _endpoints_read(self, sent_s: float) -> None:
+        self._freshness.own.directory_read_s = sent_s
         self._state.directory.read_succeeded(asyncio.get_running_loop().time())
 
+    def _endpoints_confirmed(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        confirmed_s = None
+        if not self._freshness.is_reader(now_s):
+            confirmed_s = self._freshness.directory_s()
+        if confirmed_s is None:
+            return False
+        self._freshness.own.directory_read_s = confirmed_s
+        self._state.directory.read_succeeded(now_s)
+        return True
+
     def _endpoint_changed(self, endpoint_id: str, outcome: str) -> None:
         logger.info(
             "endpoint changed",
@@ -258,23 +291,41 @@
 
     # Peers
 
-    async def _renew(self) -> None:
+    async def _follow_peers(self) -> None:
+        """Read the list once the own entry is in it, so that none misses another."""
+        await self._write_own_entry()
+        follower = Follower(
+            self._store,
+            PEER_TOPIC,
+            self._apply_peer,
+            lambda found: None,
+            lambda sent_s: None,
+            interval_s=PEER_INTERVAL_S,
+        )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(follower.run())
+            while True:
+                await asyncio.sleep(PEER_RENEWAL_S)
+                await self._write_own_entry()
+
+    async def _write_own_entry(self) -> None:
         own = {"host": self._settings.address, "port": self._settings.peer_port}
         while True:
             try:
                 await self._store.put(
                     PEER_TOPIC, self._settings.node_id, json.dumps(own).encode()
                 )
-                await asyncio.sleep(PEER_RENEWAL_S)
+                return
             except PlatformError as error:
                 logger.warning(
                     "own entry not written",
                     extra={"event": "renewal_failed", "reason": str(error)},
                 )
-                await asyncio.sleep(PEER_INTERVAL_S)
+                await asyncio.sleep(RENEWAL_RETRY_S)
 
     def _apply_peer(self, record: KeyedRecord) -> None:
-        if record.key == self._settings.node_id or record.value is None:
+        if record.value is None:
+            self._exchange.drop_peer(record.key)
             return
         try:
             fields = json.loads(record.value)
@@ -282,17 +333,4 @@
         except (KeyError, TypeError, ValueError) as error:
             self._unreadable(UnreadableRecord(f"gateway {record.key}: {error!r}"))
             return
-        self._peers[record.key] = _Peer(address, boot_time_s())
-
-    def _peers_read(self, sent_s: float) -> None:
-        oldest_s = boot_time_s() - PEER_LIFETIME_S
-        self._peers = {
-            key: peer for key, peer in self._peers.items() if peer.heard_s > oldest_s
-        }
-        self._exchange.set_peers(peer.address for peer in self._peers.values())
-
-
-@attrs.frozen
-class _Peer:
-    address: PeerAddress
-    heard_s: float
+        self._exchange.add_peer(record.key, address)
--- /dev/null
+++ b/tests/gateway/test_freshness.py
@@ -0,0 +1,108 @@
+"""Few gateways read the store; the others are as fresh as if they did."""
+
+import asyncio
+import contextlib
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from sorrelhoist.decisions.store_readers import READERS
+from tests.platform.fleet import configuration, running_gateway, until
+from tests.platform.standins import Store, whole
+
+COUNT = 5
+
+
+@asynccontextmanager
+async def gateways(count=COUNT, **settings):
+    store = await Store().start()
+    store.put("keyed.op", "config", configuration())
+    async with AsyncExitStack() as stack:
+        found = [
+            await stack.enter_async_context(
+                running_gateway(store, node_id=f"gateway-{number}", **settings)
+            )
+            for number in range(count)
+        ]
+        await until(lambda: all(one.state.table for one in found))
+        now = asyncio.get_running_loop().time
+        await until(
+            lambda: all(len(one.state.loads.peers(now())) == count - 1 for one in found)
+        )
+        await asyncio.sleep(1.0)
+        yield found
+        await store.stop()
+
+
+def play(main, **settings):
+    async def run():
+        async with asyncio.timeout(60.0), gateways(**settings) as found:
+            await main(found, found[0].store)
+
+    asyncio.run(run())
+
+
+def reads_per_s(store, seconds):
+    newest = [r for r in store.received if r.at_s > time.monotonic() - seconds]
+    return len(newest) / seconds
+
+
+def all_sound(found):
+    now_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return all(one.state.contact.is_sound(now_s) for one in found)
+
+
+def test_calls_to_the_store_do_not_grow_with_the_fleet():
+    async def main(found, store):
+        await asyncio.sleep(3.0)
+        assert all_sound(found)
+        assert reads_per_s(store, 2.5) <= READERS * 2.6
+
+    play(main)
+
+
+def test_a_key_that_is_taken_away_stops_everywhere():
+    async def main(found, store):
+        endpoint = await found[0].add(whole(), service="app")
+        now = asyncio.get_running_loop().time
+        await until(lambda: all(one.knows(endpoint, "app", now()) for one in found))
+        assert {(await one.ask()).status for one in found} == {200}
+        store.put("keyed.op", "config", configuration(2, keys=["other"]))
+        written_s = time.monotonic()
+        await until(lambda: all(one.state.table.version == 2 for one in found))
+        assert time.monotonic() - written_s < 1.5
+        assert {(await one.ask()).status for one in found} == {401}
+
+    play(main)
+
+
+def test_without_the_store_none_vouches_for_another():
+    async def main(found, store):
+        store.mode = "silent"
+        lost_s = time.monotonic()
+        await until(
+            lambda: not any(one.state.contact.may_use_keys(_now_s()) for one in found)
+        )
+        assert time.monotonic() - lost_s < 2.6
+
+    play(main, revoke_s=3.0)
+
+
+def _now_s():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def test_gateways_read_for_themselves_when_the_readers_are_gone():
+    async def main(found, store):
+        now = asyncio.get_running_loop().time
+        reading = [one for one in found if one.is_reader(now())]
+        assert len(reading) == READERS
+        for one in reading:
+            one.main.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await one.main
+        rest = [one for one in found if one not in reading]
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            assert all_sound(rest)
+
+    play(main)
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -12,7 +12,7 @@
 from sorrelhoist.bench.fleet import free_port
 from sorrelhoist.decisions.store_contact import StoreContact
 from sorrelhoist.gateway.app import Addresses, Gateway
-from sorrelhoist.gateway.load_exchange import running
+from sorrelhoist.gateway.peer_exchange import running
 from sorrelhoist.gateway.state import GatewayState
 from sorrelhoist.platform.dialect import PlatformDialect
 from sorrelhoist.platform.settings import PlatformSettings
@@ -88,6 +88,7 @@
     state: GatewayState
     gateway: Gateway
     main: asyncio.Task
+    exchange: object = None
     endpoints: list = attrs.field(factory=list)
 
     async def add(self, *scripts, service="llm", name=None, **entry):
@@ -104,6 +105,9 @@
     def register(self, endpoint, **entry):
         self.store.put("keyed.servers", endpoint.endpoint_id, endpoint.entry(**entry))
 
+    def is_reader(self, now_s):
+        return self.exchange.freshness.is_reader(now_s)
+
     def knows(self, endpoint, service, now_s):
         usable = self.state.directory.usable(service, now_s)
         return endpoint.endpoint_id in {one.endpoint_id for one in usable}
@@ -218,16 +222,22 @@
 
 
 @asynccontextmanager
-async def running_fleet(first=None, **settings):
-    """Run a gateway with a configuration in force."""
-    store = await Store().start()
+async def running_gateway(store, **settings):
+    """Run one gateway before a store."""
     found = settings_for(store, free_port(), free_port(), **settings)
     state = GatewayState(
         node_id=found.node_id,
         failure_domain=found.failure_domain,
         contact=StoreContact(found.revoke_s),
-        rng=random.Random(1),
+        rng=random.Random(found.node_id),
     )
+    fleet = None
+
+    async def follow(exchange):
+        await until(lambda: fleet is not None)
+        fleet.exchange = exchange
+        await PlatformSource(found, state, exchange).run()
+
     gateway = Gateway(
         state=state,
         dialect=PlatformDialect(),
@@ -240,10 +250,9 @@
         ),
         grace_s=found.grace_s,
         boot_ms=int(time.time() * 1000),
-        follow=lambda exchange: PlatformSource(found, state, exchange).run(),
+        follow=follow,
         reload=lambda: None,
     )
-    store.put("keyed.op", "config", first or configuration())
     with running(gateway.run()) as main:
         fleet = Fleet(
             store,
@@ -253,13 +262,22 @@
             gateway,
             main,
         )
-        await until(lambda: state.table is not None)
+        yield fleet
+    with contextlib.suppress(asyncio.CancelledError):
+        await main
+
+
+@asynccontextmanager
+async def running_fleet(first=None, **settings):
+    """Run a gateway with a configuration in force."""
+    store = await Store().start()
+    store.put("keyed.op", "config", first or configuration())
+    async with running_gateway(store, **settings) as fleet:
+        await until(lambda: fleet.state.table is not None)
         yield fleet
         for endpoint in fleet.endpoints:
             await endpoint.stop()
         await store.stop()
-    with contextlib.suppress(asyncio.CancelledError):
-        await main
 
 
 def play(main, **settings):
