--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -9,9 +9,13 @@
   wait there, so a part may only be as long as the pauses of its streams allow.
 - "Long reads queue". A read is split over as many endpoints as bring its first token
   forward, and started where the least reading is ahead.
+- "Many gateways with stale views". Each gateway draws among several free places, more
+  of them the more gateways there are, so that those that act at the same moment
+  seldom meet.
 """
 
 import math
+import random
 from collections.abc import Sequence
 
 import attrs
@@ -38,8 +42,15 @@
 HELPER_OVERHEAD_MS = 4.0
 """Cost of one more part: its place in a pass, and one more that can fail."""
 
-SPARE_PLACES = 1
-"""Places kept free at first, for what another entry places at the same moment."""
+OPEN_PLACES_PER_GATEWAY = 1.0
+"""Free places among which a gateway draws, for each gateway: about what all of them
+place between two reports."""
+
+LEAST_OPEN_PLACES = 3
+"""Also with few gateways, so that two don't always meet."""
+
+BACKLOG_STEP_MS = 20.0
+"""Smaller differences of backlog are within the errors of the estimates."""
 
 LARGEST_TICKET_TOKENS = 300_000
 """Memory reserved on one endpoint for a prompt that is larger than one engine's: an
@@ -145,7 +156,12 @@
 
 
 def spread(
-    demand: Demand, views: Sequence[EndpointView], costs: EngineCosts, now_s: float
+    demand: Demand,
+    views: Sequence[EndpointView],
+    costs: EngineCosts,
+    gateways: int,
+    rng: random.Random,
+    now_s: float,
 ) -> Placement:
     """Choose where a prompt is read.
 
@@ -155,6 +171,9 @@
     views : sequence of EndpointView
         Of all usable endpoints of the service.
     costs : EngineCosts
+    gateways : int
+        How many place work at the same time, this one included.
+    rng : random.Random
     now_s : float
 
     Returns
@@ -171,10 +190,11 @@
     if not usable:
         return Busy()
     sound = [view for view in usable if not view.is_avoided]
-    ordered = _in_shared_order(sound or usable)
     if read_ms <= SHORT_PART_MS:
-        return _place_short(demand, ordered, read_ms, costs, now_s)
-    return _place_long(demand, ordered[::-1], read_ms, costs, now_s)
+        ordered = _in_shared_order(sound or usable)
+        open_places = max(LEAST_OPEN_PLACES, gateways * OPEN_PLACES_PER_GATEWAY)
+        return _place_short(demand, ordered, read_ms, costs, open_places, rng, now_s)
+    return _place_long(demand, sound or usable, read_ms, costs, rng, now_s)
 
 
 def _in_shared_order(views: Sequence[EndpointView]) -> list[EndpointView]:
@@ -196,14 +216,16 @@
     return math.ceil(demand.prompt_tokens / LARGEST_TICKET_TOKENS)
 
 
-def _has_room(
-    view: EndpointView, demand: Demand, costs: EngineCosts, spare: int
-) -> bool:
-    return view.use.streams + spare < costs.max_running and _has_memory(
+def _has_room(view: EndpointView, demand: Demand, costs: EngineCosts) -> bool:
+    return _free_places(view, costs) > 0 and _has_memory(
         view, first_kv_tokens(demand, costs), costs
     )
 
 
+def _free_places(view: EndpointView, costs: EngineCosts) -> int:
+    return costs.max_running - view.use.streams
+
+
 def _has_memory(view: EndpointView, tokens: int, costs: EngineCosts) -> bool:
     return view.use.kv_tokens + tokens <= costs.kv_capacity_tokens * KV_SHARE
 
@@ -213,17 +235,25 @@
     ordered: Sequence[EndpointView],
     read_ms: float,
     costs: EngineCosts,
+    open_places: float,
+    rng: random.Random,
     now_s: float,
 ) -> Placement:
-    for spare, crowded_ms in (
-        (SPARE_PLACES, CROWDED_READ_MS),
-        (0, 2 * CROWDED_READ_MS),
-    ):
-        for view in ordered:
-            backlog_ms = view.use.backlog_ms(now_s)
-            if backlog_ms <= crowded_ms and _has_room(view, demand, costs, spare):
-                return _short_spread(view, read_ms, costs, now_s)
-    with_room = [view for view in ordered if _has_room(view, demand, costs, 0)]
+    """Draw one of the first free places of the shared order."""
+    with_room = [view for view in ordered if _has_room(view, demand, costs)]
+    chosen: list[EndpointView] = []
+    places = 0
+    for view in with_room:
+        if view.use.backlog_ms(now_s) > CROWDED_READ_MS:
+            continue
+        chosen.append(view)
+        places += _free_places(view, costs)
+        if places >= open_places:
+            break
+    if chosen:
+        weights = [_free_places(view, costs) for view in chosen]
+        drawn = rng.choices(chosen, weights)[0]
+        return _short_spread(drawn, read_ms, costs, now_s)
     if not with_room:
         return Busy()
     best = min(with_room, key=lambda view: view.use.backlog_ms(now_s))
@@ -239,21 +269,31 @@
     return Spread(first=view.endpoint, part_ms=read_ms, first_event_ms=expected_ms)
 
 
-def _largest_part_ms(view: EndpointView) -> float:
-    if view.use.tight_streams:
-        return SHORT_PART_MS
-    return LOOSE_PART_MS if view.use.streams else math.inf
+def _largest_part_ms(view: EndpointView, now_s: float) -> float:
+    """Return what may be read here without a pause that is too long."""
+    if not view.use.streams:
+        return math.inf
+    limit_ms = SHORT_PART_MS if view.use.tight_streams else LOOSE_PART_MS
+    return limit_ms - view.use.backlog_ms(now_s)
 
 
 def _place_long(
     demand: Demand,
-    ordered: Sequence[EndpointView],
+    views: Sequence[EndpointView],
     read_ms: float,
     costs: EngineCosts,
+    rng: random.Random,
     now_s: float,
 ) -> Placement:
     """Split a read over the endpoints with the least reading ahead."""
-    by_backlog = sorted(ordered, key=lambda view: view.use.backlog_ms(now_s))
+    by_backlog = sorted(
+        views,
+        key=lambda view: (
+            view.use.backlog_ms(now_s) // BACKLOG_STEP_MS,
+            view.use.tight_streams,
+            rng.random(),
+        ),
+    )
     best: Spread | None = None
     best_ms = math.inf
     for parts in range(1, min(MAX_HELPERS + 1, len(by_backlog)) + 1):
@@ -261,7 +301,8 @@
         able = [
             view
             for view in by_backlog
-            if _largest_part_ms(view) >= part_ms and view.use.helps < costs.max_running
+            if _largest_part_ms(view, now_s) >= part_ms
+            and view.use.helps < costs.max_running
         ]
         found = _choose_parts(demand, able, parts, costs)
         if found is None:
@@ -293,8 +334,8 @@
     if len(able) < parts:
         return None
     nearest = able[: max(parts, 2)]
-    firsts = [view for view in nearest if _has_room(view, demand, costs, 0)] or [
-        view for view in able if _has_room(view, demand, costs, 0)
+    firsts = [view for view in nearest if _has_room(view, demand, costs)] or [
+        view for view in able if _has_room(view, demand, costs)
     ]
     if not firsts:
         return None
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -183,7 +183,14 @@
             deadline_left_s=ask.deadline_s - now_s,
             excluded=ask.excluded,
         )
-        found = spread(demand, self._state.views(ask.service, now_s), costs, now_s)
+        found = spread(
+            demand,
+            self._state.views(ask.service, now_s),
+            costs,
+            self._state.gateways(now_s),
+            self._state.rng,
+            now_s,
+        )
         if isinstance(found, Spread):
             first = Use(
                 address=found.first.address,
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -79,6 +79,10 @@
             and self.contact.is_sound(now_boot_s)
         )
 
+    def gateways(self, now_s: float) -> int:
+        """Count the live gateways, this one included."""
+        return len(self.loads.peers(now_s)) + 1
+
     def views(self, service: str, now_s: float) -> list[EndpointView]:
         """Return the usable endpoints of a service with their load."""
         totals = self.loads.totals(now_s)
@@ -98,18 +102,19 @@
     def _bears_more(self, endpoint: Endpoint, cold_rate: float, now_s: float) -> bool:
         if not cold_rate or now_s >= endpoint.cold_until_s:
             return True
-        gateways = len(self.loads.peers(now_s)) + 1
         return self.cold_starts.has_room(
-            endpoint.endpoint_id, cold_rate, gateways, now_s
+            endpoint.endpoint_id, cold_rate, self.gateways(now_s), now_s
         )
 
     def count_cold_send(self, endpoint: Endpoint, now_s: float) -> None:
         """Count a request that goes to an endpoint in a cold start."""
         plan = self.table.services.get(endpoint.service) if self.table else None
         if plan and plan.cold_requests_per_s and now_s < endpoint.cold_until_s:
-            gateways = len(self.loads.peers(now_s)) + 1
             self.cold_starts.try_send(
-                endpoint.endpoint_id, plan.cold_requests_per_s, gateways, now_s
+                endpoint.endpoint_id,
+                plan.cold_requests_per_s,
+                self.gateways(now_s),
+                now_s,
             )
 
     def dump(self, now_s: float) -> dict:
