--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -23,9 +23,13 @@
 LEAST_SILENCE_S = 0.9
 """Longer than the longest pass beside short reads."""
 
-FIRST_EVENT_SLACK_S = 2.0
-"""Beyond the expected first event; engines stall for up to 1.5 s on a helper that
-died, and answer after that."""
+SLACK_OBJECTIVES = 3.0
+"""Beyond the expected first event a stream is given so many objectives: an endpoint
+that is late by more is full or dead, and the caller leaves after four."""
+
+LEAST_SLACK_S, MOST_SLACK_S = 0.8, 2.5
+"""At least several passes; at most over the 1.5 s for which engines stall on a helper
+that died."""
 
 HURRIED_PRIORITY = 2
 """Engine priority of streams with tight pauses; the default is 5."""
@@ -150,7 +154,9 @@
     async def _read_answer(self, upstream: Upstream) -> Failure | None:
         limit_s = None
         if self.admitted.route.is_stream:
-            limit_s = self.place.first_event_ms / 1000 + FIRST_EVENT_SLACK_S
+            objective_s = self.admitted.route.objective_s
+            slack_s = min(MOST_SLACK_S, SLACK_OBJECTIVES * objective_s)
+            limit_s = self.place.first_event_ms / 1000 + max(LEAST_SLACK_S, slack_s)
         try:
             async with asyncio.timeout(limit_s) as limit:
                 head = await upstream.head()
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -255,6 +255,18 @@
     play(main)
 
 
+def test_a_stream_that_does_not_begin_is_moved_before_its_caller_leaves():
+    async def main(fleet):
+        script = in_turn(hangs(), streams(3))
+        for _ in range(2):
+            await fleet.add(script)
+        answer = await fleet.stream(wait_ms=3000)
+        assert answer.is_whole
+        assert answer.took_s < 2.0  # callers leave after four objectives, or 2 s
+
+    play(main)
+
+
 def test_a_stream_that_cannot_go_on_does_not_look_whole():
     async def main(fleet):
         await fleet.add(streams(6, break_after=2))
