--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -7,8 +7,8 @@
   reads; the boundary moves with each placement and needs no vote.
 - "A long read beside a quick stream". An endpoint decodes between the reads that
   wait there, so a part may only be as long as the pauses of its streams allow.
-- "Long reads queue". A read is split over as many endpoints as bring its first token
-  forward, and started where the least reading is ahead.
+- "Long reads queue". A read is split over as many endpoints as it needs to be in time
+  and no more, where the least reading is ahead.
 - "Many gateways with stale views". Each gateway draws among several free places, more
   of them the more gateways there are, so that those that act at the same moment
   seldom meet.
@@ -40,8 +40,13 @@
 """A short prompt goes on to the next endpoint when more reading is ahead: two
 short prompts."""
 
-HELPER_OVERHEAD_MS = 4.0
-"""Cost of one more part: its place in a pass, and one more that can fail."""
+OBJECTIVE_SHARE = 0.35
+"""A read is split until its first event is expected within this part of the time
+left; the rest is for what other gateways place there at the same moment."""
+
+LATE_SHARE = 0.6
+"""The same for a read that misses its objective, of the time until its deadline: it
+holds up as few endpoints as it can."""
 
 OPEN_PLACES_PER_GATEWAY = 2.0
 """Free places among which a gateway draws, for each gateway: about what all of them
@@ -310,31 +315,31 @@
             rng.random(),
         ),
     )
-    best: Spread | None = None
+    objective_ms = demand.objective_left_s * 1000
+    deadline_ms = demand.deadline_left_s * 1000
+    late: Spread | None = None
     for regard in _Regard:
-        found = _best_split(demand, by_backlog, read_ms, costs, regard, now_s)
-        if found is not None and (
-            best is None or found.first_event_ms < best.first_event_ms
-        ):
-            best = found
-        if best is not None and best.first_event_ms <= demand.objective_left_s * 1000:
-            break
-    if best is None or best.first_event_ms > demand.deadline_left_s * 1000:
+        splits = _splits(demand, by_backlog, read_ms, costs, regard, now_s)
+        best = _fewest_parts(splits, objective_ms * OBJECTIVE_SHARE)
+        if best is not None and best.first_event_ms <= objective_ms:
+            return best
+        late = late or _fewest_parts(splits, deadline_ms * LATE_SHARE)
+    # A read that is late anyway breaks no pauses for it.
+    if late is None or late.first_event_ms > deadline_ms:
         return Busy()
-    return best
+    return late
 
 
-def _best_split(
+def _splits(
     demand: Demand,
     by_backlog: Sequence[EndpointView],
     read_ms: float,
     costs: EngineCosts,
     regard: _Regard,
     now_s: float,
-) -> Spread | None:
-    """Choose the number of parts that brings the first event soonest."""
-    best: Spread | None = None
-    best_ms = math.inf
+) -> list[Spread]:
+    """Return the best split for each number of parts, fewest first."""
+    splits: list[Spread] = []
     for parts in range(1, min(MAX_HELPERS + 1, len(by_backlog)) + 1):
         part_ms = read_ms / parts
         able = [
@@ -350,18 +355,23 @@
         if tickets is None:
             continue
         wait_ms = max(view.use.backlog_ms(now_s) for view in found)
-        expected_ms = wait_ms + part_ms + 2 * costs.pass_ms
-        cost_ms = expected_ms + parts * HELPER_OVERHEAD_MS
-        if cost_ms < best_ms:
-            best_ms = cost_ms
-            best = Spread(
-                first=found[0].endpoint,
-                helpers=tuple(view.endpoint for view in found[1:]),
-                tickets=tickets,
-                part_ms=part_ms,
-                first_event_ms=expected_ms,
-            )
-    return best
+        split = Spread(
+            first=found[0].endpoint,
+            helpers=tuple(view.endpoint for view in found[1:]),
+            tickets=tickets,
+            part_ms=part_ms,
+            first_event_ms=wait_ms + part_ms + 2 * costs.pass_ms,
+        )
+        splits.append(split)
+    return splits
+
+
+def _fewest_parts(splits: Sequence[Spread], enough_ms: float) -> Spread | None:
+    """Choose the split with fewest parts that is soon enough, else the soonest."""
+    for split in splits:
+        if split.first_event_ms <= enough_ms:
+            return split
+    return min(splits, key=lambda split: split.first_event_ms, default=None)
 
 
 def _choose_parts(
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -27,9 +27,9 @@
 """Beyond the expected first event a stream is given so many objectives: an endpoint
 that is late by more is full or dead, and the caller leaves after four."""
 
-LEAST_SLACK_S, MOST_SLACK_S = 0.8, 2.5
-"""At least several passes; at most over the 1.5 s for which engines stall on a helper
-that died."""
+LEAST_SLACK_S, MOST_SLACK_S = 0.8, 5.0
+"""At least several passes; at most what leaves a long prompt the time to be read once
+more, which costs engines seconds."""
 
 HURRIED_PRIORITY = 2
 """Engine priority of streams with tight pauses; the default is 5."""
