--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -52,6 +52,10 @@
 """Free places among which a gateway draws, for each gateway: about what all of them
 place between two reports."""
 
+SPARE_PLACES = 1
+"""Left free on each endpoint while others have more: two gateways may draw the same
+place, and the second request would wait for a stream to end."""
+
 LEAST_OPEN_PLACES = 3
 """Also with few gateways, so that two don't always meet."""
 
@@ -250,19 +254,20 @@
 ) -> Placement:
     """Draw one of the first free places of the shared order."""
     with_room = [view for view in ordered if _has_room(view, demand, costs)]
-    chosen: list[EndpointView] = []
-    places = 0
-    for view in with_room:
-        if view.use.backlog_ms(now_s) > CROWDED_READ_MS:
-            continue
-        chosen.append(view)
-        places += _free_places(view, costs)
-        if places >= open_places:
-            break
-    if chosen:
-        weights = [_free_places(view, costs) for view in chosen]
-        drawn = rng.choices(chosen, weights)[0]
-        return _short_spread(drawn, read_ms, costs, now_s)
+    for spare in (SPARE_PLACES, 0):
+        chosen: list[EndpointView] = []
+        weights: list[int] = []
+        for view in with_room:
+            places = _free_places(view, costs) - spare
+            if places <= 0 or view.use.backlog_ms(now_s) > CROWDED_READ_MS:
+                continue
+            chosen.append(view)
+            weights.append(places)
+            if sum(weights) >= open_places:
+                break
+        if chosen:
+            drawn = rng.choices(chosen, weights)[0]
+            return _short_spread(drawn, read_ms, costs, now_s)
     if not with_room:
         return Busy()
     best = min(with_room, key=lambda view: view.use.backlog_ms(now_s))
