--- a/src/sorrelhoist/decisions/load_book.py
+++ b/src/sorrelhoist/decisions/load_book.py
@@ -175,6 +175,11 @@
             if now_s - report.heard_s < PEER_LIFETIME_S
         ]
 
+    def oldest_report_s(self, now_s: float) -> float:
+        """Return the age of the oldest report that still counts."""
+        ages = [now_s - report.heard_s for report in self._peers.values()]
+        return max((age for age in ages if age < PEER_LIFETIME_S), default=0.0)
+
     def own_uses(self) -> list[EndpointUse]:
         """Sum up the own placements, for a report to the peers."""
         sums: dict[str, EndpointUse] = {}
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -132,12 +132,17 @@
 
     def _log_send(self, left_s: float) -> None:
         now_s = asyncio.get_running_loop().time()
-        table = self.parts.state.table
+        table, loads = self.parts.state.table, self.parts.state.loads
+        size = self.admitted.request.size
         self.log.write(
             "sent",
             outcome="sent",
             endpoint=self.place.first.endpoint_id,
-            helpers=len(self.place.helpers),
+            helpers=[helper.endpoint_id for helper in self.place.helpers],
+            prompt_tokens=size.prompt_tokens if size else None,
+            running=loads.of(self.place.first.address, now_s).streams,
+            peers=len(loads.peers(now_s)),
+            load_age_ms=round(loads.oldest_report_s(now_s) * 1000),
             tickets=len(self.place.tickets),
             expected_ms=round(self.place.first_event_ms),
             waited_ms=round((now_s - self.admitted.received_s) * 1000),
