--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -144,6 +144,8 @@
         The reading at each of them.
     first_event_ms : float
         Expected time to the first event.
+    choices : int
+        Endpoints among which the first one was drawn.
     """
 
     first: Endpoint
@@ -151,6 +153,7 @@
     tickets: tuple[Ticket, ...] = ()
     part_ms: float = 0.0
     first_event_ms: float = 0.0
+    choices: int = 1
 
 
 @attrs.frozen
@@ -267,7 +270,8 @@
                 break
         if chosen:
             drawn = rng.choices(chosen, weights)[0]
-            return _short_spread(drawn, read_ms, costs, now_s)
+            placed = _short_spread(drawn, read_ms, costs, now_s)
+            return attrs.evolve(placed, choices=len(chosen))
     if not with_room:
         return Busy()
     best = min(with_room, key=lambda view: view.use.backlog_ms(now_s))
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -140,6 +140,7 @@
             endpoint=self.place.first.endpoint_id,
             helpers=[helper.endpoint_id for helper in self.place.helpers],
             prompt_tokens=size.prompt_tokens if size else None,
+            choices=self.place.choices,
             running=loads.of(self.place.first.address, now_s).streams,
             peers=len(loads.peers(now_s)),
             load_age_ms=round(loads.oldest_report_s(now_s) * 1000),
