--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -36,9 +36,13 @@
 LOOSE_PART_MS = 420.0
 """What a pass may read beside streams with a pause target of 600 ms."""
 
-CROWDED_READ_MS = 75.0
-"""A short prompt goes on to the next endpoint when more reading is ahead: two
-short prompts."""
+CROWDED_STEPS_MS = (75.0, 150.0, 300.0, math.inf)
+"""Reading ahead of a short prompt that is put up with: two short prompts, what still
+keeps an objective of 300 ms, and more only where nothing else is left."""
+
+ENOUGH_SHARE = 0.25
+"""Part of the open places that must be found before more reading is put up with:
+with fewer, gateways that act at once would meet."""
 
 OBJECTIVE_SHARE = 0.35
 """A read is split until its first event is expected within this part of the time
@@ -257,27 +261,26 @@
 ) -> Placement:
     """Draw one of the first free places of the shared order."""
     with_room = [view for view in ordered if _has_room(view, demand, costs)]
-    for spare in (SPARE_PLACES, 0):
-        chosen: list[EndpointView] = []
-        weights: list[int] = []
-        for view in with_room:
-            places = _free_places(view, costs) - spare
-            if places <= 0 or view.use.backlog_ms(now_s) > CROWDED_READ_MS:
-                continue
-            chosen.append(view)
-            weights.append(places)
-            if sum(weights) >= open_places:
-                break
-        if chosen:
-            drawn = rng.choices(chosen, weights)[0]
-            placed = _short_spread(drawn, read_ms, costs, now_s)
-            return attrs.evolve(placed, choices=len(chosen))
     if not with_room:
         return Busy()
-    best = min(with_room, key=lambda view: view.use.backlog_ms(now_s))
-    if best.use.backlog_ms(now_s) > demand.deadline_left_s * 1000:
-        return Busy()
-    return _short_spread(best, read_ms, costs, now_s)
+    for crowded_ms in CROWDED_STEPS_MS:
+        for spare in (SPARE_PLACES, 0):
+            chosen: list[EndpointView] = []
+            weights: list[int] = []
+            for view in with_room:
+                places = _free_places(view, costs) - spare
+                if places <= 0 or view.use.backlog_ms(now_s) > crowded_ms:
+                    continue
+                chosen.append(view)
+                weights.append(places)
+                if sum(weights) >= open_places:
+                    break
+            is_enough = sum(weights) >= open_places * ENOUGH_SHARE
+            if is_enough or (chosen and math.isinf(crowded_ms)):
+                drawn = rng.choices(chosen, weights)[0]
+                placed = _short_spread(drawn, read_ms, costs, now_s)
+                return attrs.evolve(placed, choices=len(chosen))
+    return Busy()
 
 
 def _short_spread(
--- a/tests/decisions/test_spreading.py
+++ b/tests/decisions/test_spreading.py
@@ -197,6 +197,21 @@
     assert over <= placed * 0.05
 
 
+def test_gateways_do_not_all_choose_the_least_crowded_endpoint():
+    # Seen on kasparek-hoist-grown quiet-1 when long reads turned to quick replies:
+    # all endpoints had reading ahead, and 30 gateways chose the same one.
+    reading = {
+        n: EndpointUse(address="", streams=1, read_ms=120.0 + n, reading_s=NOW_S)
+        for n in range(16)
+    }
+    few = demand(5_000, tight=True)
+    drawn = {
+        spread(few, views(uses=reading), COSTS, 30, random.Random(seed), NOW_S).first
+        for seed in range(60)
+    }
+    assert len(drawn) >= 4
+
+
 def _exchange(worlds, sequence, now_s):
     for number, world in enumerate(worlds):
         uses = world.book.own_uses()
