--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -5,6 +5,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
 
-from sorrelhoist.platform.main import run
+from sorrelhoist.platform.main import gateway
 
-run()
+gateway()
--- a/src/sorrelhoist/cli.py
+++ b/src/sorrelhoist/cli.py
@@ -32,6 +32,8 @@
     "diff": CommandPlace(".commands.configuration", "diff_command"),
     "dump": CommandPlace(".commands.configuration", "dump"),
     "entry": CommandPlace(".commands.roles", "entry"),
+    "explain": CommandPlace(".commands.explain", "explain"),
+    "gateway": CommandPlace(".platform.main", "gateway"),
     "get": CommandPlace(".commands.configuration", "get_command"),
     "standin": CommandPlace(".standins.commands", "standin"),
     "status": CommandPlace(".commands.configuration", "status"),
--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -44,7 +44,7 @@
 """Part of the open places that must be found before more reading is put up with:
 with fewer, gateways that act at once would meet."""
 
-OBJECTIVE_SHARE = 0.35
+OBJECTIVE_SHARE = 0.1
 """A read is split until its first event is expected within this part of the time
 left; the rest is for what other gateways place there at the same moment."""
 
--- a/src/sorrelhoist/platform/main.py
+++ b/src/sorrelhoist/platform/main.py
@@ -4,8 +4,10 @@
 import logging
 import random
 import time
+from pathlib import Path
 
 import attrs
+import click
 
 from ..decisions.retries import RetryBudget
 from ..decisions.store_contact import StoreContact
@@ -35,6 +37,7 @@
 """Between two looks at the settings file, which may change without a signal."""
 
 MS_PER_S = 1000
+EXIT_BAD_SETTINGS = 2
 
 
 def retry_budget(settings: PlatformSettings) -> RetryBudget:
@@ -85,9 +88,29 @@
             self.reload()
 
 
-def run() -> None:
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(path_type=Path),
+    help="Settings file of the platform; else SORRELHOIST_SETTINGS names it.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and end.")
+def gateway(path: Path | None, check: bool) -> None:
+    """Forward callers' requests on the users' platform."""
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        click.echo(f"error: {error}", err=True)
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+    if check:
+        click.echo("the settings can be used")
+        return
+    run(settings)
+
+
+def run(settings: PlatformSettings) -> None:
     """Serve until a signal asks to stop."""
-    settings = load_settings()
     configure_logging("INFO", settings.node_id, "gateway")
     state = GatewayState(
         node_id=settings.node_id,
@@ -113,7 +136,7 @@
         peer_port=settings.peer_port,
         metrics_port=settings.metrics_port,
     )
-    gateway = Gateway(
+    process = Gateway(
         state=state,
         dialect=PlatformDialect(),
         addresses=addresses,
@@ -122,4 +145,4 @@
         follow=follow,
         reload=watch.reload,
     )
-    asyncio.run(gateway.run())
+    asyncio.run(process.run())
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,55 @@
+"""The platform's settings file is checked as a whole."""
+
+import pytest
+from click.testing import CliRunner
+
+from sorrelhoist.cli import main
+from sorrelhoist.exceptions import SettingsError
+from sorrelhoist.platform.settings import load_settings
+
+TEXT = """
+node = "edge-1"
+role = "gateway"
+ip = "10.1.0.40"
+zone = "praha-a"
+port_range = [7340, 7355]
+unknown_field = 3
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+revoke_ms = 5000
+grace_period_s = 8
+retry_ratio = 0.2
+retry_slack = 102
+retry_window_s = 10
+[provider]
+addr = "10.200.1.7:8223"
+"""
+
+
+def test_fields_are_decoded_with_their_units(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(TEXT)
+    found = load_settings(path)
+    assert (found.node_id, found.failure_domain) == ("edge-1", "praha-a")
+    assert (found.revoke_s, found.grace_s, found.peer_port) == (5.0, 8.0, 7340)
+
+
+@pytest.mark.parametrize("lost", ["node =", "revoke_ms", "addr", "[bounds]"])
+def test_a_file_that_lacks_a_field_is_refused(tmp_path, lost):
+    path = tmp_path / "boot.toml"
+    lines = [line for line in TEXT.splitlines() if not line.startswith(lost)]
+    path.write_text("\n".join(lines))
+    with pytest.raises(SettingsError):
+        load_settings(path)
+
+
+def test_the_command_checks_settings(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text("no = toml = at all")
+    found = CliRunner().invoke(main, ["gateway", "--settings", str(path), "--check"])
+    assert found.exit_code == 2
+    path.write_text(TEXT)
+    found = CliRunner().invoke(main, ["gateway", "--settings", str(path), "--check"])
+    assert found.exit_code == 0
