How far reads are split depends on how many gateways act unseen; retries divided by them

Interpolated between one gateway and 30. The retry budget was divided by an assumed five; with 30 gateways all of them together could have spent four times the whole. It is divided by the live ones now.

--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -7,6 +7,42 @@
 MAX_BALANCE = 100.0
 
 
+@attrs.frozen(kw_only=True)
+class SharedRetries:
+    """What all processes together may spend on retries.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries for each first attempt.
+    slack : float
+        Retries that are allowed besides, in each window.
+    window_s : float
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+    def divide(self, budget: "RetryBudget", processes: int) -> None:
+        """Set a budget to the share of one process.
+
+        Half of it is given out as a balance and half over time, so that no window
+        sees more than the whole.
+
+        Examples
+        --------
+        >>> budget = RetryBudget()
+        >>> SharedRetries(ratio=0.2, slack=100.0, window_s=10.0).divide(budget, 10)
+        >>> budget.max_balance, budget.floor_per_s, budget.ratio
+        (5.0, 0.5, 0.1)
+        """
+        share = self.slack / 2 / max(1, processes)
+        budget.ratio = self.ratio / 2
+        budget.max_balance = share
+        budget.floor_per_s = share / self.window_s
+
+
 @attrs.define
 class RetryBudget:
     """Retries earned by first attempts, plus a small steady allowance.
--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -44,9 +44,13 @@
 """Part of the open places that must be found before more reading is put up with:
 with fewer, gateways that act at once would meet."""
 
-OBJECTIVE_SHARE = 0.1
-"""A read is split until its first event is expected within this part of the time
-left; the rest is for what other gateways place there at the same moment."""
+SHARE_ALONE, SHARE_AMONG_MANY = 0.1, 0.35
+"""A read is split until its first event is expected within this part of the time left:
+wide where few gateways place work, so that reads end one after the other; less so where
+many do, since each part may meet one that isn't known yet."""
+
+MANY_GATEWAYS = 30
+"""From here on the second share holds; between, they are interpolated."""
 
 LATE_SHARE = 0.6
 """The same for a read that misses its objective, of the time until its deadline: it
@@ -214,7 +218,7 @@
         ordered = _in_shared_order(sound or usable)
         open_places = max(LEAST_OPEN_PLACES, gateways * OPEN_PLACES_PER_GATEWAY)
         return _place_short(demand, ordered, read_ms, costs, open_places, rng, now_s)
-    return _place_long(demand, sound or usable, read_ms, costs, rng, now_s)
+    return _place_long(demand, sound or usable, read_ms, costs, gateways, rng, now_s)
 
 
 def _in_shared_order(views: Sequence[EndpointView]) -> list[EndpointView]:
@@ -315,6 +319,7 @@
     views: Sequence[EndpointView],
     read_ms: float,
     costs: EngineCosts,
+    gateways: int,
     rng: random.Random,
     now_s: float,
 ) -> Placement:
@@ -327,12 +332,13 @@
             rng.random(),
         ),
     )
+    share = _objective_share(gateways)
     objective_ms = demand.objective_left_s * 1000
     deadline_ms = demand.deadline_left_s * 1000
     late: Spread | None = None
     for regard in _Regard:
         splits = _splits(demand, by_backlog, read_ms, costs, regard, now_s)
-        best = _fewest_parts(splits, objective_ms * OBJECTIVE_SHARE)
+        best = _fewest_parts(splits, objective_ms * share)
         if best is not None and best.first_event_ms <= objective_ms:
             return best
         late = late or _fewest_parts(splits, deadline_ms * LATE_SHARE)
@@ -342,6 +348,18 @@
     return late
 
 
+def _objective_share(gateways: int) -> float:
+    """Interpolate between one gateway and many.
+
+    Examples
+    --------
+    >>> _objective_share(1), _objective_share(300)
+    (0.1, 0.35)
+    """
+    crowd = min(1.0, (gateways - 1) / (MANY_GATEWAYS - 1))
+    return SHARE_ALONE + (SHARE_AMONG_MANY - SHARE_ALONE) * crowd
+
+
 def _splits(
     demand: Demand,
     by_backlog: Sequence[EndpointView],
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -113,6 +113,7 @@
         while True:
             interval_s = max(SHORTEST_INTERVAL_S, len(self._peers) / SENDS_PER_S)
             await asyncio.sleep(interval_s)
+            self._state.divide_retries(loop.time())
             self._report(loop.time())
 
     def _report(self, now_s: float) -> None:
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -10,7 +10,7 @@
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_trouble import TroubleBook
 from ..decisions.load_book import EndpointUse, LoadBook
-from ..decisions.retries import RetryBudget
+from ..decisions.retries import RetryBudget, SharedRetries
 from ..decisions.routes import RouteTable
 from ..decisions.spreading import EndpointView
 from ..decisions.store_contact import StoreContact
@@ -18,6 +18,9 @@
 
 logger = logging.getLogger(__name__)
 
+ASSUMED_GATEWAYS = 5
+"""Until more are heard of; the smaller sites have four and five."""
+
 
 def boot_time_s() -> float:
     """Return seconds that also count while the host stands still."""
@@ -33,13 +36,17 @@
     node_id, failure_domain : str
     contact : StoreContact
         Aged by `boot_time_s`.
+    shared_retries : SharedRetries or None
+        The budget of all gateways; None leaves the own one as it is.
     retries : RetryBudget
+        The own part of it.
     rng : random.Random
     """
 
     node_id: str
     failure_domain: str
     contact: StoreContact
+    shared_retries: SharedRetries | None = None
     retries: RetryBudget = attrs.field(factory=RetryBudget)
     rng: random.Random = attrs.field(factory=random.Random)
     table: RouteTable | None = None
@@ -79,6 +86,12 @@
             and self.contact.is_sound(now_boot_s)
         )
 
+    def divide_retries(self, now_s: float) -> None:
+        """Take the share of the retry budget that the live gateways leave."""
+        if self.shared_retries is not None:
+            processes = max(ASSUMED_GATEWAYS, self.gateways(now_s))
+            self.shared_retries.divide(self.retries, processes)
+
     def gateways(self, now_s: float) -> int:
         """Count the live gateways, this one included."""
         return len(self.loads.peers(now_s)) + 1
--- a/src/sorrelhoist/platform/main.py
+++ b/src/sorrelhoist/platform/main.py
@@ -9,7 +9,7 @@
 import attrs
 import click
 
-from ..decisions.retries import RetryBudget
+from ..decisions.retries import SharedRetries
 from ..decisions.store_contact import StoreContact
 from ..decisions.suspicion import SuspicionTable
 from ..decisions.suspicion_evidence import SuspicionOptions
@@ -24,12 +24,6 @@
 
 logger = logging.getLogger(__name__)
 
-ASSUMED_GATEWAYS = 5
-"""Processes that share the retry budget; the sites of the milestone have 4 and 5."""
-
-BUDGET_SHARE = 0.5
-"""Part of the shared budget that is used, since load is uneven over gateways."""
-
 DEATHS_IN_COMPANY = 3
 """Endpoints that a request may have brought down before it is refused."""
 
@@ -40,16 +34,6 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def retry_budget(settings: PlatformSettings) -> RetryBudget:
-    """Return this process's share of the budget of all."""
-    share = BUDGET_SHARE / ASSUMED_GATEWAYS
-    return RetryBudget(
-        ratio=settings.retry_ratio * BUDGET_SHARE,
-        floor_per_s=settings.retry_slack * share / settings.retry_window_s,
-        max_balance=settings.retry_slack * share,
-    )
-
-
 @attrs.define(eq=False)
 class SettingsWatch:
     """Applies settings that change while the process runs.
@@ -116,7 +100,11 @@
         node_id=settings.node_id,
         failure_domain=settings.failure_domain,
         contact=StoreContact(settings.revoke_s),
-        retries=retry_budget(settings),
+        shared_retries=SharedRetries(
+            ratio=settings.retry_ratio,
+            slack=settings.retry_slack,
+            window_s=settings.retry_window_s,
+        ),
         rng=random.Random(f"{settings.node_id} {time.time_ns()}"),
         suspicions=SuspicionTable(
             SuspicionOptions(deaths_in_company=DEATHS_IN_COMPANY)
--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -17,6 +17,7 @@
             resumable=True,
             gap_target_ms=250,
             timeout_ms=15_000,
+            goal_ms=3_000,
         )
     ]
 )
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,297 @@
+"""Gateways as processes, stand-ins behind proxies, callers, and what they saw."""
+
+import asyncio
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import attrs
+
+from sorrelhoist.bench.fleet import free_port
+from tests.platform.fleet import Fleet, configuration, read_answer, route
+from tests.platform.standins import (
+    Endpoint,
+    Store,
+    answer_bytes,
+    chunk,
+    echo_headers,
+    event,
+)
+from tests.soak.faults import HOST, Proxy
+
+ROOT = Path(__file__).parents[2]
+REVOKE_S = 5.0
+EVENTS = 8
+SETTINGS = """
+node = "{name}"
+role = "gateway"
+ip = "{ip}"
+zone = "zone-a"
+port_range = [{peer_port}, {peer_port}]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[bounds]
+revoke_ms = 5000
+grace_period_s = 8
+retry_ratio = 0.2
+retry_slack = 100
+retry_window_s = 10
+[provider]
+addr = "127.0.0.1:{store}"
+"""
+
+
+@attrs.define(eq=False)
+class Process:
+    """One gateway process."""
+
+    name: str
+    ip: str
+    front: int
+    ready: int
+    environment: dict
+    log: object
+    running: subprocess.Popen | None = None
+
+    def start(self):
+        self.running = subprocess.Popen(
+            [sys.executable, str(ROOT / "deploy" / "gateway.py")],
+            stdout=self.log,
+            stderr=self.log,
+            env=self.environment,
+        )
+
+    def signal(self, number):
+        if self.running.poll() is None:
+            self.running.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGCONT)
+        if self.running.poll() is None:
+            self.running.kill()
+        self.running.wait()
+
+
+@attrs.define(eq=False)
+class Backend(Endpoint):
+    """An endpoint behind a proxy."""
+
+    service: str = ""
+    state: str = "ready"
+    proxy: Proxy | None = None
+
+
+@attrs.define(eq=False)
+class Run:
+    """One run of a request at an endpoint."""
+
+    request_id: str
+    key: str
+    path: str
+    at_s: float
+
+
+@attrs.define(eq=False)
+class World:
+    """All of it, and the promises that were broken."""
+
+    seed: int
+    folder: Path
+    gateways: int = 3
+    broken: list = attrs.field(factory=list)
+    runs: list = attrs.field(factory=list)
+    revoked: dict = attrs.field(factory=dict)
+    served: int = 0
+    asked: int = 0
+    version: int = 1
+    keys: list = attrs.field(factory=lambda: ["key-0", "key-1"])
+    processes: list = attrs.field(factory=list)
+    endpoints: list = attrs.field(factory=list)
+    proxies: list = attrs.field(factory=list)
+    store: Store = attrs.field(factory=Store)
+    store_proxy: Proxy | None = None
+    heart: asyncio.Task | None = None
+    rng: random.Random = attrs.field(init=False)
+    sick: set = attrs.field(factory=set)
+
+    def __attrs_post_init__(self):
+        self.rng = random.Random(self.seed)
+
+    async def start(self):
+        await self.store.start()
+        self.store_proxy = await Proxy(self.store.port).start()
+        self.proxies.append(self.store_proxy)
+        self.configure()
+        for number in range(8):
+            await self.add_endpoint("llm" if number < 5 else "app")
+        peer_port = free_port()
+        for number in range(self.gateways):
+            self.start_gateway(number, peer_port)
+        self.heart = asyncio.ensure_future(self._beat())
+
+    def start_gateway(self, number, peer_port):
+        # Each has an address of its own, as on separate hosts.
+        ip, front, ready = f"127.0.0.{number + 2}", free_port(), free_port()
+        text = SETTINGS.format(
+            name=f"gateway-{number}",
+            ip=ip,
+            peer_port=peer_port,
+            front=front,
+            ready=ready,
+            store=self.store_proxy.port,
+        )
+        path = self.folder / f"gateway-{number}.toml"
+        path.write_text(text)
+        environment = os.environ | {"SORRELHOIST_SETTINGS": str(path)}
+        log = (self.folder / f"gateway-{number}.log").open("ab")
+        process = Process(f"gateway-{number}", ip, front, ready, environment, log)
+        process.start()
+        self.processes.append(process)
+
+    async def add_endpoint(self, service):
+        number = len(self.endpoints)
+        endpoint = Backend(endpoint_id=f"i-{self.seed}-{number}", service=service)
+        endpoint.scripts = [self._script(endpoint)]
+        await endpoint.start()
+        endpoint.proxy = await Proxy(endpoint.port).start()
+        self.proxies.append(endpoint.proxy)
+        self.endpoints.append(endpoint)
+        self.register(endpoint)
+
+    def register(self, endpoint):
+        entry = endpoint.entry(
+            backend=endpoint.service,
+            addr=f"{HOST}:{endpoint.proxy.port}",
+            state=endpoint.state,
+        )
+        self.store.put("keyed.servers", endpoint.endpoint_id, entry)
+
+    async def _beat(self):
+        while True:
+            await asyncio.sleep(1.2)
+            for endpoint in self.endpoints:
+                if endpoint.state != "gone":
+                    self.register(endpoint)
+
+    def configure(self):
+        routes = [
+            route("stream", "streaming", "llm", resumable=True, gap_target_ms=250),
+            route("once", "non_idempotent", "app"),
+            route("look", "idempotent", "app"),
+        ]
+        tenants = [{"name": f"tenant-{key}", "api_keys": [key]} for key in self.keys]
+        self.store.put(
+            "keyed.op",
+            "config",
+            configuration(self.version, routes=routes, tenants=tenants),
+        )
+
+    def _script(self, endpoint):
+        async def script(received, writer):
+            headers = received.headers
+            request_id = headers["x-attempt-id"]
+            key = headers.get("x-tenant", "").removeprefix("tenant-")
+            now_s = time.monotonic()
+            self.runs.append(Run(request_id, key, received.path, now_s))
+            if endpoint in self.sick and self.rng.random() < 0.5:
+                await self._sick_answer(received, writer)
+            elif received.path.startswith("/stream"):
+                await self._stream(received, writer)
+            else:
+                await asyncio.sleep(0.02)
+                body = f"answer to {request_id}".encode()
+                writer.write(answer_bytes(200, echo_headers(received), body))
+                await writer.drain()
+
+        return script
+
+    async def _sick_answer(self, received, writer):
+        match self.rng.choice(["lost", "late", "other", "cut"]):
+            case "lost":
+                writer.transport.abort()
+            case "late":
+                await asyncio.sleep(3.0)
+            case "other":
+                headers = [("X-Response-Stamp", "s"), ("X-Attempt-Id", "another")]
+                writer.write(answer_bytes(200, headers, b"another's"))
+                await writer.drain()
+            case "cut":
+                writer.write(answer_bytes(200, echo_headers(received), b"x" * 50)[:-9])
+                await writer.drain()
+
+    async def _stream(self, received, writer):
+        first = int(received.headers.get("last-event-id", 0)) + 1
+        headers = [*echo_headers(received), ("Transfer-Encoding", "chunked")]
+        writer.write(answer_bytes(200, headers, length=False))
+        for number in range(first, EVENTS + 1):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    # Callers
+
+    async def ask(self, kind):
+        """Send one request, resume or repeat as callers do, and check the answer."""
+        request_id = self.rng.randbytes(8).hex()
+        process = self.rng.choice(self.processes)
+        key = self.rng.choice(self.keys)
+        caller = Fleet(self.store, process.front, 0, None, None, None)
+        self.asked += 1
+        method = "GET" if kind == "look" else "POST"
+        try:
+            async with asyncio.timeout(4.0):
+                reader, writer = await caller.send(
+                    f"/{kind}/1",
+                    method,
+                    b"body",
+                    key,
+                    request_id,
+                    3000,
+                    host=process.ip,
+                )
+                answer = await read_answer(reader, writer)
+        except (OSError, TimeoutError):
+            return False
+        self._check(kind, request_id, answer)
+        return answer.status == 200 and answer.is_whole
+
+    def _check(self, kind, request_id, answer):
+        ran = [run for run in self.runs if run.request_id == request_id]
+        if answer.status in (408, 421, 429, 503) and ran:
+            self.broken.append(f"refused as not run, and ran: {kind} {request_id}")
+        if answer.status != 200 or not answer.is_whole:
+            return
+        expected = f"answer to {request_id}".encode()
+        if kind == "stream":
+            expected = b"".join(event(number) for number in range(1, EVENTS + 1))
+        if answer.body != expected:
+            self.broken.append(f"wrong answer: {kind} {request_id} {answer.body[:80]}")
+        self.served += 1
+
+    def check_runs(self):
+        """Check what the endpoints saw."""
+        seen = {}
+        for run in self.runs:
+            if run.path.startswith("/once"):
+                seen[run.request_id] = seen.get(run.request_id, 0) + 1
+            taken_s = self.revoked.get(run.key)
+            if taken_s is not None and run.at_s > taken_s + REVOKE_S:
+                self.broken.append(f"ran with a key taken away: {run.request_id}")
+        twice = [request_id for request_id, count in seen.items() if count > 1]
+        self.broken += [f"ran twice: {request_id}" for request_id in twice]
+
+    async def stop(self):
+        self.heart.cancel()
+        for process in self.processes:
+            process.kill()
+            process.log.close()
+        for endpoint in self.endpoints:
+            await endpoint.stop()
+        await self.store.stop()
