--- /dev/null
+++ b/tests/gateway/test_app.py
@@ -0,0 +1,43 @@
+"""What a gateway tells its operators."""
+
+import asyncio
+import json
+
+from tests.platform.fleet import play, read_answer, until
+from tests.platform.standins import HOST, streams, whole
+
+
+async def get(fleet, path):
+    port = fleet.gateway.addresses.metrics_port
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+    return await read_answer(reader, writer)
+
+
+def test_metrics_count_requests_by_outcome_and_measure_latencies():
+    async def main(fleet):
+        await fleet.add(whole(), service="app")
+        await fleet.add(streams(2))
+        await fleet.ask()
+        await fleet.ask(key="wrong")
+        await fleet.stream()
+        text = (await get(fleet, "/metrics")).body.decode()
+        lines = text.splitlines()
+        counts = [x for x in lines if x.startswith("sorrelhoist_gateway_requests")]
+        for outcome in ("answered", "401"):
+            assert any(f'outcome="{outcome}"' in line for line in counts)
+        assert "sorrelhoist_gateway_first_event_seconds_bucket" in text
+
+    play(main)
+
+
+def test_the_dump_tells_what_is_believed():
+    async def main(fleet):
+        endpoint = await fleet.add(whole(), service="app")
+        await until(lambda: fleet.state.table)
+        found = json.loads((await get(fleet, "/dump")).body)
+        assert found["version"] == 1
+        assert endpoint.endpoint_id in found["directory"]["endpoints"]
+        assert found["contact_age_s"] < 5.0
+
+    play(main)
