What never reached an endpoint costs nothing of the retry budget

Such a send is no second arrival. A request whose key was taken away is answered at once, and no endpoint is blamed for what was withheld for a reason of our own.

--- a/src/sorrelhoist/decisions/forwarding.py
+++ b/src/sorrelhoist/decisions/forwarding.py
@@ -15,7 +15,22 @@
 
 @attrs.frozen
 class NotSent:
-    """No connection was made, so that nothing ran."""
+    """Nothing reached an endpoint, so that nothing ran.
+
+    Parameters
+    ----------
+    detail : str
+    faulty_address : str
+        Of another endpoint that was needed, if that was at fault.
+    """
+
+    detail: str
+    faulty_address: str = ""
+
+
+@attrs.frozen
+class Withheld:
+    """It was not sent for a reason of our own, and no endpoint is at fault."""
 
     detail: str
 
@@ -60,7 +75,7 @@
     status: int
 
 
-Failure = NotSent | Declined | Broken | Failed
+Failure = NotSent | Withheld | Declined | Broken | Failed
 
 
 @attrs.frozen
@@ -129,7 +144,7 @@
 
     Parameters
     ----------
-    failure : NotSent, Declined, Broken or Failed
+    failure : NotSent, Withheld, Declined, Broken or Failed
     progress : Progress
 
     Returns
@@ -147,7 +162,7 @@
     """
     progress.is_out = False
     match failure:
-        case NotSent() | Declined():
+        case NotSent() | Withheld() | Declined():
             progress.declines += 1
             if progress.declines <= MAX_DECLINES:
                 return TryAgain()
@@ -164,6 +179,17 @@
             return PassOn()
 
 
+def costs_retry(failure: Failure) -> bool:
+    """Tell whether sending on after a failure is a second arrival at the service.
+
+    Examples
+    --------
+    >>> costs_retry(NotSent("refused")), costs_retry(Declined("full"))
+    (False, True)
+    """
+    return not isinstance(failure, NotSent | Withheld)
+
+
 def give_up(progress: Progress, reason: str) -> NextStep:
     """Answer a request for which no endpoint is left or no time."""
     if progress.runs or progress.has_begun or progress.is_out:
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -16,11 +16,14 @@
     FailUnknown,
     Failure,
     NextStep,
+    NotSent,
     PassOn,
     Progress,
     RefuseNotRun,
     TryAgain,
+    Withheld,
     after_failure,
+    costs_retry,
     give_up,
 )
 from ..decisions.spreading import Busy, Impossible, Placement, Spread
@@ -171,6 +174,8 @@
                         return give_up(admitted.progress, "no endpoint has room")
                     case Impossible(reason=reason):
                         return give_up(admitted.progress, reason)
+                if not self._key_is_valid(admitted):
+                    return give_up(admitted.progress, "its key is not valid any more")
                 failure = await self._attempt(admitted, place)
             finally:
                 state.loads.release(self.request.request_id)
@@ -180,7 +185,7 @@
             step = await self._after(admitted, failure, place)
             if not isinstance(step, TryAgain):
                 return step
-            if not state.retries.try_retry(loop.time()):
+            if costs_retry(failure) and not state.retries.try_retry(loop.time()):
                 return give_up(admitted.progress, "the retry budget is spent")
 
     async def _place(self, admitted: Admitted) -> Placement:
@@ -200,10 +205,8 @@
 
     async def _attempt(self, admitted: Admitted, place: Spread) -> Failure | None:
         now_s = asyncio.get_running_loop().time()
-        if not self._key_is_valid(admitted):
-            return Declined("its key is not valid any more", is_full=True)
         if not self.parts.state.directory.is_usable(place.first, now_s):
-            return Declined("the endpoint is leaving", is_full=True)
+            return Withheld("the endpoint is leaving")
         attempt = Attempt(
             parts=self.parts,
             admitted=admitted,
@@ -226,11 +229,18 @@
                 blamed = _helper_at(place, address) or first
                 admitted.excluded.add(blamed.endpoint_id)
                 weight = FULL_WEIGHT if is_full else 1.0
+            case NotSent(faulty_address=address) if address:
+                blamed = _helper_at(place, address) or first
+                admitted.excluded.add(blamed.endpoint_id)
+                weight = FULL_WEIGHT
+            case Withheld():
+                weight = 0.0
             case Failed():
                 weight = OWN_FAILURE_WEIGHT
             case Broken(is_silent=False):
                 await self._note_death(admitted, first)
-        state.troubles.failed(blamed.endpoint_id, now_s, weight)
+        if weight:
+            state.troubles.failed(blamed.endpoint_id, now_s, weight)
         step = after_failure(failure, admitted.progress)
         kind = type(failure).__name__
         self.parts.metrics.failures.add(1, {"kind": kind})
--- a/src/sorrelhoist/gateway/reservations.py
+++ b/src/sorrelhoist/gateway/reservations.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ..decisions.forwarding import Declined
+from ..decisions.forwarding import NotSent
 from ..decisions.spreading import Ticket
 from .ports import Dialect, Order
 from .upstream import ExchangeError, connected
@@ -40,10 +40,10 @@
 
     Parameters
     ----------
-    failure : Declined
+    failure : NotSent
     """
 
-    def __init__(self, failure: Declined) -> None:
+    def __init__(self, failure: NotSent) -> None:
         super().__init__(failure.detail)
         self.failure = failure
 
@@ -96,7 +96,7 @@
                 if not is_held:
                     self._log("memory refused", request_id, one)
                     raise ReservationError(
-                        Declined("memory is not free", one.ticket.endpoint.address)
+                        NotSent("memory is not free", one.ticket.endpoint.address)
                     )
             if held:
                 renewal = asyncio.ensure_future(self._renew(held))
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -407,6 +407,22 @@
     play(main)
 
 
+def test_endpoints_that_take_no_connection_cost_nothing_of_the_retry_budget():
+    # Seen on kasparek-hoist trouble-1: with a domain lost, 29 refused connections
+    # used up the budget that broken streams needed to go on.
+    async def main(fleet):
+        for _ in range(3):
+            endpoint = await fleet.add(whole(), service="app")
+            await endpoint.stop()
+        await fleet.add(whole(), service="app")
+        fleet.state.retries.max_balance = 0.0
+        fleet.state.retries.floor_per_s = 0.0
+        fleet.state.retries.try_retry(0.0)
+        assert (await fleet.ask()).status == 200
+
+    play(main)
+
+
 # Requests that bring endpoints down
 
 
