Handlers of an entry know a typed port, not the process that serves them

The circle between entry/app and its handler modules is gone; a second front door needs nothing of the first. No behaviour changed; the gateway doesn't load it.

--- a/src/sorrelhoist/entry/completions.py
+++ b/src/sorrelhoist/entry/completions.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import aclosing
-from typing import TYPE_CHECKING, Literal
+from typing import Literal
 
 from tornado.iostream import StreamClosedError
 
@@ -14,6 +14,7 @@
 from .attempt import Finished
 from .generation import Generation
 from .http import CallerHandler
+from .port import EntryPort
 from .reattach import follow_stream
 from .requests import (
     MAX_OUTPUT_TOKENS,
@@ -22,9 +23,6 @@
     parse_timeout_s,
 )
 
-if TYPE_CHECKING:
-    from .app import Entry
-
 TIMEOUT_HEADER = "X-Request-Timeout-S"
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 256
@@ -37,7 +35,7 @@
     """``POST /v1/chat/completions`` and ``POST /v1/completions``."""
 
     def initialize(  # type: ignore[override]
-        self, entry: "Entry", surface: Literal["chat", "completions"]
+        self, entry: EntryPort, surface: Literal["chat", "completions"]
     ) -> None:
         """Keep which of the two it is."""
         super().initialize(entry)
--- a/src/sorrelhoist/entry/http.py
+++ b/src/sorrelhoist/entry/http.py
@@ -6,7 +6,7 @@
 import math
 import uuid
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from tornado.web import RequestHandler, stream_request_body
 
@@ -19,11 +19,9 @@
     SorrelhoistError,
 )
 from .answers import error_body
+from .port import EntryPort
 from .requests import MAX_BODY_BYTES
 
-if TYPE_CHECKING:
-    from .app import Entry
-
 logger = logging.getLogger(__name__)
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -48,7 +46,7 @@
     package into JSON bodies.
     """
 
-    def initialize(self, entry: "Entry") -> None:
+    def initialize(self, entry: EntryPort) -> None:
         """Keep the entry that owns the state."""
         self.entry = entry
         self.request_id = uuid.uuid4().hex
--- a/src/sorrelhoist/entry/reattach.py
+++ b/src/sorrelhoist/entry/reattach.py
@@ -3,7 +3,6 @@
 import json
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
-from typing import TYPE_CHECKING
 
 from ..decisions.routing import RouteRequest, Target
 from ..decisions.streams import (
@@ -17,19 +16,17 @@
 from .answers import DONE_EVENT, event
 from .attempt import Attempt, Finished
 from .grants import Ask, RunningElsewhere
-
-if TYPE_CHECKING:
-    from .app import Entry
+from .port import EntryPort
 
 
 async def follow_stream(
-    entry: "Entry", name: StreamName, sequence: int
+    entry: EntryPort, name: StreamName, sequence: int
 ) -> AsyncGenerator[str, None]:
     """Read on in a running stream.
 
     Parameters
     ----------
-    entry : Entry
+    entry : EntryPort
     name : StreamName
         Where it runs.
     sequence : int
@@ -72,7 +69,7 @@
     )
 
 
-def _ask(entry: "Entry", name: StreamName) -> Ask:
+def _ask(entry: EntryPort, name: StreamName) -> Ask:
     request = ttypes.GrantRequest(
         request_id=name.request_id,
         workspace=name.workspace,
