--- a/src/sorrelhoist/decisions/spreading.py
+++ b/src/sorrelhoist/decisions/spreading.py
@@ -15,6 +15,7 @@
 """
 
 import enum
+import itertools
 import math
 import random
 from collections.abc import Sequence
@@ -111,7 +112,7 @@
         return self.prompt_tokens + self.output_tokens
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, eq=False)
 class EndpointView:
     """One endpoint and what is known of its load.
 
@@ -267,26 +268,32 @@
     with_room = [view for view in ordered if _has_room(view, demand, costs)]
     if not with_room:
         return Busy()
-    for crowded_ms in CROWDED_STEPS_MS:
-        for spare in (SPARE_PLACES, 0):
-            chosen: list[EndpointView] = []
-            weights: list[int] = []
-            for view in with_room:
-                places = _free_places(view, costs) - spare
-                if places <= 0 or view.use.backlog_ms(now_s) > crowded_ms:
-                    continue
-                chosen.append(view)
-                weights.append(places)
-                if sum(weights) >= open_places:
-                    break
-            is_enough = sum(weights) >= open_places * ENOUGH_SHARE
-            if is_enough or (chosen and math.isinf(crowded_ms)):
-                drawn = rng.choices(chosen, weights)[0]
-                placed = _short_spread(drawn, read_ms, costs, now_s)
-                return attrs.evolve(placed, choices=len(chosen))
+    for crowded_ms, spare in itertools.product(CROWDED_STEPS_MS, (SPARE_PLACES, 0)):
+        calm = [view for view in with_room if view.use.backlog_ms(now_s) <= crowded_ms]
+        open_views = _open_views(calm, spare, open_places, costs)
+        places = sum(open_views.values())
+        is_enough = places >= open_places * ENOUGH_SHARE
+        if is_enough or (places and math.isinf(crowded_ms)):
+            drawn = rng.choices(list(open_views), list(open_views.values()))[0]
+            placed = _short_spread(drawn, read_ms, costs, now_s)
+            return attrs.evolve(placed, choices=len(open_views))
     return Busy()
 
 
+def _open_views(
+    views: Sequence[EndpointView], spare: int, open_places: float, costs: EngineCosts
+) -> dict[EndpointView, int]:
+    """Take endpoints in order until their free places are enough; return both."""
+    found: dict[EndpointView, int] = {}
+    for view in views:
+        places = _free_places(view, costs) - spare
+        if places > 0:
+            found[view] = places
+        if sum(found.values()) >= open_places:
+            break
+    return found
+
+
 def _short_spread(
     view: EndpointView, read_ms: float, costs: EngineCosts, now_s: float
 ) -> Spread:
