A stopping gateway takes no request that it could not end

From 3 s after the signal a gateway answers 503, not run, come back at once; what it took before ends. Ruled out: work that was admitted early and ran long.

--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -100,7 +100,7 @@
                 stop_at_s = loop.time() + self.grace_s - EXIT_MARGIN_S
                 count = len(front.running)
                 logger.info("stopping", extra={"event": "stop", "running": count})
-                self.state.is_stopping = True
+                self.state.stopping_s = loop.time()
                 await _drain(front, stop_at_s)
         count = len(front.running)
         logger.info("stopped", extra={"event": "stopped", "running": count})
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -36,7 +36,7 @@
 from .state import boot_time_s
 from .upstream import ExchangeError, connected
 
-NO_CONTACT_RETRY_AFTER_S = 0.2
+ELSEWHERE_RETRY_AFTER_S = 0.2
 """Another gateway can serve the caller at once."""
 
 DEATH_CHECK_TIMEOUT_S = 0.3
@@ -115,8 +115,10 @@
     def _admit(self) -> Admitted | Refused:
         """Check what is known without an endpoint."""
         state, request = self.parts.state, self.request
+        if not state.takes_requests(self.received_s):
+            return Refused(503, "the gateway is stopping", ELSEWHERE_RETRY_AFTER_S)
         if state.table is None:
-            return Refused(503, "no configuration yet", NO_CONTACT_RETRY_AFTER_S)
+            return Refused(503, "no configuration yet", ELSEWHERE_RETRY_AFTER_S)
         route = state.table.match(request.host, request.path)
         if route is None:
             return Refused(404, "no such route")
@@ -124,7 +126,7 @@
         if state.table.workspaces is not None and not route.is_public:
             if not state.contact.may_use_keys(boot_time_s()):
                 return Refused(
-                    503, "keys can't be checked now", NO_CONTACT_RETRY_AFTER_S
+                    503, "keys can't be checked now", ELSEWHERE_RETRY_AFTER_S
                 )
             workspace = state.table.workspaces.get(request.key or "")
             if workspace is None:
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -18,6 +18,10 @@
 
 logger = logging.getLogger(__name__)
 
+LAST_REQUESTS_S = 3.0
+"""After the signal to stop; the balancer sends callers elsewhere within two seconds
+if it can, and streams last for about three of the five that are left."""
+
 ASSUMED_GATEWAYS = 5
 """Until more are heard of; the smaller sites have four and five."""
 
@@ -55,7 +59,7 @@
     troubles: TroubleBook = attrs.field(factory=TroubleBook)
     cold_starts: ColdStarts = attrs.field(factory=ColdStarts)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
-    is_stopping: bool = False
+    stopping_s: float | None = None
 
     def adopt(self, table: RouteTable) -> bool:
         """Put a version into force unless a later one is.
@@ -78,6 +82,15 @@
         self.table = table
         return True
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process was asked to stop."""
+        return self.stopping_s is not None
+
+    def takes_requests(self, now_s: float) -> bool:
+        """Tell whether a new request can still end before the process does."""
+        return self.stopping_s is None or now_s < self.stopping_s + LAST_REQUESTS_S
+
     def is_ready(self, now_boot_s: float) -> bool:
         """Tell whether the balancer should send callers here."""
         return (
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -233,6 +233,37 @@
     play(main)
 
 
+def test_a_stopping_process_takes_no_request_that_it_could_not_end(monkeypatch):
+    # Found by the hunt: gvari-lookup, mix --seed 767393925139, LOST. The balancer
+    # kept sending callers to a gateway that was stopping, until it was gone.
+    import os
+    import signal
+
+    from sorrelhoist.gateway import state
+
+    monkeypatch.setattr(state, "LAST_REQUESTS_S", 0.5)
+
+    async def main(fleet):
+        await fleet.add(streams(15, pause_s=0.1))
+        asking = asyncio.ensure_future(fleet.stream(wait_ms=5000))
+        await until(lambda: fleet.endpoints[0].requests)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await until(lambda: fleet.state.is_stopping)
+        assert (
+            await fleet.stream(wait_ms=5000, headers=[("Last-Event-Id", "14")])
+        ).status == 200
+        await asyncio.sleep(0.6)
+        late = await fleet.stream(wait_ms=5000)
+        assert late.status == 503
+        assert float(late.headers["retry-after"]) < 1.0
+        assert late.headers["connection"] == "close"
+        assert (await asking).is_whole
+        assert len(fleet.endpoints[0].requests) == 2
+        await fleet.main
+
+    play(main)
+
+
 def test_a_stop_does_not_outlast_the_grace_period():
     import os
     import signal
