A silent stream is given up only for another endpoint

Cause by reading: after the silence limit the gateway closed the exchange also when no second endpoint was allowed or the retry budget was spent, and then broke off the answer. The retry is now taken first; without one the gateway waits on.

--- a/src/sorrelhoist/decisions/forwarding.py
+++ b/src/sorrelhoist/decisions/forwarding.py
@@ -61,7 +61,8 @@
     ----------
     detail : str
     is_silent : bool
-        Whether nothing came, instead of an end that came too soon.
+        Whether nothing came, instead of an end that came too soon. It was given up
+        for another endpoint, and its retry is spent already.
     """
 
     detail: str
@@ -131,6 +132,11 @@
     has_begun: bool = False
     is_out: bool = False
 
+    @property
+    def may_move(self) -> bool:
+        """Whether an endpoint that has it may be given up for another one."""
+        return self.may_repeat and self.runs + 1 < self.max_endpoints
+
     @property
     def may_repeat(self) -> bool:
         """Whether it may run again after it may have run."""
@@ -187,7 +193,11 @@
     >>> costs_retry(NotSent("refused")), costs_retry(Declined("full"))
     (False, True)
     """
-    return not isinstance(failure, NotSent | Withheld)
+    match failure:
+        case NotSent() | Withheld() | Broken(is_silent=True):
+            return False
+        case _:
+            return True
 
 
 def give_up(progress: Progress, reason: str) -> NextStep:
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -83,6 +83,7 @@
     caller: CallerConnection
     log: RequestLog
     place: Spread
+    _silence: asyncio.TimerHandle | None = attrs.field(init=False, default=None)
 
     async def run(self) -> Failure | None:
         """Reserve what it needs and send it.
@@ -164,20 +165,39 @@
             slack_s = min(MOST_SLACK_S, SLACK_OBJECTIVES * objective_s)
             limit_s = self.place.first_event_ms / 1000 + max(LEAST_SLACK_S, slack_s)
         try:
-            async with asyncio.timeout(limit_s) as limit:
+            async with asyncio.timeout(None) as limit:
+                self._watch(limit, limit_s)
                 head = await upstream.head()
                 failure = self._check_head(head)
                 if failure is not None:
                     return failure
                 if not self.admitted.route.is_stream or head.status != 200:
-                    limit.reschedule(None)
+                    self._watch(limit, None)
                     return await self._pass_whole(upstream, head)
                 return await self._pass_stream(upstream, head, limit)
         except TimeoutError as error:
-            now_s = asyncio.get_running_loop().time()
-            if not limit.expired() or now_s >= self.admitted.deadline_s:
+            if not limit.expired():
                 raise
             return Broken(f"silent: {error!r}", is_silent=True)
+        finally:
+            self._watch(None, None)
+
+    def _watch(self, limit: asyncio.Timeout | None, silence_s: float | None) -> None:
+        """Start to wait for the next event anew."""
+        if self._silence is not None:
+            self._silence.cancel()
+            self._silence = None
+        if limit is not None and silence_s is not None:
+            loop = asyncio.get_running_loop()
+            self._silence = loop.call_later(silence_s, self._was_silent, limit)
+
+    def _was_silent(self, limit: asyncio.Timeout) -> None:
+        """Give up a silent endpoint only for another one; else wait on."""
+        now_s = asyncio.get_running_loop().time()
+        if self.admitted.progress.may_move and self.parts.state.retries.try_retry(
+            now_s
+        ):
+            limit.reschedule(now_s)
 
     def _check_head(self, head: AnswerHead) -> Failure | None:
         dialect = self.parts.dialect
@@ -211,7 +231,6 @@
         self, upstream: Upstream, head: AnswerHead, limit: asyncio.Timeout
     ) -> Failure | None:
         """Pass whole events on as they come."""
-        loop = asyncio.get_running_loop()
         pause_s = self.admitted.route.pause_s
         silence_s = max(LEAST_SILENCE_S, STREAM_SILENCE_PAUSES * pause_s)
         splitter = EventSplitter(last_id=self.admitted.splitter.last_id)
@@ -222,7 +241,7 @@
                 continue
             if not self.caller.has_begun:
                 await self._begin_stream(head)
-            limit.reschedule(loop.time() + silence_s)
+            self._watch(limit, silence_s)
             self.parts.state.loads.read_ended(self.admitted.request.request_id)
             await self.caller.write(b"".join(events))
         if splitter.has_rest:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -12,6 +12,7 @@
 from tests.platform.standins import (
     SIGNATURE,
     answer_bytes,
+    chunk,
     declines,
     echo_headers,
     event,
@@ -255,6 +256,29 @@
     play(main)
 
 
+def test_a_silent_stream_that_cannot_move_is_not_ended():
+    # Found by the hunt: LOST on kasparek-hoist mix --seed 892797696834 and on
+    # gvari-lookup mix --seed 762013359793; silent streams were cut by the gateway.
+    async def pauses(received, writer):
+        headers = [*echo_headers(received), ("Transfer-Encoding", "chunked")]
+        writer.write(answer_bytes(200, headers, length=False))
+        writer.write(chunk(event(1)))
+        await asyncio.sleep(1.4)
+        writer.write(chunk(event(2)) + b"0\r\n\r\n")
+        await writer.drain()
+
+    async def main(fleet):
+        await fleet.add(pauses)
+        fleet.state.retries.max_balance = 0.0
+        fleet.state.retries.floor_per_s = 0.0
+        fleet.state.retries.try_retry(0.0)
+        answer = await fleet.stream(wait_ms=3000)
+        assert answer.is_whole
+        assert answer.body == all_events(1, 2)
+
+    play(main)
+
+
 def test_a_stream_that_does_not_begin_is_moved_before_its_caller_leaves():
     async def main(fleet):
         script = in_turn(hangs(), streams(3))
