Memory held by tickets is counted where it is held

Cause, seen by reading: the dispatcher counted a prompt over one engine's memory whole at the endpoint that answers, and nothing at the endpoints whose tickets hold it. Later prompts were offered memory that was taken, were declined, and a full endpoint was taken for a broken one.

Ruled out: that the book dropped the memory when the prompt was read (it keeps it).

Test: tests/gateway/test_dispatch.py, failing before (five of six cases).

--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -193,17 +193,8 @@
             now_s,
         )
         if isinstance(found, Spread):
-            first = Use(
-                address=found.first.address,
-                read_ms=found.part_ms,
-                kv_tokens=demand.kv_tokens,
-                is_tight=demand.is_tight,
-            )
-            helpers = (
-                Use(address=helper.address, read_ms=found.part_ms, is_stream=False)
-                for helper in found.helpers
-            )
-            self._state.loads.place(ask.request.request_id, (first, *helpers), now_s)
+            uses = _uses(found, demand, costs)
+            self._state.loads.place(ask.request.request_id, uses, now_s)
         return found
 
     def _place_call(self, ask: Ask, now_s: float) -> Placement:
--- /dev/null
+++ b/tests/gateway/test_dispatch.py
@@ -0,0 +1,118 @@
+"""What a placement is counted as, so that the next one sees it."""
+
+import asyncio
+import random
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from sorrelhoist.decisions.directory import Endpoint
+from sorrelhoist.decisions.routes import (
+    EngineCosts,
+    Repeat,
+    Route,
+    RouteTable,
+    ServicePlan,
+    Target,
+)
+from sorrelhoist.decisions.spreading import Spread
+from sorrelhoist.decisions.store_contact import StoreContact
+from sorrelhoist.gateway.dispatch import Ask, Dispatcher
+from sorrelhoist.gateway.ports import CallerRequest, PromptSize
+from sorrelhoist.gateway.state import GatewayState
+
+COSTS = EngineCosts(
+    max_running=8,
+    kv_capacity_tokens=405_000,
+    tokens_per_event=34,
+    step_ms=1.31,
+    prefill_tokens_per_s=154_000.0,
+    pair_ms_per_million=0.162,
+    hop_ms=0.1,
+)
+READING = Route(
+    name="reading",
+    host="h",
+    path_prefix="/",
+    targets=(Target("llm", 1.0),),
+    repeat=Repeat.RESUMABLE,
+    is_stream=True,
+    objective_s=3.0,
+    pause_s=0.6,
+)
+NOW_S = 100.0
+
+
+def dispatcher(engines, seed=1):
+    state = GatewayState(
+        node_id="g",
+        failure_domain="a",
+        contact=StoreContact(revoke_s=5.0),
+        rng=random.Random(seed),
+    )
+    state.adopt(
+        RouteTable(
+            version=1,
+            routes={("h", "/"): READING},
+            services={"llm": ServicePlan(name="llm", engine=COSTS)},
+        )
+    )
+    endpoints = [
+        Endpoint(
+            endpoint_id=f"i-{number}",
+            service="llm",
+            address=f"10.0.0.{number}:80",
+            failure_domain="a",
+            capacity=8,
+        )
+        for number in range(engines)
+    ]
+    for one in endpoints:
+        state.directory.put(one, NOW_S)
+    return state, Dispatcher(state)
+
+
+def ask(request_id, prompt_tokens):
+    request = CallerRequest(
+        request_id=request_id,
+        method="POST",
+        path="/",
+        host="h",
+        headers=HTTPHeaders(),
+        size=PromptSize(prompt_tokens=prompt_tokens, output_tokens=1000),
+    )
+    return Ask(
+        request=request,
+        route=READING,
+        service="llm",
+        objective_due_s=NOW_S + 3.0,
+        deadline_s=NOW_S + 15.0,
+    )
+
+
+def test_memory_held_by_tickets_is_counted_where_it_is_held():
+    state, places = dispatcher(engines=17)
+    found = asyncio.run(places.place(ask("r1", 900_000), NOW_S))
+    assert isinstance(found, Spread)
+    assert len(found.tickets) == 3
+    held = {ticket.endpoint.address: ticket.tokens for ticket in found.tickets}
+    uses = {use.address: use.kv_tokens for use in state.loads.own_uses()}
+    assert {address: uses[address] for address in held} == held
+    # The endpoint that answers holds no part of the prompt.
+    assert uses[found.first.address] == 1000
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_two_large_prompts_at_once_hold_different_memory(seed):
+    # Seen by reading: the tickets of the second met those of the first, were
+    # declined, and an endpoint that was only full was taken for a broken one.
+    state, places = dispatcher(engines=17, seed=seed)
+
+    async def place_both():
+        first = await places.place(ask("r1", 900_000), NOW_S)
+        state.loads.read_ended("r1")
+        return [first, await places.place(ask("r2", 900_000), NOW_S)]
+
+    found = asyncio.run(place_both())
+    held = [ticket.endpoint.endpoint_id for place in found for ticket in place.tickets]
+    assert len(held) == len(set(held)) == 6
