Placement of short and of long prompts in a module each

The decision stays in spreading, the two ways in spreading_short and spreading_long, what both need in spreading_demand. No behaviour changed: the tests of placement pass as they were.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -9,7 +9,7 @@
 from ..decisions.forwarding import Broken, Failed, Failure, Progress
 from ..decisions.load_book import TIGHT_PAUSE_S
 from ..decisions.routes import Route, Workspace
-from ..decisions.spreading import Spread
+from ..decisions.spreading_demand import Spread
 from .caller import CallerConnection
 from .parts import GatewayParts
 from .ports import CallerRequest, Helper, Send
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -9,14 +9,14 @@
 from ..decisions.load_book import TIGHT_PAUSE_S, Use
 from ..decisions.retry_after import Backlog, Informed, retry_after_s
 from ..decisions.routes import EngineCosts, Route
-from ..decisions.spreading import (
+from ..decisions.spreading import spread
+from ..decisions.spreading_demand import (
     Busy,
     Demand,
     Impossible,
     Placement,
     Spread,
     first_kv_tokens,
-    spread,
 )
 from ..decisions.waiting_room import Waiting, WaitingRoom
 from .ports import CallerRequest, PromptSize
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -26,7 +26,7 @@
     costs_retry,
     give_up,
 )
-from ..decisions.spreading import Busy, Impossible, Placement, Spread
+from ..decisions.spreading_demand import Busy, Impossible, Placement, Spread
 from .attempt import Admitted, Attempt
 from .caller import CallerConnection
 from .dispatch import Ask
--- a/src/sorrelhoist/gateway/reservations.py
+++ b/src/sorrelhoist/gateway/reservations.py
@@ -9,7 +9,7 @@
 import attrs
 
 from ..decisions.forwarding import NotSent
-from ..decisions.spreading import Ticket
+from ..decisions.spreading_demand import Ticket
 from .ports import Dialect, Order
 from .upstream import ExchangeError, connected
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -12,7 +12,7 @@
 from ..decisions.load_book import EndpointUse, LoadBook
 from ..decisions.retries import RetryBudget, SharedRetries
 from ..decisions.routes import RouteTable
-from ..decisions.spreading import EndpointView
+from ..decisions.spreading_demand import EndpointView
 from ..decisions.store_contact import StoreContact
 from ..decisions.suspicion import SuspicionTable
 
--- a/tests/decisions/test_spreading.py
+++ b/tests/decisions/test_spreading.py
@@ -8,17 +8,19 @@
 from sorrelhoist.decisions.directory import Endpoint
 from sorrelhoist.decisions.load_book import EndpointUse, LoadBook, Use
 from sorrelhoist.decisions.routes import EngineCosts
-from sorrelhoist.decisions.spreading import (
-    LOOSE_PART_MS,
-    MAX_HELPERS,
-    SHORT_PART_MS,
+from sorrelhoist.decisions.spreading import spread
+from sorrelhoist.decisions.spreading_demand import (
     Busy,
     Demand,
     EndpointView,
     Impossible,
     Spread,
     first_kv_tokens,
-    spread,
+)
+from sorrelhoist.decisions.spreading_long import (
+    LOOSE_PART_MS,
+    MAX_HELPERS,
+    SHORT_PART_MS,
 )
 from sorrelhoist.gateway.peer_exchange import SENDS_PER_S, SHORTEST_INTERVAL_S
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -15,7 +15,7 @@
     ServicePlan,
     Target,
 )
-from sorrelhoist.decisions.spreading import Spread
+from sorrelhoist.decisions.spreading_demand import Spread
 from sorrelhoist.decisions.store_contact import StoreContact
 from sorrelhoist.gateway.dispatch import Ask, Dispatcher
 from sorrelhoist.gateway.ports import CallerRequest, PromptSize
