An answer of the store that is JSON of another shape is a failed call

Cause, seen by reading: keys that are missing or of another type ended the process, and an empty page that promises more was asked for without end (the test hung on the older code until it was ended after ten minutes).

--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -73,15 +73,13 @@
             query = {"stream": topic, "part": 0}
             if after:
                 query["after"] = after
-            body = await self._call("GET", "/log-newest", query)
-            page = _json(body)
+            page = _decode_page(await self._call("GET", "/log-newest", query))
             if end_offset is None:
-                end_offset = int(page["end_offset"])
-            for item in page["items"]:
-                found.append(KeyedRecord(item["key"], base64.b64decode(item["val"])))
-                after = item["key"]
-            if not page.get("has_more"):
+                end_offset = page.end_offset
+            found += page.records
+            if not page.has_more:
                 return Records(tuple(found), end_offset)
+            after = page.records[-1].key
 
     async def read(self, topic: str, offset: int, wait_s: float = 0.0) -> Records:
         """Read records from an offset.
@@ -144,14 +142,33 @@
         return response.body
 
 
-def _json(body: bytes) -> dict:
+@attrs.frozen
+class _Page:
+    records: tuple[KeyedRecord, ...]
+    end_offset: int
+    has_more: bool
+
+
+def _decode_page(body: bytes) -> _Page:
+    """Decode a page of newest records.
+
+    Raises
+    ------
+    PlatformError
+        If it is nothing of the kind.
+    """
     try:
-        found = json.loads(body)
-    except ValueError as error:
-        raise PlatformError(f"The store's answer is no JSON: {error}.") from error
-    if not isinstance(found, dict):
-        raise PlatformError("The store's answer is no object.")
-    return found
+        page = json.loads(body)
+        records = tuple(
+            KeyedRecord(str(item["key"]), base64.b64decode(item["val"]))
+            for item in page["items"]
+        )
+        has_more = bool(page.get("has_more"))
+        if has_more and not records:
+            raise ValueError("an empty page, and more to come")
+        return _Page(records, int(page["end_offset"]), has_more)
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise PlatformError(f"The store's answer is no page: {error!r}.") from error
 
 
 def _decode_records(data: bytes, offset: int) -> Records:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -262,6 +262,7 @@
     topics: dict = attrs.field(factory=dict)
     trimmed: dict = attrs.field(factory=dict)
     mode: str = "up"
+    odd_body: bytes = b""
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def put(self, topic, key, value):
@@ -285,6 +286,8 @@
                 writer.write(answer_bytes(503))
             case "reset":
                 reset(writer)
+            case "odd":
+                writer.write(answer_bytes(200, body=self.odd_body))
             case _:
                 writer.write(await self._answer(received))
         with contextlib.suppress(ConnectionError):
