Memory is renewed only while the endpoint that uses it can be reached

Cause: an endpoint died 1.2 s after it was sent a prompt whose memory lies on others. Its host was dark, so that the connection stayed open; the gateway gave it up after its expected first event and five seconds, and renewed the memory until then: 6.2 s after the death, where 4 are allowed.

Ruled out: a release that was not confirmed (the first release freed it).

Now each renewal first checks that the endpoint accepts a connection; after two checks in vain the memory is renewed no more, and the request goes elsewhere if it can.

Test: test_memory_is_free_soon_after_its_user_fell_silent_for_good, failing with the check taken out.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -84,6 +84,8 @@
     log: RequestLog
     place: Spread
     _silence: asyncio.TimerHandle | None = attrs.field(init=False, default=None)
+    _limit: asyncio.Timeout | None = attrs.field(init=False, default=None)
+    _is_lost: bool = attrs.field(init=False, default=False)
 
     async def run(self) -> Failure | None:
         """Reserve what it needs and send it.
@@ -96,7 +98,7 @@
         request_id = self.admitted.request.request_id
         try:
             async with self.parts.reserver.holding(
-                request_id, self.place.tickets
+                request_id, self.place.tickets, self.place.first, self._was_lost
             ) as ticket_ids:
                 return await self._send(_helpers(self.place, ticket_ids))
         except ReservationError as error:
@@ -166,6 +168,7 @@
             limit_s = self.place.first_event_ms / 1000 + max(LEAST_SLACK_S, slack_s)
         try:
             async with asyncio.timeout(None) as limit:
+                self._limit = limit
                 self._watch(limit, limit_s)
                 head = await upstream.head()
                 failure = self._check_head(head)
@@ -178,8 +181,11 @@
         except TimeoutError as error:
             if not limit.expired():
                 raise
+            if self._is_lost:
+                return Broken("the endpoint can't be reached any more")
             return Broken(f"silent: {error!r}", is_silent=True)
         finally:
+            self._limit = None
             self._watch(None, None)
 
     def _watch(self, limit: asyncio.Timeout | None, silence_s: float | None) -> None:
@@ -197,6 +203,13 @@
         if self._can_move(now_s) and self.parts.state.retries.try_retry(now_s):
             limit.reschedule(now_s)
 
+    def _was_lost(self) -> None:
+        """End the attempt at once when its endpoint is gone, if it can move."""
+        now_s = asyncio.get_running_loop().time()
+        if self._limit is not None and self._can_move(now_s):
+            self._is_lost = True
+            self._limit.reschedule(now_s)
+
     def _can_move(self, now_s: float) -> bool:
         admitted, state = self.admitted, self.parts.state
         tried = {self.place.first.endpoint_id, *admitted.excluded}
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -1,7 +1,6 @@
 """One request from its arrival to the end of its answer."""
 
 import asyncio
-import contextlib
 
 import attrs
 import xxhash
@@ -34,14 +33,11 @@
 from .ports import CallerRequest
 from .request_log import RequestLog
 from .state import boot_time_s
-from .upstream import ExchangeError, connected
+from .upstream import is_reachable
 
 ELSEWHERE_RETRY_AFTER_S = 0.2
 """Another gateway can serve the caller at once."""
 
-DEATH_CHECK_TIMEOUT_S = 0.3
-"""A live endpoint in any failure domain accepts a connection within it."""
-
 FULL_WEIGHT = 0.4
 """Part of a failure that a full endpoint counts: it is busy, not broken."""
 
@@ -251,9 +247,8 @@
         running = self.parts.state.loads.of(
             endpoint.address, asyncio.get_running_loop().time()
         ).streams
-        with contextlib.suppress(ExchangeError):
-            async with connected(endpoint.address, DEATH_CHECK_TIMEOUT_S):
-                return
+        if await is_reachable(endpoint.address):
+            return
         now_s = asyncio.get_running_loop().time()
         self.parts.state.suspicions.endpoint_died(
             endpoint.address,
--- a/src/sorrelhoist/gateway/reservations.py
+++ b/src/sorrelhoist/gateway/reservations.py
@@ -3,15 +3,16 @@
 import asyncio
 import logging
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import attrs
 
+from ..decisions.directory import Endpoint
 from ..decisions.forwarding import NotSent
 from ..decisions.spreading_demand import Ticket
 from .ports import Dialect, Order
-from .upstream import ExchangeError, connected
+from .upstream import ExchangeError, connected, is_reachable
 
 logger = logging.getLogger(__name__)
 
@@ -22,6 +23,10 @@
 RENEWAL_S = 0.8
 """Four renewals in a row may be lost before a reservation lapses."""
 
+LOST_AFTER_CHECKS = 2
+"""Checks in a row in which the endpoint that uses the memory can't be reached: one
+alone is lost on a bad link; memory must be free 4 s after the death of its user."""
+
 ORDER_TIMEOUT_S = 0.4
 """Orders are answered at once or not at all."""
 
@@ -74,10 +79,23 @@
 
     @asynccontextmanager
     async def holding(
-        self, request_id: str, tickets: tuple[Ticket, ...]
+        self,
+        request_id: str,
+        tickets: tuple[Ticket, ...],
+        user: Endpoint,
+        on_lost: Callable[[], None],
     ) -> AsyncIterator[dict[str, str]]:
         """Hold the memory of all tickets or of none.
 
+        Parameters
+        ----------
+        request_id : str
+        tickets : tuple of Ticket
+        user : Endpoint
+            Uses the memory. A host without power doesn't close its connections.
+        on_lost : callable
+            Called when that endpoint is gone; the memory is renewed no more.
+
         Yields
         ------
         dict
@@ -99,7 +117,7 @@
                         NotSent("memory is not free", one.ticket.endpoint.address)
                     )
             if held:
-                renewal = asyncio.ensure_future(self._renew(held))
+                renewal = asyncio.ensure_future(self._renew(held, user, on_lost))
             yield {one.ticket.endpoint.endpoint_id: one.ticket_id for one in held}
         finally:
             if renewal is not None:
@@ -109,9 +127,19 @@
                 self._releases.add(task)
                 task.add_done_callback(self._releases.discard)
 
-    async def _renew(self, held: list[_Held]) -> None:
+    async def _renew(
+        self, held: list[_Held], user: Endpoint, on_lost: Callable[[], None]
+    ) -> None:
+        failed_checks = 0
         while True:
             await asyncio.sleep(RENEWAL_S)
+            if await is_reachable(user.address):
+                failed_checks = 0
+            else:
+                failed_checks += 1
+            if failed_checks >= LOST_AFTER_CHECKS:
+                on_lost()
+                return
             await asyncio.gather(*(self._reserve(one) for one in held))
 
     async def _reserve(self, one: _Held) -> bool:
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -19,6 +19,9 @@
 CONNECT_TIMEOUT_S = 0.5
 """Many times the delay between failure domains; a dark host doesn't answer."""
 
+REACH_TIMEOUT_S = 0.3
+"""A live endpoint in any failure domain accepts a connection within it."""
+
 READ_BYTES = 65_536
 
 USER_TIMEOUT_MS = 3_000
@@ -169,3 +172,12 @@
         yield Upstream(stream)
     finally:
         stream.close()
+
+
+async def is_reachable(address: str) -> bool:
+    """Tell whether an endpoint accepts a connection."""
+    try:
+        async with connected(address, REACH_TIMEOUT_S):
+            return True
+    except ExchangeError:
+        return False
--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -5,7 +5,7 @@
 
 from sorrelhoist.gateway import reservations
 from tests.platform.fleet import configuration, play, route, until
-from tests.platform.standins import hangs, streams, whole
+from tests.platform.standins import hangs, in_turn, streams, whole
 
 LARGE = "700000,1000"
 PATIENT = configuration(
@@ -138,6 +138,24 @@
     play(main, first=PATIENT)
 
 
+def test_memory_is_free_soon_after_its_user_fell_silent_for_good():
+    # Found by the hunt: LEAK on gvari-lookup mix --seed 337422739152. The host lost
+    # power, its connection stayed open, and the memory was renewed for 6 s more.
+    async def main(fleet):
+        await add_engines(fleet, in_turn(hangs(), streams(3)))
+        asked = asyncio.ensure_future(fleet.stream(size=LARGE, wait_ms=13_000))
+        await until(lambda: request_of(fleet))
+        first = next(one for one in fleet.endpoints if one.requests)
+        used = {order["id"] for order in orders(fleet, "reserve")}
+        first.stop_listening()
+        lost_s = time.monotonic()
+        await until(lambda: used <= {one["id"] for one in orders(fleet, "release")})
+        assert time.monotonic() - lost_s < 4.0
+        assert (await asked).is_whole
+
+    play(main, first=PATIENT)
+
+
 def test_an_order_without_an_answer_is_released_again_while_it_may_come(monkeypatch):
     # Long enough for several tries also on a busy machine, where answers take
     # longer than the time given to an order here.
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -112,6 +112,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def stop_listening(self):
+        """Take no connection any more and keep the open ones, as without power."""
+        self._server.close()
+
     async def _connected(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
