--- a/src/sorrelhoist/bench/experiments/reading_engine.py
+++ b/src/sorrelhoist/bench/experiments/reading_engine.py
@@ -12,9 +12,10 @@
 
 from ...decisions.routes import EngineCosts
 from .virtual_fleet import Clock
+from .virtual_prompts import MS_PER_S
 
 CHUNK_TOKENS = 2048
-MS_PER_S = 1000
+"""What an engine reads in one step, from the users' pages."""
 
 
 @attrs.define(eq=False)
--- a/tests/bench/experiments/test_placement.py
+++ b/tests/bench/experiments/test_placement.py
@@ -5,14 +5,9 @@
 
 from click.testing import CliRunner
 
-from sorrelhoist.bench.experiments.placement import (
-    COSTS,
-    World,
-    drawn,
-    main,
-    recorded,
-    worth,
-)
+from sorrelhoist.bench.experiments.placement import main, worth
+from sorrelhoist.bench.experiments.virtual_gateways import COSTS, World
+from sorrelhoist.bench.experiments.virtual_prompts import drawn, recorded
 
 
 def sent(request_id, tokens, at_s, waited_ms=0):
--- a/tests/bench/experiments/test_reading_engine.py
+++ b/tests/bench/experiments/test_reading_engine.py
@@ -1,8 +1,8 @@
 """The engine of the replay takes work as the users' engines do."""
 
-from sorrelhoist.bench.experiments.placement import COSTS
 from sorrelhoist.bench.experiments.reading_engine import Part, ReadingEngine, Writer
 from sorrelhoist.bench.experiments.virtual_fleet import Clock
+from sorrelhoist.bench.experiments.virtual_gateways import COSTS
 
 
 class Log:
--- a/tests/decisions/test_spreading_long.py
+++ b/tests/decisions/test_spreading_long.py
@@ -4,14 +4,9 @@
 
 import pytest
 
-from sorrelhoist.bench.experiments.placement import (
-    COSTS,
-    KINDS,
-    Arrival,
-    World,
-    drawn,
-    worth,
-)
+from sorrelhoist.bench.experiments.placement import worth
+from sorrelhoist.bench.experiments.virtual_gateways import COSTS, World
+from sorrelhoist.bench.experiments.virtual_prompts import KINDS, Arrival, drawn
 from sorrelhoist.decisions.directory import Endpoint
 from sorrelhoist.decisions.load_book import EndpointUse
 from sorrelhoist.decisions.spreading import spread
