Cold start: the limit is taken at placement, not at the send

Cause: the limit of a cold endpoint was checked when a request was placed and counted when it was sent. One pass of the queue's timer places all that wait before the first of them is sent, so up to 40 requests reached an endpoint that bears 6 a second. Change: a placement takes a token of the endpoint's bucket; it is given back when the placement ends and nothing was sent. Before: three new tests of tests/gateway/test_dispatch.py fail (one pass places 40). Ruled out: a count at the send with a second check there, since a request that is turned back then has lost its place in the queue.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -123,7 +123,7 @@
             engine_priority=self._engine_priority(),
         )
         self._log_send(left_s)
-        self.parts.state.count_cold_send(endpoint, loop.time())
+        self.parts.state.request_sent(request.request_id)
         headers = self.parts.dialect.endpoint_headers(request, send)
         try:
             async with connected(endpoint.address, left_s) as upstream:
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -134,7 +134,7 @@
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 # It was placed just before its caller disconnected.
-                self._state.loads.release(placement_request.request.request_id)
+                self._state.release(placement_request.request.request_id)
             raise
         finally:
             self._queue.remove(waiting)
@@ -243,7 +243,9 @@
         )
         if isinstance(placement, Assignment):
             uses = request_uses(placement, demand, costs, now_s)
-            self._state.loads.place(placement_request.request.request_id, uses, now_s)
+            self._state.place(
+                placement_request.request.request_id, placement.first, uses, now_s
+            )
         return placement
 
     def _place_call(
@@ -262,5 +264,7 @@
         self._state.rng.shuffle(free)
         best = min(free, key=lambda view: view.use.streams / view.endpoint.capacity)
         use = RequestUse(address=best.endpoint.address)
-        self._state.loads.place(placement_request.request.request_id, (use,), now_s)
+        self._state.place(
+            placement_request.request.request_id, best.endpoint, (use,), now_s
+        )
         return Assignment(first=best.endpoint)
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -166,7 +166,7 @@
                     return give_up(admitted.progress, "its key is not valid any more")
                 failure = await self._attempt(admitted, placement)
             finally:
-                state.loads.release(self.request.request_id)
+                state.release(self.request.request_id)
                 self.parts.dispatcher.ended(admitted.service, loop.time())
             if failure is None:
                 return None
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -9,7 +9,7 @@
 from ..decisions.cold_start import ColdStartLimiter
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_failures import FailureTracker
-from ..decisions.load_tracker import EndpointUse, LoadTracker
+from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
 from ..decisions.placement_demand import EndpointView
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
@@ -161,21 +161,38 @@
     ) -> bool:
         if not cold_rate or now_s >= endpoint.cold_until_s:
             return True
-        return self.cold_starts.can_send(
+        return self.cold_starts.can_place(
             endpoint.endpoint_id, cold_rate, self.gateway_count(now_s), now_s
         )
 
-    def count_cold_send(self, endpoint: Endpoint, now_s: float) -> None:
-        """Count a request against the rate limit of an endpoint in a cold start."""
-        config = self.table.services.get(endpoint.service) if self.table else None
-        if config and config.cold_requests_per_s and now_s < endpoint.cold_until_s:
-            self.cold_starts.try_send(
-                endpoint.endpoint_id,
+    def place(
+        self,
+        request_id: str,
+        first: Endpoint,
+        uses: tuple[RequestUse, ...],
+        now_s: float,
+    ) -> None:
+        """Count a placement in the load and in the limit of a cold start."""
+        self.loads.place(request_id, uses, now_s)
+        config = self.table.services.get(first.service) if self.table else None
+        if config and config.cold_requests_per_s and now_s < first.cold_until_s:
+            self.cold_starts.try_place(
+                request_id,
+                first.endpoint_id,
                 config.cold_requests_per_s,
                 self.gateway_count(now_s),
                 now_s,
             )
 
+    def request_sent(self, request_id: str) -> None:
+        """Record that a placed request is being sent to its endpoint."""
+        self.cold_starts.sent(request_id)
+
+    def release(self, request_id: str) -> None:
+        """Record the end of a placement, whether or not its request was sent."""
+        self.loads.release(request_id)
+        self.cold_starts.release(request_id)
+
     def dump(self, now_s: float) -> dict:
         """Return the state as plain data."""
         return {
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 from tornado.httputil import HTTPHeaders
 
@@ -116,3 +117,94 @@
     found = asyncio.run(place_both())
     held = [ticket.endpoint.endpoint_id for place in found for ticket in place.tickets]
     assert len(held) == len(set(held)) == 6
+
+
+# Cold starts
+
+COLD_REQUESTS_PER_S = 6.0
+
+
+def cold_dispatcher():
+    """Return a dispatcher with one endpoint in a cold start and no other."""
+    state, dispatch = dispatcher(engines=0)
+    call = attrs.evolve(READING, targets=(Target("app", 1.0),), is_stream=False)
+    app = ServiceConfig(name="app", cold_requests_per_s=COLD_REQUESTS_PER_S)
+    state.adopt(RouteTable(version=2, routes={("h", "/"): call}, services={"app": app}))
+    cold = Endpoint(
+        endpoint_id="i-cold",
+        service="app",
+        address="10.0.0.1:80",
+        failure_domain="a",
+        capacity=100,
+        cold_until_s=float("inf"),
+    )
+    state.directory.put(cold, NOW_S)
+    return state, dispatch
+
+
+def call_request(request_id, now_s):
+    prompt = placement_request(request_id, 1000)
+    return attrs.evolve(
+        prompt,
+        request=attrs.evolve(prompt.request, size=None),
+        service="app",
+        objective_due_s=now_s + 3.0,
+        deadline_s=now_s + 15.0,
+    )
+
+
+def test_one_pass_of_the_queue_places_no_more_than_a_cold_endpoint_bears():
+    # All queued requests were placed in one pass of the timer, before the first of
+    # them was sent and counted.
+    _, dispatch = cold_dispatcher()
+
+    async def main():
+        now_s = asyncio.get_running_loop().time()
+        waiting = [
+            asyncio.ensure_future(dispatch.place(call_request(f"r{n}", now_s), now_s))
+            for n in range(40)
+        ]
+        await asyncio.sleep(0)
+        dispatch._retry_queued()
+        await asyncio.sleep(0)
+        placed = [one.result() for one in waiting if one.done()]
+        for one in waiting:
+            one.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+        return sum(isinstance(one, Assignment) for one in placed)
+
+    assert 1 <= asyncio.run(main()) <= COLD_REQUESTS_PER_S
+
+
+async def place_soon(dispatch, request_id):
+    """Place a request if that needs no wait; else return None."""
+    now_s = asyncio.get_running_loop().time()
+    try:
+        async with asyncio.timeout(0.001):
+            return await dispatch.place(call_request(request_id, now_s), now_s)
+    except TimeoutError:
+        return None
+
+
+def test_a_placement_that_is_not_sent_returns_its_share_of_a_cold_endpoint():
+    state, dispatch = cold_dispatcher()
+
+    async def main():
+        for number in range(50):
+            assert await place_soon(dispatch, f"r{number}") is not None
+            state.release(f"r{number}")
+
+    asyncio.run(main())
+
+
+def test_a_placement_that_was_sent_keeps_its_share_of_a_cold_endpoint():
+    state, dispatch = cold_dispatcher()
+
+    async def main():
+        for number in range(50):
+            if await place_soon(dispatch, f"r{number}") is None:
+                return number
+            state.request_sent(f"r{number}")
+            state.release(f"r{number}")
+
+    assert 1 <= asyncio.run(main()) <= COLD_REQUESTS_PER_S
