--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -1,5 +1,7 @@
 """Service discovery: endpoints eligible for new work, despite lag and outages."""
 
+from collections.abc import Sequence
+
 import attrs
 import xxhash
 
@@ -11,6 +13,11 @@
 """Gap between two directory reads that counts as an outage: several poll intervals."""
 
 
+DEPARTED_MEMORY_S = 120.0
+"""Time for which a removed endpoint is remembered: several times the age of the copy
+from which the store may come back."""
+
+
 @attrs.frozen(kw_only=True)
 class Endpoint:
     """One process lifetime of an endpoint, as it registered itself.
@@ -36,6 +43,22 @@
     cold_until_s: float = 0.0
 
 
+@attrs.frozen
+class Restored:
+    """What was kept when the directory came back from an older copy.
+
+    Parameters
+    ----------
+    refused : tuple of str
+        Ids of registered endpoints that are known to have left or to be leaving.
+    missing : tuple of str
+        Ids of known endpoints without a registration.
+    """
+
+    refused: tuple[str, ...]
+    missing: tuple[str, ...]
+
+
 @attrs.define
 class _Entry:
     endpoint: Endpoint
@@ -63,7 +86,8 @@
     An endpoint that announces that it is leaving gets no new work at once. One whose
     registration expired during an outage of the directory stays usable for
     `REMOVAL_HOLD_S` after the directory is back, since a live endpoint registers again
-    within that time.
+    within that time. The same holds for one that is missing after the store came back
+    from an older copy.
     """
 
     def __init__(self) -> None:
@@ -71,6 +95,7 @@
         self._domains_out: frozenset[str] = frozenset()
         self._read_s = float("-inf")
         self._hold_until_s = float("-inf")
+        self._departed: dict[str, float] = {}
 
     def read_succeeded(self, now_s: float) -> None:
         """Record a complete read; a long gap before it counts as an outage."""
@@ -82,6 +107,7 @@
         """Store a registration; return whether anything but its age changed."""
         known = self._entries.get(endpoint.endpoint_id)
         self._entries[endpoint.endpoint_id] = _Entry(endpoint, now_s)
+        self._departed.pop(endpoint.endpoint_id, None)
         if known is None or known.removed_s is not None:
             return True
         # Each heartbeat reports the end of the cold start again, so it is ignored.
@@ -94,6 +120,7 @@
         if entry is None or entry.removed_s is not None:
             return False
         entry.removed_s = now_s
+        self._remember_departed(endpoint_id, now_s)
         return True
 
     def keep_only(self, endpoint_ids: set[str], now_s: float) -> None:
@@ -101,6 +128,44 @@
         for endpoint_id in self._entries.keys() - endpoint_ids:
             self.remove(endpoint_id, now_s)
 
+    def restore(self, copy: Sequence[Endpoint], now_s: float) -> Restored:
+        """Merge a complete read of a store that came back from an older copy.
+
+        A live endpoint registers again within `REMOVAL_HOLD_S`. Until then, an old
+        registration makes no endpoint ready that has left or is leaving, and a missing
+        one doesn't remove an endpoint.
+        """
+        self._drop_expired(now_s)  # the new hold time must not bring them back
+        self._hold_until_s = now_s + REMOVAL_HOLD_S
+        refused = []
+        for endpoint in copy:
+            if self._has_left(endpoint):
+                refused.append(endpoint.endpoint_id)
+            else:
+                self.put(endpoint, now_s)
+        missing = self._live_ids() - {endpoint.endpoint_id for endpoint in copy}
+        for endpoint_id in missing:
+            self._entries[endpoint_id].removed_s = now_s
+        return Restored(refused=tuple(refused), missing=tuple(sorted(missing)))
+
+    def _has_left(self, endpoint: Endpoint) -> bool:
+        """Return whether a registration is older than what is known of an endpoint."""
+        known = self._entries.get(endpoint.endpoint_id)
+        if known is None or known.removed_s is not None:
+            return endpoint.endpoint_id in self._departed
+        return known.endpoint.is_leaving and not endpoint.is_leaving
+
+    def _live_ids(self) -> set[str]:
+        return {key for key, one in self._entries.items() if one.removed_s is None}
+
+    def _remember_departed(self, endpoint_id: str, now_s: float) -> None:
+        self._departed = {
+            departed_id: removed_s
+            for departed_id, removed_s in self._departed.items()
+            if now_s - removed_s < DEPARTED_MEMORY_S
+        }
+        self._departed[endpoint_id] = now_s
+
     def set_domains_out(self, domains: frozenset[str]) -> None:
         """Set the failure domains that get no new work."""
         self._domains_out = domains
@@ -139,6 +204,7 @@
         ]
         for key in gone:
             del self._entries[key]
+            self._remember_departed(key, now_s)
 
     @property
     def digest(self) -> int:
--- a/src/sorrelhoist/decisions/store_readers.py
+++ b/src/sorrelhoist/decisions/store_readers.py
@@ -40,26 +40,49 @@
     return ranked("store readers", node_ids)[:READER_COUNT]
 
 
+@attrs.frozen
+class StorePosition:
+    """An offset in a topic of the store.
+
+    Offsets of different eras are unrelated: when the store is restored from an older
+    copy, it gives out the offsets of lost records again.
+
+    Parameters
+    ----------
+    offset : int
+    era : int
+        Number of times that the store was restored, as the store counts them.
+    """
+
+    offset: int
+    era: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class Confirmation:
     """Versions of the configuration and the directory at another gateway.
 
     Parameters
     ----------
-    configuration_offset : int
+    configuration : StorePosition or None
+        Position up to which it has read the configuration; None if it didn't say, as a
+        build that knows no eras.
     configuration_s : float
         Time at which this configuration was last known to be current: the time of the
         query minus its reported age.
     directory_digest : int
+    directory_era : int or None
+        Era in which it has read the directory; None if it didn't say.
     directory_s : float
         The same time for the directory.
     heard_s : float
         Time of receipt of the answer.
     """
 
-    configuration_offset: int
+    configuration: StorePosition | None
     configuration_s: float
     directory_digest: int
+    directory_era: int | None
     directory_s: float
     heard_s: float
 
@@ -71,13 +94,16 @@
     Examples
     --------
     >>> known = Confirmations()
-    >>> known.record(Confirmation(configuration_offset=7, configuration_s=1.0,
-    ...     directory_digest=5, directory_s=1.0, heard_s=1.2))
-    >>> known.configuration_s(own_offset=7, now_s=1.3)
+    >>> known.record(Confirmation(configuration=StorePosition(7, era=2),
+    ...     configuration_s=1.0, directory_digest=5, directory_era=2, directory_s=1.0,
+    ...     heard_s=1.2))
+    >>> known.configuration_s(StorePosition(7, era=2), now_s=1.3)
     1.0
-    >>> known.configuration_s(own_offset=6, now_s=1.3) is None
+    >>> known.configuration_s(StorePosition(6, era=2), now_s=1.3) is None
+    True
+    >>> known.configuration_s(StorePosition(7, era=1), now_s=1.3) is None
     True
-    >>> known.directory_s(own_digest=5, now_s=9.0) is None
+    >>> known.directory_s(own_digest=5, own_era=2, now_s=9.0) is None
     True
     """
 
@@ -87,18 +113,25 @@
         """Replace the last answer by a newer one."""
         self._last = confirmation
 
-    def configuration_s(self, own_offset: int, now_s: float) -> float | None:
+    def configuration_s(self, own: StorePosition, now_s: float) -> float | None:
         """Return the confirmed time of the local configuration, None if unconfirmed."""
         last = self._usable(now_s)
-        if last is None or last.configuration_offset > own_offset:
+        if last is None or last.configuration is None:
+            return None
+        theirs = last.configuration
+        if theirs.era != own.era or theirs.offset > own.offset:
             return None
         return last.configuration_s if _is_fresh(last.configuration_s, now_s) else None
 
-    def directory_s(self, own_digest: int, now_s: float) -> float | None:
+    def directory_s(
+        self, own_digest: int, own_era: int | None, now_s: float
+    ) -> float | None:
         """Return the confirmed time of the local directory, None if unconfirmed."""
         last = self._usable(now_s)
         if last is None or last.directory_digest != own_digest:
             return None
+        if last.directory_era is None or last.directory_era != own_era:
+            return None
         return last.directory_s if _is_fresh(last.directory_s, now_s) else None
 
     def _usable(self, now_s: float) -> Confirmation | None:
--- a/src/sorrelhoist/gateway/freshness.py
+++ b/src/sorrelhoist/gateway/freshness.py
@@ -3,13 +3,19 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 
-from ..decisions.store_readers import Confirmation, Confirmations, readers
+from ..decisions.store_readers import (
+    Confirmation,
+    Confirmations,
+    StorePosition,
+    readers,
+)
 from ..messages.gen import ttypes
 from .state import GatewayState, boot_time_s
 
@@ -17,12 +23,26 @@
 """Interval between queries. Together with the readers' polling interval it stays below
 the time after which a leaving endpoint must get no more requests."""
 
-MAX_PENDING_QUERIES = 4
+MAX_PENDING_QUERIES = 5
 """Number of latest queries whose answers are still accepted."""
 
 MS_PER_S = 1000
 UNKNOWN_AGE_MS = 2**31 - 1
 
+NO_OFFSET = -1
+"""Sent while nothing has been read yet."""
+
+START_QUERIES = 5
+"""Number of peers that a gateway asks for their configuration version at its start."""
+
+START_ANSWERS = 2
+"""Number of their answers that it waits for: one peer may itself have just started."""
+
+START_ANSWER_TIMEOUT_S = 0.3
+"""Longest wait for these answers: many round trips, and short beside a start."""
+
+START_POLL_S = 0.01
+
 
 @attrs.define
 class ReadProgress:
@@ -30,13 +50,16 @@
 
     Parameters
     ----------
-    configuration_offset : int
-        Offset up to which the configuration was read; -1 before the first read.
+    configuration : StorePosition or None
+        Position up to which the configuration was read; None before the first read.
+    directory_era : int or None
+        Era of the store in which the directory was read; None before the first read.
     directory_read_s : float
         Boot time at which the last complete read of the directory was sent.
     """
 
-    configuration_offset: int = -1
+    configuration: StorePosition | None = None
+    directory_era: int | None = None
     directory_read_s: float = float("-inf")
 
 
@@ -59,6 +82,7 @@
         self._confirmations = Confirmations()
         self._ids = itertools.count(1)
         self._pending: dict[int, float] = {}
+        self._answers = 0
 
     def is_reader(self, now_s: float) -> bool:
         """Return whether this process is one of the gateways that poll the store."""
@@ -72,8 +96,10 @@
         float or None
             Boot time in seconds; None if it is not confirmed.
         """
+        if self.own.configuration is None:
+            return None
         return self._confirmations.configuration_s(
-            self.own.configuration_offset, boot_time_s()
+            self.own.configuration, boot_time_s()
         )
 
     def directory_s(self) -> float | None:
@@ -85,7 +111,7 @@
             Boot time in seconds; None if it is not confirmed.
         """
         return self._confirmations.directory_s(
-            self._state.directory.digest, boot_time_s()
+            self._state.directory.digest, self.own.directory_era, boot_time_s()
         )
 
     async def run(self) -> None:
@@ -101,6 +127,17 @@
             if others and not self.is_reader(loop.time()):
                 self._send_query(self._state.rng.choice(others))
 
+    async def ask_versions(self, node_ids: Sequence[str]) -> None:
+        """Ask some peers which configuration they have, and wait for a few answers."""
+        chosen = self._state.rng.sample(node_ids, min(START_QUERIES, len(node_ids)))
+        wanted = self._answers + min(START_ANSWERS, len(chosen))
+        for node_id in chosen:
+            self._send_query(node_id)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_ANSWER_TIMEOUT_S):
+                while self._answers < wanted:
+                    await asyncio.sleep(START_POLL_S)
+
     def message_received(self, body: object) -> None:
         """Process a query or an answer."""
         match body:
@@ -122,27 +159,42 @@
         )
 
     def _answer(self, ask_id: int) -> ttypes.FreshnessAnswer:
-        now_s = boot_time_s()
+        now_s, position = boot_time_s(), self.own.configuration
         return ttypes.FreshnessAnswer(
             node_id=self._state.node_id,
             ask_id=ask_id,
-            configuration_offset=self.own.configuration_offset,
+            configuration_offset=position.offset if position else NO_OFFSET,
             configuration_age_ms=_age_ms(self._state.contact.age_s(now_s)),
             directory_digest=self._state.directory.digest,
             directory_age_ms=_age_ms(now_s - self.own.directory_read_s),
+            configuration_era=position.era if position else None,
+            directory_era=self.own.directory_era,
+            configuration_version=self._state.version,
         )
 
     def _answer_received(self, answer: ttypes.FreshnessAnswer) -> None:
         sent_s = self._pending.pop(answer.ask_id, None)
         if sent_s is None:
             return
+        now_s = boot_time_s()
+        if answer.configuration_version is not None:
+            self._state.peer_versions.heard(
+                answer.node_id, answer.configuration_version, now_s
+            )
+        self._answers += 1
+        position = None
+        if answer.configuration_era is not None:
+            position = StorePosition(
+                answer.configuration_offset, answer.configuration_era
+            )
         self._confirmations.record(
             Confirmation(
-                configuration_offset=answer.configuration_offset,
+                configuration=position,
                 configuration_s=sent_s - answer.configuration_age_ms / MS_PER_S,
                 directory_digest=answer.directory_digest,
+                directory_era=answer.directory_era,
                 directory_s=sent_s - answer.directory_age_ms / MS_PER_S,
-                heard_s=boot_time_s(),
+                heard_s=now_s,
             )
         )
 
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -41,7 +41,13 @@
         def contact_age(options: CallbackOptions) -> list[Observation]:
             return [Observation(state.contact.age_s(boot_time_s()))]
 
+        def restorations(options: CallbackOptions) -> list[Observation]:
+            return [Observation(state.store_restorations)]
+
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
+        meter.create_observable_counter(
+            "sorrelhoist_store_restorations", [restorations]
+        )
         return cls(
             requests=meter.create_counter("sorrelhoist_gateway_requests"),
             failures=meter.create_counter("sorrelhoist_gateway_failed_attempts"),
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -15,7 +15,7 @@
 from ..messages.frames import Message, decode, encode
 from ..messages.gen import ttypes
 from .freshness import Freshness
-from .state import GatewayState
+from .state import GatewayState, boot_time_s
 
 logger = logging.getLogger(__name__)
 
@@ -83,6 +83,11 @@
         """Stop sending reports to a gateway that has left."""
         self._peers.pop(node_id, None)
 
+    @property
+    def peer_ids(self) -> list[str]:
+        """Ids of the gateways that get reports."""
+        return list(self._peers)
+
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Decode a datagram and process the message."""
         try:
@@ -93,8 +98,10 @@
                 extra={"event": "bad_datagram", "peer": addr[0], "reason": str(error)},
             )
             return
-        if isinstance(body, ttypes.LoadReport):
+        # A gateway that has just started asks before it first reports its load.
+        if isinstance(body, (ttypes.LoadReport, ttypes.FreshnessAsk)):
             self.add_peer(body.node_id, PeerAddress(addr[0], addr[1]))
+        if isinstance(body, ttypes.LoadReport):
             self._report_received(body)
         else:
             self.freshness.message_received(body)
@@ -109,6 +116,10 @@
             now_s,
         )
         self._state.suspicions.merge(body.suspicions or (), now_s)
+        if body.configuration_version is not None:
+            self._state.peer_versions.heard(
+                body.node_id, body.configuration_version, boot_time_s()
+            )
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -135,6 +146,7 @@
             sequence=self._sequence,
             loads=[_to_wire(use, now_s) for use in loads.own_uses()],
             suspicions=self._state.suspicions.for_gossip(now_s),
+            configuration_version=self._state.version,
         )
         data = encode(Message(0, report))
         for node_id, peer in list(self._peers.items()):
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -10,6 +10,7 @@
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
+from ..decisions.peer_versions import PeerVersions
 from ..decisions.placement_demand import EndpointView
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
@@ -47,6 +48,10 @@
     retries : RetryBudget
         Retry budget of this gateway.
     rng : random.Random
+    peer_versions : PeerVersions
+        Its times are measured with `boot_time_s`.
+    store_restorations : int
+        How often the store was seen to come back from an older copy.
     """
 
     node_id: str
@@ -61,6 +66,8 @@
     troubles: FailureTracker = attrs.field(factory=FailureTracker)
     cold_starts: ColdStartLimiter = attrs.field(factory=ColdStartLimiter)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
+    peer_versions: PeerVersions = attrs.field(factory=PeerVersions)
+    store_restorations: int = 0
     stopping_s: float | None = None
 
     def adopt(self, table: RouteTable) -> bool:
@@ -78,13 +85,18 @@
             extra={
                 "event": "configuration",
                 "version": table.version,
-                "replaced_version": self.table.version if self.table else None,
+                "replaced_version": self.version,
                 "routes": len(table.routes),
             },
         )
         self.table = table
         return True
 
+    @property
+    def version(self) -> int | None:
+        """Version of the configuration; None before the first."""
+        return self.table.version if self.table else None
+
     @property
     def is_stopping(self) -> bool:
         """Whether the process has received a stop signal."""
@@ -197,7 +209,9 @@
         """Return the state as plain data."""
         return {
             "node_id": self.node_id,
-            "version": self.table.version if self.table else None,
+            "version": self.version,
+            "newest_version_of_peers": self.peer_versions.newest(boot_time_s()),
+            "store_restorations": self.store_restorations,
             "is_stopping": self.is_stopping,
             "contact_age_s": self.contact.age_s(boot_time_s()),
             "directory": self.directory.dump(now_s),
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3666,6 +3666,7 @@
      - sequence
      - loads
      - suspicions
+     - configuration_version
 
     """
 
@@ -3675,15 +3676,17 @@
         'sequence',
         'loads',
         'suspicions',
+        'configuration_version',
     )
 
 
-    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None,):
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None,):
         self.node_id = node_id
         self.boot_ms = boot_ms
         self.sequence = sequence
         self.loads = loads
         self.suspicions = suspicions
+        self.configuration_version = configuration_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3731,6 +3734,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3767,6 +3775,10 @@
                 iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 6)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3881,6 +3893,9 @@
      - configuration_age_ms
      - directory_digest
      - directory_age_ms
+     - configuration_era
+     - directory_era
+     - configuration_version
 
     """
 
@@ -3891,16 +3906,22 @@
         'configuration_age_ms',
         'directory_digest',
         'directory_age_ms',
+        'configuration_era',
+        'directory_era',
+        'configuration_version',
     )
 
 
-    def __init__(self, node_id=None, ask_id=None, configuration_offset=None, configuration_age_ms=None, directory_digest=None, directory_age_ms=None,):
+    def __init__(self, node_id=None, ask_id=None, configuration_offset=None, configuration_age_ms=None, directory_digest=None, directory_age_ms=None, configuration_era=None, directory_era=None, configuration_version=None,):
         self.node_id = node_id
         self.ask_id = ask_id
         self.configuration_offset = configuration_offset
         self.configuration_age_ms = configuration_age_ms
         self.directory_digest = directory_digest
         self.directory_age_ms = directory_age_ms
+        self.configuration_era = configuration_era
+        self.directory_era = directory_era
+        self.configuration_version = configuration_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3941,6 +3962,21 @@
                     self.directory_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.configuration_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.directory_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3975,6 +4011,18 @@
             oprot.writeFieldBegin('directory_age_ms', TType.I32, 6)
             oprot.writeI32(self.directory_age_ms)
             oprot.writeFieldEnd()
+        if self.configuration_era is not None:
+            oprot.writeFieldBegin('configuration_era', TType.I64, 7)
+            oprot.writeI64(self.configuration_era)
+            oprot.writeFieldEnd()
+        if self.directory_era is not None:
+            oprot.writeFieldBegin('directory_era', TType.I64, 8)
+            oprot.writeI64(self.directory_era)
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 9)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4734,6 +4782,7 @@
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
     (5, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 5
+    (6, TType.I64, 'configuration_version', None, None, ),  # 6
 )
 all_structs.append(FreshnessAsk)
 FreshnessAsk.thrift_spec = (
@@ -4750,6 +4799,9 @@
     (4, TType.I32, 'configuration_age_ms', None, None, ),  # 4
     (5, TType.I64, 'directory_digest', None, None, ),  # 5
     (6, TType.I32, 'directory_age_ms', None, None, ),  # 6
+    (7, TType.I64, 'configuration_era', None, None, ),  # 7
+    (8, TType.I64, 'directory_era', None, None, ),  # 8
+    (9, TType.I64, 'configuration_version', None, None, ),  # 9
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -273,6 +273,8 @@
   3: i64 sequence,
   4: list<EndpointLoad> loads,
   5: list<Suspicion> suspicions,
+  // Version of the configuration that the sender has; absent if it has none.
+  6: optional i64 configuration_version,
 }
 
 // Asks another gateway how recently it has read the configuration and the directory.
@@ -290,6 +292,12 @@
   4: i32 configuration_age_ms,
   5: i64 directory_digest,
   6: i32 directory_age_ms,
+  // Era of the store (it rises when the store comes back from an older copy) in which the
+  // sender has read them. Absent in answers of a build that knows no eras.
+  7: optional i64 configuration_era,
+  8: optional i64 directory_era,
+  // Version of the configuration that the sender has; absent if it has none.
+  9: optional i64 configuration_version,
 }
 
 struct Envelope {
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -1,17 +1,17 @@
 """Keeps a gateway's configuration, endpoints and peers up to date from the store."""
 
 import asyncio
+import contextlib
 import json
 import logging
-from collections.abc import Callable
-
-import attrs
 
+from ..decisions.directory import Endpoint
 from ..exceptions import PlatformError
 from ..gateway.peer_exchange import PeerAddress, PeerExchange
 from ..gateway.state import GatewayState, boot_time_s
 from .settings import PlatformSettings
-from .store import KeyedRecord, Records, RecordsExpiredError, StoreClient
+from .store import KeyedRecord, Records, StoreClient
+from .topic_poller import TopicPoller
 from .wire import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -34,9 +34,6 @@
 """Interval between two reads of the directory: less than half of the time after
 which a draining endpoint must not receive requests."""
 
-CONFIRMATION_CHECK_INTERVAL_S = 0.1
-"""Interval between two checks of the freshness confirmations of other gateways."""
-
 PEER_INTERVAL_S = 15.0
 """Interval between two reads of the list of gateways, which also learn of each other
 from received reports."""
@@ -47,104 +44,9 @@
 RENEWAL_BACKOFF_S = 1.0
 """Delay before the own entry is written again after a failed write."""
 
-BACKOFF_S = 0.1
-"""Delay after a failed read: short compared with the time limits within which changes
-must take effect, and long enough for only a few calls per second."""
-
-
-@attrs.define(eq=False)
-class TopicPoller:
-    """Reads one topic of the store continuously, by polling or long polling.
-
-    Parameters
-    ----------
-    store : StoreClient
-    topic : str
-    apply : callable
-        Called with each record.
-    reset : callable
-        Called with the result of a read of the newest record of each key, before
-        `apply` is called for its records.
-    completed : callable
-        Called after each complete read with the time it was sent, on the clock
-        that counts from boot.
-    is_confirmed : callable
-        Returns whether another gateway has confirmed that there are no new records,
-        so that a read isn't needed.
-    interval_s, wait_s : float
-        Pause between reads, and the long-poll time of a read.
-    """
-
-    store: StoreClient
-    topic: str
-    apply: Callable[[KeyedRecord], None]
-    reset: Callable[[Records], None]
-    completed: Callable[[float], None]
-    is_confirmed: Callable[[], bool] = lambda: False
-    interval_s: float = 0.0
-    wait_s: float = 0.0
-    offset: int | None = None
-    _is_lost: bool = False
-    _was_confirmed: bool = False
-
-    async def run(self) -> None:
-        """Read until cancelled."""
-        while True:
-            if self.offset is not None and self.is_confirmed():
-                self._was_confirmed = True
-                await asyncio.sleep(CONFIRMATION_CHECK_INTERVAL_S)
-                continue
-            sent_s = boot_time_s()
-            try:
-                await self._read()
-            except RecordsExpiredError as error:
-                self._log("history gone", str(error))
-                self.offset = None
-                continue
-            except PlatformError as error:
-                self._report_failure(error)
-                await asyncio.sleep(BACKOFF_S)
-                continue
-            self._report_recovery()
-            self.completed(sent_s)
-            if self.interval_s:
-                await asyncio.sleep(self.interval_s)
-
-    async def _read(self) -> None:
-        if self.offset is None:
-            batch = await self.store.newest(self.topic)
-            self.reset(batch)
-        else:
-            # After an outage, or when confirmations from other gateways stop, a read
-            # without long polling confirms the state sooner.
-            is_urgent = self._is_lost or self._was_confirmed
-            wait_s = 0.0 if is_urgent else self.wait_s
-            batch = await self.store.read(self.topic, self.offset, wait_s)
-        for record in batch.records:
-            self.apply(record)
-        self.offset = batch.end_offset
-        self._was_confirmed = False
-
-    def _report_failure(self, error: PlatformError) -> None:
-        if not self._is_lost:
-            self._is_lost = True
-            self._log("dependency lost", str(error))
-
-    def _report_recovery(self) -> None:
-        if self._is_lost:
-            self._is_lost = False
-            self._log("dependency regained", "")
-
-    def _log(self, message: str, reason: str) -> None:
-        logger.warning(
-            message,
-            extra={
-                "event": message.replace(" ", "_"),
-                "dependency": self.topic,
-                "reason": reason,
-                "offset": self.offset,
-            },
-        )
+START_CHECK_TIMEOUT_S = 1.0
+"""Longest time for which a starting gateway waits for the list of its peers and for
+their versions of the configuration."""
 
 
 class PlatformSource:
@@ -165,40 +67,62 @@
         self._state = state
         self._exchange = exchange
         self._freshness = exchange.freshness
-        self._store = StoreClient(settings.store_address)
+        self._store = StoreClient(settings.store_address, self._store_restored)
         self._evacuated: set[str] = set()
+        self._are_peers_asked = False
+        self._is_outdated = False
+        self._operator_read_s: float | None = None
+        self._peers_read = asyncio.Event()
+        self._own_entry_due = asyncio.Event()
         self._operator = TopicPoller(
             self._store,
             OPERATOR_TOPIC,
             self._apply_operator,
-            self._reset_operator,
+            self._replace_operator,
             self._operator_read_completed,
             is_confirmed=self._operator_confirmed,
+            is_urgent=self._has_unchecked_version,
             wait_s=OPERATOR_LONG_POLL_S,
         )
+        self._endpoints = TopicPoller(
+            self._store,
+            ENDPOINT_TOPIC,
+            self._apply_endpoint,
+            self._replace_endpoints,
+            self._endpoints_read_completed,
+            is_confirmed=self._endpoints_confirmed,
+            interval_s=ENDPOINT_INTERVAL_S,
+        )
+        self._peers = TopicPoller(
+            self._store,
+            PEER_TOPIC,
+            self._apply_peer,
+            self._replace_peers,
+            lambda sent_s: self._peers_read.set(),
+            interval_s=PEER_INTERVAL_S,
+        )
 
     async def run(self) -> None:
         """Poll all topics until cancelled."""
-        pollers = (
-            self._operator,
-            TopicPoller(
-                self._store,
-                ENDPOINT_TOPIC,
-                self._apply_endpoint,
-                self._reset_endpoints,
-                self._endpoints_read_completed,
-                is_confirmed=self._endpoints_confirmed,
-                interval_s=ENDPOINT_INTERVAL_S,
-            ),
-        )
         try:
             async with asyncio.TaskGroup() as group:
-                for poller in pollers:
-                    group.create_task(poller.run())
+                group.create_task(self._operator.run())
+                group.create_task(self._endpoints.run())
                 group.create_task(self._poll_peers())
+                group.create_task(self._ask_peers())
         finally:
             self._store.close()
 
+    def _store_restored(self, former_era: int, era: int) -> None:
+        """Read all topics again at once: their positions are void."""
+        logger.warning(
+            "store restored from an older copy",
+            extra={"event": "store_era", "former_era": former_era, "era": era},
+        )
+        self._state.store_restorations += 1
+        self._endpoints.read_soon()
+        self._peers.read_soon()
+
     # Configuration
 
     def _apply_operator(self, record: KeyedRecord) -> None:
@@ -215,26 +139,103 @@
             except MalformedRecordError as error:
                 self._log_malformed(error)
 
-    def _reset_operator(self, batch: Records) -> None:
+    def _replace_operator(self, batch: Records, is_restored: bool) -> None:
+        """Apply the newest records.
+
+        After a restoration a failure domain stays out of service until its own record
+        says otherwise: the copy may be older than its evacuation.
+        """
         keys = {record.key for record in batch.records}
-        self._evacuated = {
+        present = {
             domain for domain in self._evacuated if EVACUATION_PREFIX + domain in keys
         }
+        if not is_restored:
+            self._evacuated = present
+        version = self._state.version
+        for record in batch.records:
+            self._apply_operator(record)
         self._set_evacuated()
+        if is_restored:
+            logger.warning(
+                "operator's records kept over an older copy",
+                extra={
+                    "event": "restored_operator",
+                    "version": self._state.version,
+                    "version_before": version,
+                    "domains_out": sorted(self._evacuated),
+                    "domains_missing": sorted(self._evacuated - present),
+                },
+            )
 
     def _operator_read_completed(self, sent_s: float) -> None:
-        self._state.contact.read_completed(sent_s)
-        self._freshness.own.configuration_offset = self._operator.offset or 0
+        self._freshness.own.configuration = self._operator.position
+        self._operator_read_s = sent_s
+        self._record_contact(sent_s, is_read=True)
 
     def _operator_confirmed(self) -> bool:
         if self._freshness.is_reader(asyncio.get_running_loop().time()):
             return False
         confirmed_s = self._freshness.configuration_s()
-        if confirmed_s is None:
+        if confirmed_s is None or self._is_outdated:
             return False
-        self._state.contact.read_completed(confirmed_s)
+        self._record_contact(confirmed_s, is_read=False)
         return True
 
+    def _record_contact(self, known_s: float, is_read: bool) -> None:
+        """Record that the configuration was the newest in the store at a time.
+
+        It isn't if another gateway has a newer version. If a read that was sent since
+        then doesn't show that version either, the store came back from an older copy:
+        keys that it has may have been revoked.
+        """
+        own = self._state.version
+        if not self._are_peers_asked or own is None:
+            return
+        now_s = boot_time_s()
+        versions = self._state.peer_versions
+        if not versions.is_newer_known(own, now_s):
+            self._set_outdated(False)
+            self._state.contact.read_completed(known_s)
+        elif is_read and versions.is_outdated(own, known_s, now_s):
+            self._set_outdated(True)
+            self._state.contact.revoke()
+
+    def _set_outdated(self, is_outdated: bool) -> None:
+        if is_outdated == self._is_outdated:
+            return
+        self._is_outdated = is_outdated
+        logger.warning(
+            "configuration of the store is older than that of other gateways"
+            if is_outdated
+            else "configuration is as new as that of other gateways",
+            extra={
+                "event": "configuration_outdated",
+                "version": self._state.version,
+                "version_of_peers": self._state.peer_versions.newest(boot_time_s()),
+                "outcome": "keys refused" if is_outdated else "keys used",
+            },
+        )
+
+    async def _ask_peers(self) -> None:
+        """Ask peers for their version before the first configuration is used."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_CHECK_TIMEOUT_S):
+                await self._peers_read.wait()
+                await self._freshness.ask_versions(self._exchange.peer_ids)
+        self._are_peers_asked = True
+        if self._operator_read_s is not None:
+            self._record_contact(self._operator_read_s, is_read=True)
+
+    def _has_unchecked_version(self) -> bool:
+        """Return whether no read was sent since a peer had a newer version."""
+        own = self._state.version
+        return (
+            self._are_peers_asked
+            and not self._is_outdated
+            and own is not None
+            and self._state.peer_versions.is_newer_known(own, boot_time_s())
+        )
+
     def _set_evacuated(self) -> None:
         domains = frozenset(self._evacuated)
         if domains != self._state.directory.domains_out:
@@ -262,12 +263,37 @@
             outcome = "leaving" if endpoint.is_leaving else "ready"
             self._endpoint_changed(record.key, outcome)
 
-    def _reset_endpoints(self, batch: Records) -> None:
+    def _replace_endpoints(self, batch: Records, is_restored: bool) -> None:
         now_s = asyncio.get_running_loop().time()
+        if is_restored:
+            self._restore_endpoints(batch, now_s)
+            return
         keys = {record.key for record in batch.records}
         self._state.directory.keep_only(keys, now_s)
+        for record in batch.records:
+            self._apply_endpoint(record)
+
+    def _restore_endpoints(self, batch: Records, now_s: float) -> None:
+        copy: list[Endpoint] = []
+        for record in batch.records:
+            try:
+                copy.append(decode_endpoint(record.key, record.value or b"", now_s))
+            except MalformedRecordError as error:
+                self._log_malformed(error)
+        restored = self._state.directory.restore(copy, now_s)
+        logger.warning(
+            "directory kept over an older copy",
+            extra={
+                "event": "restored_directory",
+                "registered": len(copy),
+                "refused": restored.refused,
+                "missing": restored.missing,
+            },
+        )
 
     def _endpoints_read_completed(self, sent_s: float) -> None:
+        position = self._endpoints.position
+        self._freshness.own.directory_era = position.era if position else None
         self._freshness.own.directory_read_s = sent_s
         self._state.directory.read_succeeded(asyncio.get_running_loop().time())
 
@@ -303,26 +329,42 @@
         don't miss each other.
         """
         await self._write_own_entry()
-        poller = TopicPoller(
-            self._store,
-            PEER_TOPIC,
-            self._apply_peer,
-            lambda batch: None,
-            lambda sent_s: None,
-            interval_s=PEER_INTERVAL_S,
-        )
         async with asyncio.TaskGroup() as group:
-            group.create_task(poller.run())
+            group.create_task(self._peers.run())
             while True:
-                await asyncio.sleep(PEER_RENEWAL_INTERVAL_S)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(PEER_RENEWAL_INTERVAL_S):
+                        await self._own_entry_due.wait()
+                self._own_entry_due.clear()
                 await self._write_own_entry()
 
-    async def _write_own_entry(self) -> None:
+    def _replace_peers(self, batch: Records, is_restored: bool) -> None:
+        """Apply the list; write the own entry if an older copy lacks it."""
+        for record in batch.records:
+            self._apply_peer(record)
+        if is_restored:
+            values = {record.key: record.value for record in batch.records}
+            is_missing = values.get(self._settings.node_id) != self._own_entry()
+            logger.warning(
+                "list of gateways read from an older copy",
+                extra={
+                    "event": "restored_gateways",
+                    "listed": len(values),
+                    "own_entry": "written again" if is_missing else "kept",
+                },
+            )
+            if is_missing:
+                self._own_entry_due.set()
+
+    def _own_entry(self) -> bytes:
         own = {"host": self._settings.address, "port": self._settings.peer_port}
+        return json.dumps(own).encode()
+
+    async def _write_own_entry(self) -> None:
         while True:
             try:
                 await self._store.put(
-                    PEER_TOPIC, self._settings.node_id, json.dumps(own).encode()
+                    PEER_TOPIC, self._settings.node_id, self._own_entry()
                 )
                 return
             except PlatformError as error:
--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -3,11 +3,18 @@
 import base64
 import json
 import struct
+from collections.abc import Callable
 from urllib.parse import urlencode
 
 import attrs
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
-
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
+
+from ..decisions.store_readers import StorePosition
 from ..exceptions import PlatformError
 
 CONNECT_TIMEOUT_S = 0.35
@@ -18,16 +25,29 @@
 """Timeout of a response, in addition to the time of a long poll."""
 
 EXPIRED_STATUS = 410
+
+ERA_HEADER = "Store-Era"
+"""Rises by one each time that the store comes back from an older copy."""
+
+NO_ERA = 0
+"""Era of a store that sends no such header, and so was never restored."""
+
 _COUNT = struct.Struct(">Q")
 _LENGTH = struct.Struct(">I")
 
 
 class RecordsExpiredError(PlatformError):
-    """The requested records were deleted; read the newest of each key instead."""
+    """The store doesn't have the records at an offset; read the newest of each key."""
 
     kind = "records_expired"
 
 
+class StoreRestoredError(PlatformError):
+    """The store came back from an older copy, so that earlier offsets are void."""
+
+    kind = "store_restored"
+
+
 @attrs.frozen
 class KeyedRecord:
     """A key and its value; None if the key was deleted."""
@@ -38,10 +58,10 @@
 
 @attrs.frozen
 class Records:
-    """A batch of records and the offset of the next read."""
+    """A batch of records and the position of the next read."""
 
     records: tuple[KeyedRecord, ...]
-    end_offset: int
+    end: StorePosition
 
 
 class StoreClient:
@@ -51,11 +71,18 @@
     ----------
     address : str
         ``IP:PORT``.
+    era_changed : callable
+        Called with the former and the new era when an answer shows that the store was
+        restored from a copy.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, era_changed: Callable[[int, int], None] = lambda *eras: None
+    ) -> None:
         self._base = f"http://{address}"
         self._client = AsyncHTTPClient(force_instance=True, max_clients=8)
+        self._era: int | None = None
+        self._era_changed = era_changed
 
     async def newest(self, topic: str) -> Records:
         """Read the newest record of each key.
@@ -67,27 +94,32 @@
             are returned again by the next `read`.
         """
         records: list[KeyedRecord] = []
-        end_offset: int | None = None
+        end: StorePosition | None = None
         after = ""
         while True:
             query = {"stream": topic, "part": 0}
             if after:
                 query["after"] = after
-            page = _decode_page(await self._call("GET", "/log-newest", query))
-            if end_offset is None:
-                end_offset = page.end_offset
+            response = await self._call("GET", "/log-newest", query)
+            page = _decode_page(response.body)
+            era = _era(response)
+            if end is not None and end.era != era:
+                raise StoreRestoredError(f"{topic}: restored between two pages.")
+            end = end or StorePosition(page.end_offset, era)
             records += page.records
             if not page.has_more:
-                return Records(tuple(records), end_offset)
+                return Records(tuple(records), end)
             after = page.records[-1].key
 
-    async def read(self, topic: str, offset: int, wait_s: float = 0.0) -> Records:
-        """Read records from an offset.
+    async def read(
+        self, topic: str, position: StorePosition, wait_s: float = 0.0
+    ) -> Records:
+        """Read records from a position.
 
         Parameters
         ----------
         topic : str
-        offset : int
+        position : StorePosition
         wait_s : float
             Longest time that the store holds the request open until a record
             arrives (long poll).
@@ -95,15 +127,22 @@
         Raises
         ------
         RecordsExpiredError
-            If the records at this offset were deleted.
+            If the store has no records at this offset, or deleted them.
+        StoreRestoredError
+            If the position belongs to another era: the offset may be in use again for
+            another record.
         PlatformError
             If the store does not answer, or with an error or malformed data.
         """
-        query = {"stream": topic, "part": 0, "from": offset}
+        query = {"stream": topic, "part": 0, "from": position.offset}
         if wait_s:
             query["wait_max_ms"] = int(wait_s * 1000)
-        data = await self._call("GET", "/log-read", query, wait_s=wait_s)
-        return _decode_records(data, offset)
+        response = await self._call("GET", "/log-read", query, wait_s=wait_s)
+        era = _era(response)
+        if era != position.era:
+            raise StoreRestoredError(f"{topic}: era {position.era}, now {era}.")
+        records, end_offset = _decode_records(response.body, position.offset)
+        return Records(records, StorePosition(end_offset, era))
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record; after a failed call it may have been written or not."""
@@ -123,7 +162,7 @@
         query: dict,
         body: bytes | None = None,
         wait_s: float = 0.0,
-    ) -> bytes:
+    ) -> HTTPResponse:
         request = HTTPRequest(
             f"{self._base}{path}?{urlencode(query)}",
             method=method,
@@ -136,11 +175,23 @@
             response = await self._client.fetch(request, raise_error=False)
         except (OSError, HTTPClientError) as error:
             raise PlatformError(f"{path}: {error!r}.") from error
+        self._note_era(path, response)
         if response.code == EXPIRED_STATUS:
-            raise RecordsExpiredError(f"{path}: the records are deleted.")
+            raise RecordsExpiredError(f"{path}: no records at this offset.")
         if response.code != 200:
             raise PlatformError(f"{path}: status {response.code}: {response.error}.")
-        return response.body
+        return response
+
+    def _note_era(self, path: str, response: HTTPResponse) -> None:
+        """Keep the newest era; an answer from an earlier one is out of date."""
+        if response.code != 200 and ERA_HEADER not in response.headers:
+            return  # a proxy's answer, for example
+        era, former = _era(response), self._era
+        if former is not None and era < former:
+            raise PlatformError(f"{path}: an answer of era {era}, after {former}.")
+        self._era = era
+        if former is not None and era != former:
+            self._era_changed(former, era)
 
 
 @attrs.frozen
@@ -150,6 +201,23 @@
     has_more: bool
 
 
+def _era(response: HTTPResponse) -> int:
+    """Return the era that an answer names.
+
+    Raises
+    ------
+    PlatformError
+        If it is no number.
+    """
+    text = response.headers.get(ERA_HEADER)
+    if text is None:
+        return NO_ERA
+    try:
+        return int(text)
+    except ValueError as error:
+        raise PlatformError(f"The store's era is no number: {text!r}.") from error
+
+
 def _decode_page(body: bytes) -> _Page:
     """Decode a page of newest records.
 
@@ -172,14 +240,14 @@
         raise PlatformError(f"The store's answer is no page: {error!r}.") from error
 
 
-def _decode_records(data: bytes, offset: int) -> Records:
-    r"""Decode the body of a ``/log-read`` response.
+def _decode_records(data: bytes, offset: int) -> tuple[tuple[KeyedRecord, ...], int]:
+    r"""Decode the body of a ``/log-read`` response to records and the next offset.
 
     Examples
     --------
     >>> head = (5).to_bytes(8, "big") + (0).to_bytes(8, "big")
     >>> _decode_records(head + b"\0\0\0\5\3keyv", 4)
-    Records(records=(KeyedRecord(key='key', value=b'v'),), end_offset=5)
+    ((KeyedRecord(key='key', value=b'v'),), 5)
     """
     position = 2 * _COUNT.size
     if len(data) < position:
@@ -198,4 +266,4 @@
             key = content[1 : 1 + key_length].decode("utf-8", "replace")
             value = content[1 + key_length :]
             records.append(KeyedRecord(key, value or None))
-    return Records(tuple(records), offset)
+    return tuple(records), offset
--- /dev/null
+++ b/src/sorrelhoist/platform/topic_poller.py
@@ -0,0 +1,139 @@
+"""Reads one topic of the store continuously, across outages and restorations."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+
+import attrs
+
+from ..decisions.store_readers import StorePosition
+from ..exceptions import PlatformError
+from ..gateway.state import boot_time_s
+from .store import (
+    KeyedRecord,
+    Records,
+    RecordsExpiredError,
+    StoreClient,
+    StoreRestoredError,
+)
+
+logger = logging.getLogger(__name__)
+
+CONFIRMATION_CHECK_INTERVAL_S = 0.1
+"""Interval between two checks of the freshness confirmations of other gateways."""
+
+BACKOFF_S = 0.1
+"""Delay after a failed read: short compared with the time limits within which changes
+must take effect, and long enough for only a few calls per second."""
+
+
+@attrs.define(eq=False)
+class TopicPoller:
+    """Reads one topic of the store continuously, by polling or long polling.
+
+    Parameters
+    ----------
+    store : StoreClient
+    topic : str
+    apply : callable
+        Called with each record of a read from the last position.
+    replace : callable
+        Called with the newest record of each key, and with whether the store came
+        back from an older copy since the last read: then records that were read
+        before may be missing, and others may be older than those.
+    completed : callable
+        Called after each complete read with the time it was sent, on the clock
+        that counts from boot.
+    is_confirmed : callable
+        Returns whether another gateway has confirmed that there are no new records,
+        so that a read isn't needed.
+    is_urgent : callable
+        Returns whether the next read must not wait for a record.
+    interval_s, wait_s : float
+        Pause between reads, and the long-poll time of a read.
+    """
+
+    store: StoreClient
+    topic: str
+    apply: Callable[[KeyedRecord], None]
+    replace: Callable[[Records, bool], None]
+    completed: Callable[[float], None]
+    is_confirmed: Callable[[], bool] = lambda: False
+    is_urgent: Callable[[], bool] = lambda: False
+    interval_s: float = 0.0
+    wait_s: float = 0.0
+    position: StorePosition | None = None
+    _read_era: int | None = None
+    _is_lost: bool = False
+    _was_confirmed: bool = False
+    _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def read_soon(self) -> None:
+        """End the pause between two reads."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            if self.position is not None and self.is_confirmed():
+                self._was_confirmed = True
+                await asyncio.sleep(CONFIRMATION_CHECK_INTERVAL_S)
+                continue
+            self._wake.clear()
+            sent_s = boot_time_s()
+            try:
+                await self._read()
+            except (RecordsExpiredError, StoreRestoredError) as error:
+                self._log(error.kind.replace("_", " "), str(error))
+                self.position = None
+                continue
+            except PlatformError as error:
+                self._report_failure(error)
+                await asyncio.sleep(BACKOFF_S)
+                continue
+            self._report_recovery()
+            self.completed(sent_s)
+            if self.interval_s:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(self.interval_s):
+                        await self._wake.wait()
+
+    async def _read(self) -> None:
+        if self.position is None:
+            batch = await self.store.newest(self.topic)
+            is_restored = self._read_era not in (None, batch.end.era)
+            self.replace(batch, is_restored)
+        else:
+            # After an outage, or when confirmations from other gateways stop, a read
+            # without long polling confirms the state sooner.
+            is_urgent = self._is_lost or self._was_confirmed or self.is_urgent()
+            wait_s = 0.0 if is_urgent else self.wait_s
+            batch = await self.store.read(self.topic, self.position, wait_s)
+            for record in batch.records:
+                self.apply(record)
+        self.position = batch.end
+        self._read_era = batch.end.era
+        self._was_confirmed = False
+
+    def _report_failure(self, error: PlatformError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._log("dependency lost", str(error))
+
+    def _report_recovery(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            self._log("dependency regained", "")
+
+    def _log(self, message: str, reason: str) -> None:
+        logger.warning(
+            message,
+            extra={
+                "event": message.replace(" ", "_"),
+                "dependency": self.topic,
+                "reason": reason,
+                "offset": self.position.offset if self.position else None,
+                "era": self._read_era,
+            },
+        )
--- a/tests/decisions/test_directory.py
+++ b/tests/decisions/test_directory.py
@@ -76,3 +76,65 @@
     assert not directory.is_usable(ONE, 10.0)
     directory.set_domains_out(frozenset())
     assert directory.usable("llm", 10.0) == [ONE]
+
+
+# A store that comes back from an older copy
+
+
+def test_a_copy_makes_no_endpoint_ready_that_is_leaving_or_gone():
+    directory = known()
+    two = attrs.evolve(ONE, endpoint_id="i-2")
+    directory.put(two, 10.0)
+    directory.put(attrs.evolve(ONE, is_leaving=True), 10.2)
+    directory.remove("i-2", 10.4)
+    restored = directory.restore([ONE, two], 11.0)
+    assert restored.refused == ("i-1", "i-2")
+    assert directory.usable("llm", 11.0) == []
+    assert directory.usable("llm", 11.0 + REMOVAL_HOLD_S) == []
+    assert not directory.is_usable(two, 11.0)
+
+
+def test_a_registration_after_the_restoration_is_a_new_one():
+    directory = known()
+    directory.remove("i-1", 10.4)
+    directory.restore([ONE], 11.0)
+    directory.put(ONE, 11.5)
+    assert directory.usable("llm", 11.5) == [ONE]
+
+
+def test_a_copy_that_lacks_an_endpoint_removes_it_only_after_the_hold_time():
+    # No gap between two reads of the directory was long enough for an outage.
+    directory = known()
+    restored = directory.restore([], 10.5)
+    directory.read_succeeded(10.5)
+    assert restored.missing == ("i-1",)
+    assert directory.usable("llm", 10.5 + REMOVAL_HOLD_S - 0.1) == [ONE]
+    assert directory.usable("llm", 10.5 + REMOVAL_HOLD_S) == []
+
+
+def test_an_endpoint_that_registers_within_the_hold_time_stays():
+    directory = known()
+    directory.restore([], 10.5)
+    directory.put(ONE, 11.5)
+    assert directory.usable("llm", 10.5 + REMOVAL_HOLD_S + 5.0) == [ONE]
+
+
+def test_an_endpoint_that_is_missing_and_leaving_gets_no_work():
+    directory = known()
+    directory.put(attrs.evolve(ONE, is_leaving=True), 10.2)
+    directory.restore([], 10.5)
+    assert directory.usable("llm", 10.6) == []
+
+
+def test_an_endpoint_that_only_the_copy_has_is_used():
+    directory = Directory()
+    directory.restore([ONE], 10.5)
+    assert directory.usable("llm", 10.6) == [ONE]
+
+
+def test_a_second_copy_does_not_bring_back_an_endpoint_that_was_taken_as_gone():
+    directory = known()
+    directory.restore([], 10.5)
+    assert directory.usable("llm", 10.5 + REMOVAL_HOLD_S) == []
+    assert directory.restore([ONE], 14.0).refused == ("i-1",)
+    assert directory.usable("llm", 14.0) == []
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from sorrelhoist.decisions.store_readers import READER_COUNT
+from sorrelhoist.messages.gen import ttypes
 from tests.platform.fleet import configuration, running_gateway, until
 from tests.platform.standins import Store, whole
 
@@ -108,3 +109,37 @@
             assert all_fresh(rest)
 
     run_with_fleet(main)
+
+
+def test_an_answer_of_a_build_without_eras_confirms_nothing():
+    async def main(found, store):
+        now_s = asyncio.get_running_loop().time()
+        asking = next(one for one in found if not one.is_reader(now_s))
+        freshness = asking.exchange.freshness
+        await until(lambda: freshness.configuration_s() is not None)
+        own = freshness.own
+        answer = {
+            "node_id": "gateway-old",
+            "configuration_offset": own.configuration.offset,
+            "configuration_age_ms": 0,
+            "directory_digest": asking.state.directory.digest,
+            "directory_age_ms": 0,
+        }
+
+        def answer_now(**more):
+            freshness._pending[-1] = _now_s()
+            body = ttypes.FreshnessAnswer(ask_id=-1, **answer, **more)
+            freshness.message_received(body)
+
+        answer_now()
+        assert freshness.configuration_s() is None
+        assert freshness.directory_s() is None
+        era = own.configuration.era
+        answer_now(configuration_era=era, directory_era=era)
+        assert freshness.configuration_s() is not None
+        assert freshness.directory_s() is not None
+        answer_now(configuration_era=era + 1, directory_era=era + 1)
+        assert freshness.configuration_s() is None
+        assert freshness.directory_s() is None
+
+    run_with_fleet(main)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -274,6 +274,8 @@
     trimmed: dict = attrs.field(factory=dict)
     mode: str = "up"
     malformed_body: bytes = b""
+    era: int | None = 1
+    """Value of ``Store-Era`` in all answers; without it the header is left out."""
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def put(self, topic, key, value):
@@ -285,6 +287,21 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self):
+        """Return a copy of all records, from which the store can be restored."""
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    def restore(self, copy):
+        """Come back from a copy: later records are gone, their offsets free again."""
+        self.topics = {topic: list(records) for topic, records in copy.items()}
+        self.trimmed = {
+            topic: min(offset, len(self.topics.get(topic, ())))
+            for topic, offset in self.trimmed.items()
+        }
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def compact(self, topic):
         """Compact a topic: delete all records but the newest of each key."""
         self.trimmed[topic] = len(self.topics.get(topic, ()))
@@ -294,16 +311,20 @@
             case "silent":
                 await asyncio.sleep(60)
             case "busy":
-                writer.write(answer_bytes(503))
+                writer.write(self._answer_bytes(503))
             case "reset":
                 reset(writer)
             case "odd":
-                writer.write(answer_bytes(200, body=self.malformed_body))
+                writer.write(self._answer_bytes(200, self.malformed_body))
             case _:
                 writer.write(await self._answer(received))
         with contextlib.suppress(ConnectionError):
             await writer.drain()
 
+    def _answer_bytes(self, status, body=b""):
+        headers = [] if self.era is None else [("Store-Era", str(self.era))]
+        return answer_bytes(status, headers, body)
+
     async def _answer(self, received):
         topic = received.query["stream"]
         records = self.topics.setdefault(topic, [])
@@ -313,7 +334,7 @@
                 size = content[0]
                 key, value = content[1 : 1 + size].decode(), content[1 + size :]
                 self.put(topic, key, value)
-                return answer_bytes(200, body=b'{"offset":0,"end_offset":1}')
+                return self._answer_bytes(200, b'{"offset":0,"end_offset":1}')
             case "/log-newest":
                 newest = {}
                 for key, value in records:
@@ -324,22 +345,23 @@
                     if v
                 ]
                 page = {"items": items, "has_more": False, "end_offset": len(records)}
-                return answer_bytes(200, body=json.dumps(page).encode())
+                return self._answer_bytes(200, json.dumps(page).encode())
             case _:
                 return await self._read(received, records, topic)
 
     async def _read(self, received, records, topic):
         offset = int(received.query["from"])
-        if offset < self.trimmed.get(topic, 0):
-            return answer_bytes(410, body=b'{"start_offset":0}')
+        if not self.trimmed.get(topic, 0) <= offset <= len(records):
+            return self._answer_bytes(410, b'{"start_offset":0}')
         wait_s = int(received.query.get("wait_max_ms", 0)) / 1000
         if len(records) <= offset and wait_s:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
-                    while len(records) <= offset:
+                    while len(self.topics[topic]) <= offset:
                         await self.changed.wait()
+        records = self.topics[topic]
         body = struct.pack(">QQ", len(records), 0)
         for key, value in records[offset:]:
             content = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
-        return answer_bytes(200, body=body)
+        return self._answer_bytes(200, body)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,8 +4,13 @@
 
 import pytest
 
+from sorrelhoist.decisions.store_readers import StorePosition
 from sorrelhoist.exceptions import PlatformError
-from sorrelhoist.platform.store import StoreClient
+from sorrelhoist.platform.store import (
+    RecordsExpiredError,
+    StoreClient,
+    StoreRestoredError,
+)
 from tests.platform.standins import Store
 
 
@@ -44,4 +49,95 @@
 @pytest.mark.parametrize("body", [b"", b"\0" * 15, b"\0" * 16 + b"\0\0\0\7ab"])
 def test_truncated_records_raise_platform_error(body):
     with pytest.raises(PlatformError):
-        call(Store(mode="odd", malformed_body=body), "read", "keyed.op", 0)
+        call(
+            Store(mode="odd", malformed_body=body),
+            "read",
+            "keyed.op",
+            StorePosition(0, era=1),
+        )
+
+
+# Restoration from an older copy
+
+
+def in_turn(*steps):
+    """Run steps with one client; each is called with the client and the store."""
+
+    async def main():
+        store = await Store().start()
+        eras = []
+        client = StoreClient(store.address, lambda *change: eras.append(change))
+        try:
+            for step in steps:
+                await step(client, store)
+        finally:
+            client.close()
+            await store.stop()
+        return eras
+
+    return asyncio.run(main())
+
+
+def test_an_offset_that_is_in_use_again_raises_store_restored():
+    async def main(client, store):
+        store.put("keyed.op", "a", {})
+        copy = store.copy()
+        store.put("keyed.op", "b", {})
+        position = (await client.newest("keyed.op")).end
+        store.restore(copy)
+        store.put("keyed.op", "c", {})
+        with pytest.raises(StoreRestoredError):
+            await client.read("keyed.op", position)
+        assert [one.key for one in (await client.newest("keyed.op")).records] == [
+            "a",
+            "c",
+        ]
+
+    assert in_turn(main) == [(1, 2)]
+
+
+def test_an_offset_past_the_end_raises_records_expired():
+    async def main(client, store):
+        copy = store.copy()
+        store.put("keyed.op", "b", {})
+        position = (await client.newest("keyed.op")).end
+        store.restore(copy)
+        with pytest.raises(RecordsExpiredError):
+            await client.read("keyed.op", position)
+
+    assert in_turn(main) == [(1, 2)]
+
+
+def test_an_answer_of_an_earlier_era_is_refused():
+    async def main(client, store):
+        store.era = 3
+        await client.newest("keyed.op")
+        store.era = 2
+        with pytest.raises(PlatformError):
+            await client.newest("keyed.op")
+        store.era = 3
+        await client.newest("keyed.op")
+
+    assert in_turn(main) == []
+
+
+@pytest.mark.parametrize("era", ["", "x", "1.5"])
+def test_an_era_that_is_no_number_raises_platform_error(era):
+    async def main(client, store):
+        store.era = era
+        with pytest.raises(PlatformError):
+            await client.newest("keyed.op")
+
+    in_turn(main)
+
+
+def test_a_store_without_eras_is_read_as_before():
+    async def main(client, store):
+        store.era = None
+        store.put("keyed.op", "a", {})
+        position = (await client.newest("keyed.op")).end
+        store.put("keyed.op", "b", {})
+        batch = await client.read("keyed.op", position)
+        assert [one.key for one in batch.records] == ["b"]
+
+    assert in_turn(main) == []
