Placement: a reservation fits the engines of the service

Cause: a prompt that exceeds one engine was split into reservations of up to 300,000 tokens, a figure for engines of 405,000. Change: a reservation takes at most three quarters of the engine's memory. Ruled out: memory in use (the engines were idle), views of load, deadlines.

--- a/src/sorrelhoist/decisions/placement_demand.py
+++ b/src/sorrelhoist/decisions/placement_demand.py
@@ -8,9 +8,10 @@
 from .load_tracker import EndpointUse, RequestUse
 from .routes import EngineCosts
 
-MAX_TICKET_TOKENS = 300_000
-"""Largest KV cache reservation on one endpoint for a prompt that exceeds the KV cache
-of one engine. It leaves KV cache for the short prompts that the endpoint decodes."""
+MAX_TICKET_KV_SHARE = 0.75
+"""Fraction of the KV cache of an endpoint that may be reserved for a part of a prompt
+that exceeds the KV cache of one engine. The rest serves the short prompts that the
+endpoint decodes."""
 
 MAX_KV_UTILISATION = 0.97
 """Fraction of the KV cache that is allocated; the rest absorbs errors in the estimated
@@ -131,7 +132,8 @@
     """Return the number of tickets for a prompt; 0 if one engine can hold it."""
     if demand.kv_tokens <= costs.kv_capacity_tokens * MAX_KV_UTILISATION:
         return 0
-    return math.ceil(demand.prompt_tokens / MAX_TICKET_TOKENS)
+    max_ticket_tokens = costs.kv_capacity_tokens * MAX_TICKET_KV_SHARE
+    return math.ceil(demand.prompt_tokens / max_ticket_tokens)
 
 
 def has_capacity(view: EndpointView, demand: Demand, costs: EngineCosts) -> bool:
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -3,6 +3,7 @@
 import math
 import random
 
+import attrs
 import pytest
 
 from sorrelhoist.decisions.directory import Endpoint
@@ -351,3 +352,22 @@
     excluded = frozenset(f"i-{number}" for number in range(15))
     found = place(demand(5_000, tight=True, excluded=excluded), views())
     assert found.first == endpoint(15)
+
+
+@pytest.mark.parametrize("kv_capacity_tokens", [100_000, 232_000, 405_000, 1_000_000])
+@pytest.mark.parametrize("share", [0.5, 0.96, 0.98, 1.06, 1.3, 1.9, 3.0])
+def test_any_prompt_that_idle_endpoints_can_hold_together_is_placed(
+    kv_capacity_tokens, share
+):
+    # Replays lumenvale-perth quiet-1: with 232,000 tokens an engine, a prompt of 225,000
+    # to 300,000 got one ticket for all of it, which no engine could hold, and waited in
+    # vain until it was refused.
+    costs = attrs.evolve(COSTS, kv_capacity_tokens=kv_capacity_tokens)
+    prompt_tokens = int(kv_capacity_tokens * share)
+    wanted = demand(prompt_tokens, objective_s=60.0, deadline_s=120.0)
+    rng = random.Random(1)
+    found = place_prompt(wanted, views(17), costs, 1, rng, NOW_S)
+    assert isinstance(found, Assignment)
+    if found.tickets:
+        assert sum(ticket.tokens for ticket in found.tickets) >= prompt_tokens
+        assert max(t.tokens for t in found.tickets) <= kv_capacity_tokens * 0.97
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -96,10 +96,21 @@
     world.revoked_at_s[old] = time.monotonic()
 
 
+async def restore_store(world, process, endpoint, duration_s):
+    """Bring the store back from a copy; writers write again after a while."""
+    copy = world.rng.choice(world.store_copies)
+    world.store.mode = "reset"
+    await asyncio.sleep(min(duration_s, 1.0))
+    world.store.restore(copy)
+    world.store.mode = "up"
+    await asyncio.sleep(world.rng.uniform(0.1, 1.0))
+    world.write_again()
+
+
 FAULTS = {
     fault.__name__: fault
     for fault in (
-        *(freeze, kill, terminate, reload, harm_store),
+        *(freeze, kill, terminate, reload, harm_store, restore_store),
         *(harm_link, sicken, replace, change_keys),
     )
 }
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from pathlib import Path
 
 import attrs
@@ -25,6 +26,10 @@
 
 ROOT = Path(__file__).parents[2]
 REVOCATION_LIMIT_S = 5.0
+HEARTBEAT_S = 1.2
+COPIES_KEPT = 4
+"""Copies of the store, one at each heartbeat: up to five seconds old."""
+
 STREAM_EVENTS = 8
 SETTINGS = """
 node = "{name}"
@@ -114,6 +119,7 @@
     endpoints: list = attrs.field(factory=list)
     proxies: list = attrs.field(factory=list)
     store: Store = attrs.field(factory=Store)
+    store_copies: deque = attrs.field(factory=lambda: deque(maxlen=COPIES_KEPT))
     store_proxy: Proxy | None = None
     heartbeat_task: asyncio.Task | None = None
     rng: random.Random = attrs.field(init=False)
@@ -175,11 +181,19 @@
 
     async def _send_heartbeats(self):
         while True:
-            await asyncio.sleep(1.2)
+            self.store_copies.append(self.store.copy())
+            await asyncio.sleep(HEARTBEAT_S)
             for endpoint in self.endpoints:
                 if endpoint.state != "gone":
                     self.register(endpoint)
 
+    def write_again(self):
+        """Write what the operator and the lapse of registrations had written."""
+        self.configure()
+        for endpoint in self.endpoints:
+            if endpoint.state == "gone":
+                self.store.put("keyed.servers", endpoint.endpoint_id, None)
+
     def configure(self):
         routes = [
             route("stream", "streaming", "llm", resumable=True, gap_target_ms=250),
