Refusals local to a gateway: Retry-After by the store contact of the others

In an outage for all, the same 0.2 s used up the caller's only retry. Change: reports and answers between gateways carry the age of the sender's configuration (optional field). If another gateway is in contact with the store: 0.05 s; if all have lost it: 1.5 to 3 s, drawn; if nothing is known of others: 0.2 s as before. PeerVersions becomes PeerConfigurations. Tests first: two in tests/gateway/test_freshness.py, for each of the two patterns. Ruled out: confirmation of the cut-off gateway by its peers, since the configuration changed in the outage and peers can't transfer it.

--- a/src/sorrelhoist/decisions/retry_after.py
+++ b/src/sorrelhoist/decisions/retry_after.py
@@ -4,6 +4,20 @@
 
 import attrs
 
+from .peer_configurations import PeerContact
+
+ELSEWHERE_RETRY_AFTER_S = 0.05
+"""Retry-After if another gateway can serve the caller at once: a retry that goes there
+can still meet an objective of 200 ms."""
+
+UNKNOWN_RETRY_AFTER_S = 0.2
+"""Retry-After while nothing is known of other gateways, as right after a start."""
+
+OUTAGE_RETRY_AFTER_S = 1.5
+"""Shortest Retry-After if no gateway can serve the caller. It is spread over up to
+twice this time. A caller has few retries, so one that comes back during the outage is
+lost."""
+
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 60.0
 DEFAULT_JITTER = 0.2
@@ -99,3 +113,29 @@
             delay_s = min(max_s, base_s * 2.0 ** min(backlog.attempt, 32))
             delay_s *= 1.0 if draw is None else draw
     return min(max(delay_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+
+
+def local_refusal_retry_after_s(others: PeerContact, rng: random.Random) -> float:
+    """Return the Retry-After of a refusal for a reason local to this gateway.
+
+    The load pattern is an outage of the store, for one gateway or for all: callers
+    repeat at once at another gateway, which can serve them or not.
+
+    Parameters
+    ----------
+    others : PeerContact
+        Whether the other gateways are in contact with the store.
+    rng : random.Random
+
+    Examples
+    --------
+    >>> local_refusal_retry_after_s(PeerContact.FRESH, random.Random(1))
+    0.05
+    """
+    match others:
+        case PeerContact.FRESH:
+            return ELSEWHERE_RETRY_AFTER_S
+        case PeerContact.LOST:
+            return OUTAGE_RETRY_AFTER_S * (1.0 + rng.random())
+        case PeerContact.UNKNOWN:
+            return UNKNOWN_RETRY_AFTER_S
--- a/src/sorrelhoist/decisions/store_contact.py
+++ b/src/sorrelhoist/decisions/store_contact.py
@@ -58,4 +58,9 @@
 
     def may_use_keys(self, now_s: float) -> bool:
         """Return whether requests with an API key may be sent to endpoints."""
-        return self.age_s(now_s) < self.revoke_s - IN_FLIGHT_MARGIN_S
+        return self.age_s(now_s) < self.max_key_age_s
+
+    @property
+    def max_key_age_s(self) -> float:
+        """Age of the configuration up to which requests with an API key may be sent."""
+        return self.revoke_s - IN_FLIGHT_MARGIN_S
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -25,7 +25,9 @@
     costs_retry,
     give_up,
 )
+from ..decisions.peer_configurations import PeerContact
 from ..decisions.placement_demand import Assignment, Busy, Impossible, Placement
+from ..decisions.retry_after import local_refusal_retry_after_s
 from .attempt import AdmittedRequest, Attempt
 from .caller import CallerConnection
 from .dispatch import PlacementRequest
@@ -35,10 +37,6 @@
 from .state import boot_time_s
 from .upstream import is_reachable
 
-OTHER_GATEWAY_RETRY_AFTER_S = 0.2
-"""Retry-After for refusals local to this gateway: another one can serve the caller at
-once."""
-
 NO_CAPACITY_WEIGHT = 0.4
 """Weight of a failure for lack of capacity: the endpoint is busy, not broken."""
 
@@ -50,11 +48,21 @@
 
 @attrs.frozen
 class Refusal:
-    """Status, reason and Retry-After of an answer that the gateway generates."""
+    """Status, reason and Retry-After of an answer that the gateway generates.
+
+    Parameters
+    ----------
+    status : int
+    reason : str
+    retry_after_s : float or None
+    peer_contact : PeerContact or None
+        What decided the Retry-After of a refusal that is local to this gateway.
+    """
 
     status: int
     reason: str
     retry_after_s: float | None = None
+    peer_contact: PeerContact | None = None
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -112,18 +120,16 @@
         """Check the route, the API key and suspicions; admit or refuse the request."""
         state, request = self.parts.state, self.request
         if not state.accepts_requests(self.received_s):
-            return Refusal(503, "the gateway is stopping", OTHER_GATEWAY_RETRY_AFTER_S)
+            return self._local_refusal("the gateway is stopping")
         if state.table is None:
-            return Refusal(503, "no configuration yet", OTHER_GATEWAY_RETRY_AFTER_S)
+            return self._local_refusal("no configuration yet")
         route = state.table.match(request.host, request.path)
         if route is None:
             return Refusal(404, "no such route")
         workspace = None
         if state.table.workspaces is not None and not route.is_public:
             if not state.contact.may_use_keys(boot_time_s()):
-                return Refusal(
-                    503, "keys can't be checked now", OTHER_GATEWAY_RETRY_AFTER_S
-                )
+                return self._local_refusal("keys can't be checked now")
             workspace = state.table.workspaces.get(request.key or "")
             if workspace is None:
                 return Refusal(401, "unknown key")
@@ -145,6 +151,15 @@
             splitter=EventSplitter(last_id=request.resume_after),
         )
 
+    def _local_refusal(self, reason: str) -> Refusal:
+        """Refuse a request that other gateways may be able to serve."""
+        state = self.parts.state
+        others = state.peer_configurations.contact(
+            state.contact.max_key_age_s, boot_time_s()
+        )
+        retry_after_s = local_refusal_retry_after_s(others, state.rng)
+        return Refusal(503, reason, retry_after_s, others)
+
     # Forwarding
 
     async def _forward(self, admitted: AdmittedRequest) -> NextStep | None:
@@ -294,6 +309,7 @@
             outcome=str(refused.status),
             reason=refused.reason,
             retry_after_s=refused.retry_after_s,
+            peer_contact=refused.peer_contact.value if refused.peer_contact else None,
         )
         headers = self.parts.dialect.refusal_headers(self.request.request_id)
         if refused.retry_after_s is not None:
--- a/src/sorrelhoist/gateway/freshness.py
+++ b/src/sorrelhoist/gateway/freshness.py
@@ -164,9 +164,9 @@
             node_id=self._state.node_id,
             ask_id=ask_id,
             configuration_offset=position.offset if position else NO_OFFSET,
-            configuration_age_ms=_age_ms(self._state.contact.age_s(now_s)),
+            configuration_age_ms=age_ms(self._state.contact.age_s(now_s)),
             directory_digest=self._state.directory.digest,
-            directory_age_ms=_age_ms(now_s - self.own.directory_read_s),
+            directory_age_ms=age_ms(now_s - self.own.directory_read_s),
             configuration_era=position.era if position else None,
             directory_era=self.own.directory_era,
             configuration_version=self._state.version,
@@ -178,8 +178,11 @@
             return
         now_s = boot_time_s()
         if answer.configuration_version is not None:
-            self._state.peer_versions.heard(
-                answer.node_id, answer.configuration_version, now_s
+            self._state.peer_configurations.heard(
+                answer.node_id,
+                answer.configuration_version,
+                sent_s - answer.configuration_age_ms / MS_PER_S,
+                now_s,
             )
         self._answers += 1
         position = None
@@ -199,6 +202,6 @@
         )
 
 
-def _age_ms(age_s: float) -> int:
+def age_ms(age_s: float) -> int:
     """Convert to ms, rounded up so that data never looks fresher than it is."""
     return math.ceil(min(age_s * MS_PER_S, UNKNOWN_AGE_MS))
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -14,7 +14,7 @@
 from ..exceptions import PeerError
 from ..messages.frames import Message, decode, encode
 from ..messages.gen import ttypes
-from .freshness import Freshness
+from .freshness import MS_PER_S, Freshness, age_ms
 from .state import GatewayState, boot_time_s
 
 logger = logging.getLogger(__name__)
@@ -117,8 +117,12 @@
         )
         self._state.suspicions.merge(body.suspicions or (), now_s)
         if body.configuration_version is not None:
-            self._state.peer_versions.heard(
-                body.node_id, body.configuration_version, boot_time_s()
+            now_boot_s = boot_time_s()
+            self._state.peer_configurations.heard(
+                body.node_id,
+                body.configuration_version,
+                now_boot_s - (body.configuration_age_ms or 0) / MS_PER_S,
+                now_boot_s,
             )
 
     async def run(self) -> None:
@@ -147,6 +151,7 @@
             loads=[_to_wire(use, now_s) for use in loads.own_uses()],
             suspicions=self._state.suspicions.for_gossip(now_s),
             configuration_version=self._state.version,
+            configuration_age_ms=age_ms(self._state.contact.age_s(boot_time_s())),
         )
         data = encode(Message(0, report))
         for node_id, peer in list(self._peers.items()):
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -10,7 +10,7 @@
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
-from ..decisions.peer_versions import PeerVersions
+from ..decisions.peer_configurations import PeerConfigurations
 from ..decisions.placement_demand import EndpointView
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
@@ -48,7 +48,7 @@
     retries : RetryBudget
         Retry budget of this gateway.
     rng : random.Random
-    peer_versions : PeerVersions
+    peer_configurations : PeerConfigurations
         Its times are measured with `boot_time_s`.
     store_restorations : int
         How often the store was seen to come back from an older copy.
@@ -66,7 +66,7 @@
     troubles: FailureTracker = attrs.field(factory=FailureTracker)
     cold_starts: ColdStartLimiter = attrs.field(factory=ColdStartLimiter)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
-    peer_versions: PeerVersions = attrs.field(factory=PeerVersions)
+    peer_configurations: PeerConfigurations = attrs.field(factory=PeerConfigurations)
     store_restorations: int = 0
     stopping_s: float | None = None
 
@@ -210,7 +210,7 @@
         return {
             "node_id": self.node_id,
             "version": self.version,
-            "newest_version_of_peers": self.peer_versions.newest(boot_time_s()),
+            "newest_version_of_peers": self.peer_configurations.newest(boot_time_s()),
             "store_restorations": self.store_restorations,
             "is_stopping": self.is_stopping,
             "contact_age_s": self.contact.age_s(boot_time_s()),
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3667,6 +3667,7 @@
      - loads
      - suspicions
      - configuration_version
+     - configuration_age_ms
 
     """
 
@@ -3677,16 +3678,18 @@
         'loads',
         'suspicions',
         'configuration_version',
+        'configuration_age_ms',
     )
 
 
-    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None,):
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None,):
         self.node_id = node_id
         self.boot_ms = boot_ms
         self.sequence = sequence
         self.loads = loads
         self.suspicions = suspicions
         self.configuration_version = configuration_version
+        self.configuration_age_ms = configuration_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3739,6 +3742,11 @@
                     self.configuration_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.configuration_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3779,6 +3787,10 @@
             oprot.writeFieldBegin('configuration_version', TType.I64, 6)
             oprot.writeI64(self.configuration_version)
             oprot.writeFieldEnd()
+        if self.configuration_age_ms is not None:
+            oprot.writeFieldBegin('configuration_age_ms', TType.I32, 7)
+            oprot.writeI32(self.configuration_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4783,6 +4795,7 @@
     (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
     (5, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 5
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
+    (7, TType.I32, 'configuration_age_ms', None, None, ),  # 7
 )
 all_structs.append(FreshnessAsk)
 FreshnessAsk.thrift_spec = (
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -275,6 +275,8 @@
   5: list<Suspicion> suspicions,
   // Version of the configuration that the sender has; absent if it has none.
   6: optional i64 configuration_version,
+  // Time since this was last known to be the newest version in the store.
+  7: optional i32 configuration_age_ms,
 }
 
 // Asks another gateway how recently it has read the configuration and the directory.
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -192,7 +192,7 @@
         if not self._are_peers_asked or own is None:
             return
         now_s = boot_time_s()
-        versions = self._state.peer_versions
+        versions = self._state.peer_configurations
         if not versions.is_newer_known(own, now_s):
             self._set_outdated(False)
             self._state.contact.read_completed(known_s)
@@ -211,7 +211,9 @@
             extra={
                 "event": "configuration_outdated",
                 "version": self._state.version,
-                "version_of_peers": self._state.peer_versions.newest(boot_time_s()),
+                "version_of_peers": self._state.peer_configurations.newest(
+                    boot_time_s()
+                ),
                 "outcome": "keys refused" if is_outdated else "keys used",
             },
         )
@@ -233,7 +235,7 @@
             self._are_peers_asked
             and not self._is_outdated
             and own is not None
-            and self._state.peer_versions.is_newer_known(own, boot_time_s())
+            and self._state.peer_configurations.is_newer_known(own, boot_time_s())
         )
 
     def _set_evacuated(self) -> None:
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -359,9 +359,9 @@
 def test_any_prompt_that_idle_endpoints_can_hold_together_is_placed(
     kv_capacity_tokens, share
 ):
-    # Replays lumenvale-perth quiet-1: with 232,000 tokens an engine, a prompt of 225,000
-    # to 300,000 got one ticket for all of it, which no engine could hold, and waited in
-    # vain until it was refused.
+    # Replays lumenvale-perth quiet-1: on engines of 232,000 tokens, a prompt of 225,000
+    # to 300,000 tokens got one ticket for all of it, which no engine could hold, and
+    # waited in vain until it was refused.
     costs = attrs.evolve(COSTS, kv_capacity_tokens=kv_capacity_tokens)
     prompt_tokens = int(kv_capacity_tokens * share)
     wanted = demand(prompt_tokens, objective_s=60.0, deadline_s=120.0)
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -5,6 +5,7 @@
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
 
+from sorrelhoist.decisions.store_contact import StoreContact
 from sorrelhoist.decisions.store_readers import READER_COUNT
 from sorrelhoist.messages.gen import ttypes
 from tests.platform.fleet import configuration, running_gateway, until
@@ -143,3 +144,39 @@
         assert freshness.directory_s() is None
 
     run_with_fleet(main)
+
+
+# Retry-After of refusals by gateways that have lost the store
+
+
+class LostContact(StoreContact):
+    """Contact of a gateway whose reads of the store never complete."""
+
+    def read_completed(self, sent_s):
+        pass
+
+
+def test_a_gateway_alone_without_the_store_sends_callers_to_others_at_once():
+    # Replays lumenvale-perth trouble-1, 4 to 12 s: one gateway is turned away by the
+    # store, and callers that came back after 0.2 s missed an objective of 0.3 s.
+    async def main(found, store):
+        found[0].state.contact = LostContact(revoke_s=5.0)
+        refused = await found[0].fetch()
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) <= 0.1
+
+    run_with_fleet(main)
+
+
+def test_gateways_that_have_all_lost_the_store_ask_callers_to_wait():
+    # A caller that came back at once was refused again, and lost.
+    async def main(found, store):
+        for one in found:
+            one.state.contact = LostContact(revoke_s=5.0)
+        await asyncio.sleep(1.5)
+        for one in found:
+            refused = await one.fetch()
+            assert refused.status == 503
+            assert 1.0 <= float(refused.headers["retry-after"]) <= 4.0
+
+    run_with_fleet(main)
