Connections to endpoints time out within half of the objective

Change: half of the route's objective, at least 0.1 s, at most 0.5 s as before. Ruled out: hedged connections, since new connections are priced and most succeed.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -16,7 +16,13 @@
 from .request_log import RequestLog
 from .reservations import ReservationError
 from .state import boot_time_s
-from .upstream import AnswerHead, ExchangeError, Upstream, connected
+from .upstream import (
+    AnswerHead,
+    ExchangeError,
+    Upstream,
+    connect_timeout_s,
+    connected,
+)
 
 STREAM_TIMEOUT_PAUSES = 4.0
 """Time without an event, in pause targets, after which a stream is taken to be dead."""
@@ -126,7 +132,8 @@
         self.parts.state.request_sent(request.request_id)
         headers = self.parts.dialect.endpoint_headers(request, send)
         try:
-            async with connected(endpoint.address, left_s) as upstream:
+            timeout_s = min(left_s, connect_timeout_s(self.admitted.route.objective_s))
+            async with connected(endpoint.address, timeout_s) as upstream:
                 self.admitted.progress.is_in_flight = True
                 await upstream.send(request.method, request.path, headers, request.body)
                 failure = await self._read_answer(upstream)
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -16,9 +16,16 @@
 
 from ..decisions.forwarding import Broken, Failure, NotSent
 
-CONNECT_TIMEOUT_S = 0.5
+MAX_CONNECT_TIMEOUT_S = 0.5
 """Many times the delay between failure domains; a host without power never answers."""
 
+MIN_CONNECT_TIMEOUT_S = 0.1
+"""Lower bound: several times the delay between failure domains."""
+
+CONNECT_OBJECTIVE_SHARE = 0.5
+"""Fraction of a request's latency objective after which a connection is given up, so
+that another endpoint can still meet the objective."""
+
 REACH_TIMEOUT_S = 0.3
 """A live endpoint in any failure domain accepts a connection within this time."""
 
@@ -142,6 +149,16 @@
             return b""  # end of connection: h11 checks whether the answer is complete
 
 
+def connect_timeout_s(objective_s: float) -> float:
+    """Return how long to wait for a connection, for a latency objective.
+
+    The load pattern is an endpoint that loses power: until a connection to it has timed
+    out it looks idle, and attracts requests.
+    """
+    share_s = objective_s * CONNECT_OBJECTIVE_SHARE
+    return min(max(share_s, MIN_CONNECT_TIMEOUT_S), MAX_CONNECT_TIMEOUT_S)
+
+
 @asynccontextmanager
 async def connected(address: str, timeout_s: float) -> AsyncIterator[Upstream]:
     """Connect to an endpoint, and close the connection on exit.
@@ -151,7 +168,7 @@
     address : str
         ``IP:PORT``.
     timeout_s : float
-        Time until the deadline of the request.
+        Longest wait for the connection.
 
     Raises
     ------
@@ -165,7 +182,7 @@
     stream = IOStream(connection)
     try:
         try:
-            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
+            async with asyncio.timeout(min(timeout_s, MAX_CONNECT_TIMEOUT_S)):
                 await stream.connect((host, int(port)))
         except (OSError, ValueError, StreamClosedError, TimeoutError) as error:
             raise ExchangeError(NotSent(f"no connection: {error!r}")) from error
