Gateways report the failures of endpoints to each other

Evidence counts half, and that of one other domain is not enough, since all its gateways may be cut off from an endpoint that others reach. Ruled out: more attempts for each request, which costs the retry budget of all.

--- a/src/sorrelhoist/decisions/endpoint_failures.py
+++ b/src/sorrelhoist/decisions/endpoint_failures.py
@@ -14,6 +14,9 @@
 """Score from which an endpoint is avoided: one failure just now, or several recent
 ones."""
 
+NEGLIGIBLE_SCORE = AVOID_SCORE / 10
+"""Score below which an endpoint is forgotten."""
+
 SUCCESS_FACTOR = 0.8
 """Factor by which a success reduces the score."""
 
@@ -55,7 +58,7 @@
         if endpoint_id in self._scores:
             value = self.score(endpoint_id, now_s) * SUCCESS_FACTOR
             self._scores[endpoint_id] = _Score(value, now_s)
-            if value < AVOID_SCORE / 10:
+            if value < NEGLIGIBLE_SCORE:
                 del self._scores[endpoint_id]
 
     def score(self, endpoint_id: str, now_s: float) -> float:
@@ -63,9 +66,30 @@
         score = self._scores.get(endpoint_id)
         return score.at(now_s) if score else 0.0
 
-    def is_avoided(self, endpoint_id: str, now_s: float) -> bool:
-        """Return whether requests should go to another endpoint if there is one."""
-        return self.score(endpoint_id, now_s) >= AVOID_SCORE
+    def is_avoided(
+        self, endpoint_id: str, now_s: float, peer_evidence: float = 0.0
+    ) -> bool:
+        """Return whether requests should go to another endpoint if there is one.
+
+        Parameters
+        ----------
+        endpoint_id : str
+        now_s : float
+        peer_evidence : float
+            Added to the score, from failures that other gateways report.
+        """
+        return self.score(endpoint_id, now_s) + peer_evidence >= AVOID_SCORE
+
+    def worst(self, count: int, now_s: float) -> dict[str, float]:
+        """Return the highest scores, to report them to other gateways."""
+        scores = {key: self.score(key, now_s) for key in self._scores}
+        self._scores = {
+            key: score
+            for key, score in self._scores.items()
+            if scores[key] >= NEGLIGIBLE_SCORE
+        }
+        ranked = sorted(self._scores, key=lambda key: -scores[key])
+        return {key: scores[key] for key in ranked[:count]}
 
     def dump(self, now_s: float) -> dict:
         """Return the state as plain data."""
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -11,6 +11,7 @@
 import attrs
 
 from ..decisions.load_tracker import EndpointUse
+from ..decisions.peer_failures import MAX_REPORTED
 from ..exceptions import PeerError
 from ..messages.frames import Message, decode, encode
 from ..messages.gen import ttypes
@@ -34,6 +35,9 @@
 this process stops sending it reports. The next report or entry resumes them."""
 
 
+PERCENT = 100
+
+
 @attrs.frozen(order=True)
 class PeerAddress:
     """Address at which a peer receives reports."""
@@ -116,6 +120,15 @@
             now_s,
         )
         self._state.suspicions.merge(body.suspicions or (), now_s)
+        self._state.peer_failures.heard(
+            body.node_id,
+            body.failure_domain or "",
+            {
+                failed.endpoint_id: failed.score_percent / PERCENT
+                for failed in body.failures or ()
+            },
+            now_s,
+        )
         if body.configuration_version is not None:
             now_boot_s = boot_time_s()
             self._state.peer_configurations.heard(
@@ -152,6 +165,13 @@
             suspicions=self._state.suspicions.for_gossip(now_s),
             configuration_version=self._state.version,
             configuration_age_ms=age_ms(self._state.contact.age_s(boot_time_s())),
+            failure_domain=self._state.failure_domain,
+            failures=[
+                ttypes.EndpointFailures(endpoint_id, round(score * PERCENT))
+                for endpoint_id, score in self._state.troubles.worst(
+                    MAX_REPORTED, now_s
+                ).items()
+            ],
         )
         data = encode(Message(0, report))
         for node_id, peer in list(self._peers.items()):
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -11,6 +11,7 @@
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
 from ..decisions.peer_configurations import PeerConfigurations
+from ..decisions.peer_failures import PeerFailures
 from ..decisions.placement_demand import EndpointView
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
@@ -66,6 +67,11 @@
     troubles: FailureTracker = attrs.field(factory=FailureTracker)
     cold_starts: ColdStartLimiter = attrs.field(factory=ColdStartLimiter)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
+    peer_failures: PeerFailures = attrs.field(
+        default=attrs.Factory(
+            lambda self: PeerFailures(self.failure_domain), takes_self=True
+        )
+    )
     peer_configurations: PeerConfigurations = attrs.field(factory=PeerConfigurations)
     store_restorations: int = 0
     stopping_s: float | None = None
@@ -155,6 +161,7 @@
         An endpoint in a cold start whose rate limit is exhausted is left out.
         """
         totals = self.loads.totals(now_s)
+        evidence = self.peer_failures.evidence(now_s)
         config = self.table.services.get(service) if self.table else None
         cold_rate = config.cold_requests_per_s if config else 0.0
         return [
@@ -162,7 +169,11 @@
                 endpoint=endpoint,
                 use=totals.get(endpoint.address)
                 or EndpointUse(address=endpoint.address),
-                is_avoided=self.troubles.is_avoided(endpoint.endpoint_id, now_s),
+                is_avoided=self.troubles.is_avoided(
+                    endpoint.endpoint_id,
+                    now_s,
+                    evidence.get(endpoint.endpoint_id, 0.0),
+                ),
             )
             for endpoint in self.directory.usable(service, now_s)
             if self._has_cold_capacity(endpoint, cold_rate, now_s)
@@ -217,6 +228,7 @@
             "directory": self.directory.dump(now_s),
             "loads": self.loads.dump(now_s),
             "troubles": self.troubles.dump(now_s),
+            "troubles_of_peers": self.peer_failures.evidence(now_s),
             "retries": self.retries.dump(),
             "suspicions": self.suspicions.dump(now_s),
         }
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3658,6 +3658,86 @@
         return not (self == other)
 
 
+class EndpointFailures(object):
+    """
+    Attributes:
+     - endpoint_id
+     - score_percent
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'score_percent',
+    )
+
+
+    def __init__(self, endpoint_id=None, score_percent=None,):
+        self.endpoint_id = endpoint_id
+        self.score_percent = score_percent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.score_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointFailures')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.score_percent is not None:
+            oprot.writeFieldBegin('score_percent', TType.I32, 2)
+            oprot.writeI32(self.score_percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -3668,6 +3748,8 @@
      - suspicions
      - configuration_version
      - configuration_age_ms
+     - failure_domain
+     - failures
 
     """
 
@@ -3679,10 +3761,12 @@
         'suspicions',
         'configuration_version',
         'configuration_age_ms',
+        'failure_domain',
+        'failures',
     )
 
 
-    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None,):
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None,):
         self.node_id = node_id
         self.boot_ms = boot_ms
         self.sequence = sequence
@@ -3690,6 +3774,8 @@
         self.suspicions = suspicions
         self.configuration_version = configuration_version
         self.configuration_age_ms = configuration_age_ms
+        self.failure_domain = failure_domain
+        self.failures = failures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3747,6 +3833,22 @@
                     self.configuration_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.failures = []
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = EndpointFailures()
+                        _elem115.read(iprot)
+                        self.failures.append(_elem115)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3772,15 +3874,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter110 in self.loads:
-                iter110.write(oprot)
+            for iter116 in self.loads:
+                iter116.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter111 in self.suspicions:
-                iter111.write(oprot)
+            for iter117 in self.suspicions:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -3791,6 +3893,17 @@
             oprot.writeFieldBegin('configuration_age_ms', TType.I32, 7)
             oprot.writeI32(self.configuration_age_ms)
             oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 8)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.failures))
+            for iter118 in self.failures:
+                iter118.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4786,6 +4899,12 @@
     (8, TType.I32, 'due_in_ms', None, None, ),  # 8
     (9, TType.I64, 'placed_ms', None, None, ),  # 9
 )
+all_structs.append(EndpointFailures)
+EndpointFailures.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'score_percent', None, None, ),  # 2
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -4796,6 +4915,8 @@
     (5, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 5
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
     (7, TType.I32, 'configuration_age_ms', None, None, ),  # 7
+    (8, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 8
+    (9, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailures, None], False), None, ),  # 9
 )
 all_structs.append(FreshnessAsk)
 FreshnessAsk.thrift_spec = (
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -266,6 +266,12 @@
   9: i64 placed_ms,
 }
 
+struct EndpointFailures {
+  1: string endpoint_id,
+  // Decayed number of failures, in hundredths.
+  2: i32 score_percent,
+}
+
 // All load that a gateway has placed. A later report replaces an earlier one.
 struct LoadReport {
   1: string node_id,
@@ -277,6 +283,9 @@
   6: optional i64 configuration_version,
   // Time since this was last known to be the newest version in the store.
   7: optional i32 configuration_age_ms,
+  8: optional string failure_domain,
+  // Endpoints that failed requests of the sender recently.
+  9: optional list<EndpointFailures> failures,
 }
 
 // Asks another gateway how recently it has read the configuration and the directory.
