Agent and entry: two waiters of one request, and repeatable calls whose agent is lost

Cause: (1) two connections that wait for the same request shared a future; the first one that left withdrew the request from the other. (2) A call that may be repeated was answered 'outcome unknown' when its agent was lost. Change: the last waiter that leaves withdraws the request; a repeatable call goes to a second agent, never a third; other calls are sent once, as before. Tests first: tests/agent/test_admission_waiters.py, tests/entry/test_service_router.py; three of them failed.

--- a/src/sorrelhoist/agent/admission_waiters.py
+++ b/src/sorrelhoist/agent/admission_waiters.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 
 import attrs
@@ -33,6 +34,7 @@
     _futures: dict[str, asyncio.Future[Decision]] = attrs.field(
         init=False, factory=dict
     )
+    _waiting: Counter[str] = attrs.field(init=False, factory=Counter)
 
     async def decide(
         self, request: AdmissionRequest
@@ -58,14 +60,20 @@
         if future is None:
             future = asyncio.get_running_loop().create_future()
             self._futures[request.request_id] = future
+        self._waiting[request.request_id] += 1
         try:
             while not future.done():
                 yield answer
                 await asyncio.wait([future], timeout=REPORT_INTERVAL_S)
             yield future.result()
         finally:
-            if not future.done():
-                self.withdraw(request.request_id)
+            # An entry that lost its connection may be waiting for the same request
+            # again; the first waiter must not withdraw it from the second.
+            self._waiting[request.request_id] -= 1
+            if not self._waiting[request.request_id]:
+                del self._waiting[request.request_id]
+                if not future.done():
+                    self.withdraw(request.request_id)
 
     def withdraw(self, request_id: str) -> None:
         """Remove a request from the queue."""
--- a/src/sorrelhoist/entry/service_router.py
+++ b/src/sorrelhoist/entry/service_router.py
@@ -15,7 +15,6 @@
     OutcomeUnknownError,
     OverloadedError,
     PeerError,
-    SorrelhoistError,
 )
 from ..messages.gen import ttypes
 from ..node.peers import PeerAddress, PeerPool
@@ -70,7 +69,8 @@
         ------
         OutcomeUnknownError
             If the connection broke or timed out after sending: the call may have run
-            and must not be repeated under a new key.
+            and must not be repeated under a new key. A repeatable call is sent to a
+            second agent first.
         SorrelhoistError
             If the call was refused; with ``not_run`` where that is known.
         """
@@ -83,8 +83,17 @@
                 not_run=True,
             )
         denials: list[ttypes.Denial] = []
+        lost: OutcomeUnknownError | None = None
         for member in self._ranked_agents(call):
-            reply = await self._call_agent(member, call, deadline_s)
+            if lost is not None and self.clock() >= deadline_s:
+                break
+            try:
+                reply = await self._call_agent(member, call, deadline_s)
+            except OutcomeUnknownError as error:
+                if not repeatable or lost is not None:
+                    raise
+                lost = error  # a second agent may run it
+                continue
             match reply:
                 case ttypes.ServiceReply():
                     return reply
@@ -92,7 +101,7 @@
                     denials.append(reply)
                 case ttypes.Denial():
                     raise error_from_denial(reply)
-        raise overload_error_from(denials)
+        raise lost or overload_error_from(denials)
 
     def _ranked_agents(self, call: ttypes.ServiceCall) -> list[Member]:
         agents = {a.node_id: a for a in self.fleet.service_agents(call.service_name)}
@@ -134,7 +143,7 @@
             if not isinstance(reply, ttypes.Queued):
                 return reply
 
-    def _outcome_unknown(self) -> SorrelhoistError:
+    def _outcome_unknown(self) -> OutcomeUnknownError:
         return OutcomeUnknownError(
             "The agent was lost while the call was with it: it may have run.",
             "Send it again with the same Idempotency-Key to learn the outcome.",
