Only faults of endpoints are reported to other gateways, not fullness

Change: a second tracker counts faults, and it is what reports carry. Test: test_a_fault_of_an_endpoint_is_reported_to_other_gateways_and_fullness_is_not.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -141,6 +141,7 @@
             return error.failure
         if failure is None:
             self.parts.state.troubles.succeeded(endpoint.endpoint_id, loop.time())
+            self.parts.state.faults.succeeded(endpoint.endpoint_id, loop.time())
             self.parts.state.suspicions.completed(
                 self.admitted.fingerprint, loop.time()
             )
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -247,6 +247,8 @@
                 await self._record_death(admitted, first)
         if weight:
             state.troubles.failed(blamed.endpoint_id, now_s, weight)
+        if weight > NO_CAPACITY_WEIGHT:
+            state.faults.failed(blamed.endpoint_id, now_s, weight)
         step = after_failure(failure, admitted.progress)
         kind = type(failure).__name__
         self.parts.metrics.failures.add(1, {"kind": kind})
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -168,7 +168,7 @@
             failure_domain=self._state.failure_domain,
             failures=[
                 ttypes.EndpointFailures(endpoint_id, round(score * PERCENT))
-                for endpoint_id, score in self._state.troubles.worst(
+                for endpoint_id, score in self._state.faults.worst(
                     MAX_REPORTED, now_s
                 ).items()
             ],
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -49,6 +49,9 @@
     retries : RetryBudget
         Retry budget of this gateway.
     rng : random.Random
+    troubles, faults : FailureTracker
+        All failures of endpoints, and those that are reported to other gateways: a
+        lack of capacity isn't, since each gateway knows the load of all.
     peer_configurations : PeerConfigurations
         Its times are measured with `boot_time_s`.
     store_restorations : int
@@ -65,6 +68,7 @@
     directory: Directory = attrs.field(factory=Directory)
     loads: LoadTracker = attrs.field(factory=LoadTracker)
     troubles: FailureTracker = attrs.field(factory=FailureTracker)
+    faults: FailureTracker = attrs.field(factory=FailureTracker)
     cold_starts: ColdStartLimiter = attrs.field(factory=ColdStartLimiter)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
     peer_failures: PeerFailures = attrs.field(
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -348,3 +348,17 @@
         assert len(sound.requests) == 1
 
     run_with_fleet(main)
+
+
+def test_a_fault_of_an_endpoint_is_reported_to_other_gateways_and_fullness_is_not():
+    async def main(fleet):
+        await fleet.add(
+            declines(extra=[("Retry-After", "1")]), service="app", name="i-full"
+        )
+        await fleet.fetch()
+        assert "i-full" not in fleet.state.faults.worst(9, time.monotonic())
+        await fleet.endpoints[0].stop()
+        await fleet.fetch()
+        assert "i-full" in fleet.state.faults.worst(9, time.monotonic())
+
+    run_with_fleet(main)
