Soak: each run has its own loopback addresses

Cause: gateways of two runs took the same addresses and metrics port, so that those of the second ended. Change: the addresses follow from the process id. The rule of one soak at a time stays.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -101,6 +101,12 @@
     at_s: float
 
 
+def own_network():
+    """Return the first three numbers of loopback addresses of this process alone."""
+    number = os.getpid() % (200 * 250)
+    return f"127.{1 + number // 250}.{number % 250}"
+
+
 @attrs.define(eq=False)
 class World:
     """All processes, stand-ins and requests of a run, and the guarantees violated."""
@@ -108,6 +114,7 @@
     seed: int
     folder: Path
     gateways: int = 3
+    network: str = attrs.field(factory=own_network)
     violations: list = attrs.field(factory=list)
     runs: list = attrs.field(factory=list)
     revoked_at_s: dict = attrs.field(factory=dict)
@@ -142,7 +149,7 @@
 
     def start_gateway(self, number, peer_port):
         # Each gateway has its own address, as on separate hosts.
-        ip, front, ready = f"127.0.0.{number + 2}", free_port(), free_port()
+        ip, front, ready = f"{self.network}.{number + 2}", free_port(), free_port()
         text = SETTINGS.format(
             name=f"gateway-{number}",
             ip=ip,
