--- a/src/sorrelhoist/decisions/store_contact.py
+++ b/src/sorrelhoist/decisions/store_contact.py
@@ -44,8 +44,8 @@
         """Record a completed read, which is as old as the time it was sent."""
         self._sent_s = max(self._sent_s, sent_s)
 
-    def revoke(self) -> None:
-        """Discard all reads: the store has an older configuration than is in force."""
+    def discard(self) -> None:
+        """Forget all reads: the store has an older configuration than is in force."""
         self._sent_s = float("-inf")
 
     def age_s(self, now_s: float) -> float:
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -251,7 +251,7 @@
             self._state.contact.read_completed(known_s)
         elif is_read and versions.is_outdated(own, known_s, now_s):
             self._set_outdated(True)
-            self._state.contact.revoke()
+            self._state.contact.discard()
 
     def _set_outdated(self, is_outdated: bool) -> None:
         if is_outdated == self._is_outdated:
