--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -201,6 +201,15 @@
     run_with_fleet(main)
 
 
+def test_an_outage_costs_no_more_calls_than_usual():
+    async def main(found, store):
+        store.mode = "busy"
+        await asyncio.sleep(6.0)
+        assert reads_per_s(store, 3.0) <= READER_COUNT * 2.6
+
+    run_with_fleet(main)
+
+
 def test_a_configuration_that_changes_in_an_outage_is_in_force_soon_after_it():
     async def main(found, store):
         store.mode = "busy"
