Limits that endpoints name are decoded, logged and counted

The header is decoded in platform/, a change is logged ('limit named'), 'sent' lines and the state dump show the limit, and a gauge counts the endpoints that have one. Nothing is decided by it yet.

--- /dev/null
+++ b/src/sorrelhoist/decisions/endpoint_notices.py
@@ -0,0 +1,111 @@
+"""What endpoints say of themselves in the headers of their answers."""
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+MAX_REQUESTS_PER_S = 1e6
+"""Higher limits are taken for garbled ones."""
+
+
+@attrs.frozen(kw_only=True)
+class EndpointNotice:
+    """What one answer says of the endpoint that gave it.
+
+    Parameters
+    ----------
+    limit_per_s : float or None
+        Requests a second that it takes from all gateways together, if it names a limit.
+    """
+
+    limit_per_s: float | None = None
+
+
+@attrs.frozen
+class NamedLimit:
+    """The limit of an endpoint according to its newest known answer.
+
+    Parameters
+    ----------
+    requests_per_s : float or None
+        None if that answer named no limit, after an earlier one that did.
+    named_s : float
+        Time of that answer.
+    """
+
+    requests_per_s: float | None
+    named_s: float
+
+
+class NamedLimits:
+    """Limits that endpoints named in their answers; the newest answer counts.
+
+    Examples
+    --------
+    >>> limits = NamedLimits()
+    >>> limits.observe("i-1", None, now_s=1.0), limits.observe("i-1", 2.5, now_s=2.0)
+    (False, True)
+    >>> limits.requests_per_s("i-1"), limits.requests_per_s("i-2")
+    (2.5, None)
+    >>> limits.observe("i-1", None, now_s=3.0), limits.requests_per_s("i-1")
+    (True, None)
+    """
+
+    def __init__(self) -> None:
+        self._limits: dict[str, NamedLimit] = {}
+
+    def observe(
+        self, endpoint_id: str, requests_per_s: float | None, now_s: float
+    ) -> bool:
+        """Record what an answer says; return whether this changes the limit.
+
+        Parameters
+        ----------
+        endpoint_id : str
+        requests_per_s : float or None
+            None if the answer names no limit.
+        now_s : float
+            Time of the answer, which may be older than one already recorded.
+        """
+        known = self._limits.get(endpoint_id)
+        if known is None and requests_per_s is None:
+            return False
+        if known is not None and now_s < known.named_s:
+            return False
+        self._limits[endpoint_id] = NamedLimit(requests_per_s, now_s)
+        return known is None or known.requests_per_s != requests_per_s
+
+    def requests_per_s(self, endpoint_id: str) -> float | None:
+        """Return the limit of an endpoint, or None if it has none."""
+        known = self._limits.get(endpoint_id)
+        return known.requests_per_s if known else None
+
+    def limited(self) -> Mapping[str, float]:
+        """Return the limits in force by endpoint."""
+        return {
+            endpoint_id: limit.requests_per_s
+            for endpoint_id, limit in self._limits.items()
+            if limit.requests_per_s is not None
+        }
+
+    def dump(self, now_s: float) -> dict:
+        """Return the state as plain data."""
+        return {
+            endpoint_id: {
+                "requests_per_s": limit.requests_per_s,
+                "age_s": now_s - limit.named_s,
+            }
+            for endpoint_id, limit in self._limits.items()
+        }
+
+
+def valid_rate(value: float) -> bool:
+    """Return whether a number can be a limit of requests a second.
+
+    Examples
+    --------
+    >>> [valid_rate(value) for value in (0.0, 0.5, -1.0, float("nan"), 1e9)]
+    [True, True, False, False, False]
+    """
+    return math.isfinite(value) and 0.0 <= value <= MAX_REQUESTS_PER_S
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -160,6 +160,9 @@
             choices=self.assignment.choices,
             running=loads.endpoint_use(self.assignment.first.address, now_s).streams,
             peers=len(loads.peers(now_s)),
+            limit_per_s=self.parts.state.named_limits.requests_per_s(
+                self.assignment.first.endpoint_id
+            ),
             load_age_ms=round(loads.oldest_report_s(now_s) * 1000),
             tickets=len(self.assignment.tickets),
             expected_ms=round(self.assignment.first_event_ms),
@@ -193,6 +196,7 @@
                 self._read_timeout = limit
                 self._restart_timer(limit, timeout_s)
                 head = await upstream.head()
+                self._record_notice(head)
                 failure = self._check_head(head)
                 if failure is not None:
                     return failure
@@ -247,6 +251,23 @@
             and state.has_alternative(admitted.service, tried, now_s)
         )
 
+    def _record_notice(self, head: AnswerHead) -> None:
+        """Record what the endpoint says of itself, and log what changes by it."""
+        notice = self.parts.dialect.read_notice(head.status, head.headers)
+        if notice is None:
+            return
+        endpoint_id = self.assignment.first.endpoint_id
+        now_s = asyncio.get_running_loop().time()
+        if self.parts.state.named_limits.observe(
+            endpoint_id, notice.limit_per_s, now_s
+        ):
+            self.log.write(
+                "limit named",
+                outcome="limited" if notice.limit_per_s is not None else "unlimited",
+                endpoint=endpoint_id,
+                limit_per_s=notice.limit_per_s,
+            )
+
     def _check_head(self, head: AnswerHead) -> Failure | None:
         dialect = self.parts.dialect
         declined = dialect.parse_decline(head.status, head.headers)
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -36,7 +36,7 @@
 
     @classmethod
     def create(cls, meter: Meter, state: GatewayState) -> "GatewayMetrics":
-        """Register the instruments, with a gauge of the age of the configuration."""
+        """Register the instruments, with gauges of the state."""
 
         def contact_age(options: CallbackOptions) -> list[Observation]:
             return [Observation(state.contact.age_s(boot_time_s()))]
@@ -44,7 +44,13 @@
         def restorations(options: CallbackOptions) -> list[Observation]:
             return [Observation(state.store_restorations)]
 
+        def limited_endpoints(options: CallbackOptions) -> list[Observation]:
+            return [Observation(len(state.named_limits.limited()))]
+
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
+        meter.create_observable_gauge(
+            "sorrelhoist_limited_endpoints", [limited_endpoints]
+        )
         meter.create_observable_counter(
             "sorrelhoist_store_restorations", [restorations]
         )
--- a/src/sorrelhoist/gateway/ports.py
+++ b/src/sorrelhoist/gateway/ports.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders
 
 from ..decisions.directory import Endpoint
+from ..decisions.endpoint_notices import EndpointNotice
 from ..decisions.forwarding import Declined
 from ..decisions.routes import Workspace
 
@@ -114,6 +115,9 @@
     def parse_decline(self, status: int, headers: HTTPHeaders) -> Declined | None:
         """Decode an answer that a request was not executed; None for other answers."""
 
+    def read_notice(self, status: int, headers: HTTPHeaders) -> EndpointNotice | None:
+        """Decode what an endpoint says of itself; None if another endpoint answered."""
+
     def is_genuine(self, headers: HTTPHeaders) -> bool:
         """Return whether an answer has a signature of an endpoint."""
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -9,6 +9,7 @@
 from ..decisions.cold_start import ColdStartLimiter
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_failures import FailureTracker
+from ..decisions.endpoint_notices import NamedLimits
 from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
 from ..decisions.peer_configurations import PeerConfigurations
 from ..decisions.peer_failures import PeerFailures
@@ -69,6 +70,7 @@
     loads: LoadTracker = attrs.field(factory=LoadTracker)
     troubles: FailureTracker = attrs.field(factory=FailureTracker)
     faults: FailureTracker = attrs.field(factory=FailureTracker)
+    named_limits: NamedLimits = attrs.field(factory=NamedLimits)
     cold_starts: ColdStartLimiter = attrs.field(factory=ColdStartLimiter)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
     peer_failures: PeerFailures = attrs.field(
@@ -234,5 +236,6 @@
             "troubles": self.troubles.dump(now_s),
             "troubles_of_peers": self.peer_failures.evidence(now_s),
             "retries": self.retries.dump(),
+            "named_limits": self.named_limits.dump(now_s),
             "suspicions": self.suspicions.dump(now_s),
         }
--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -1,14 +1,18 @@
 """Encoding and decoding of the platform's HTTP headers, and of orders to engines."""
 
 import json
+import logging
 
 from tornado.httputil import HTTPHeaders
 
 from ..decisions.directory import Endpoint
+from ..decisions.endpoint_notices import EndpointNotice, valid_rate
 from ..decisions.forwarding import Declined
 from ..exceptions import InvalidRequestError
 from ..gateway.ports import CallerRequest, Helper, Order, PromptSize, SendOptions
 
+logger = logging.getLogger(__name__)
+
 REQUEST_ID_HEADER = "X-Attempt-Id"
 DEADLINE_HEADER = "X-Deadline-Ms"
 RESUME_HEADER = "Last-Event-Id"
@@ -20,6 +24,7 @@
 PRIORITY_HEADER = "X-Request-Priority"
 HELPERS_HEADER = "X-Helpers"
 FAULTY_SERVER_HEADER = "At-Server"
+LIMIT_HEADER = "Server-Limit"
 ORDER_PATH = "/order"
 KEY_SCHEME = "Token "
 
@@ -47,10 +52,16 @@
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 
+MAX_LOGGED, MAX_LOGGED_CHARS = 100, 40
+"""Number and length of malformed header values that are logged."""
+
 
 class PlatformDialect:
     """Translates between the platform's HTTP headers and the gateway's types."""
 
+    def __init__(self) -> None:
+        self._logged_values: set[tuple[str, str]] = set()
+
     def read_request(
         self, method: str, path: str, headers: HTTPHeaders, body: bytes
     ) -> CallerRequest:
@@ -119,6 +130,38 @@
         is_full = status == SERVICE_UNAVAILABLE and not faulty
         return Declined(f"status {status}", faulty, is_full)
 
+    def read_notice(self, status: int, headers: HTTPHeaders) -> EndpointNotice | None:
+        """Return what an endpoint says of itself, or None if another one answered."""
+        if status == MISDIRECTED_REQUEST:
+            return None
+        return EndpointNotice(
+            limit_per_s=self._decode_rate(LIMIT_HEADER, headers.get(LIMIT_HEADER))
+        )
+
+    def _decode_rate(self, name: str, text: str | None) -> float | None:
+        """Decode a rate in requests a second; a malformed one counts as absent."""
+        if text is None:
+            return None
+        try:
+            value = float(text)
+        except ValueError:
+            value = float("nan")
+        if valid_rate(value):
+            return value
+        self._log_malformed(name, text)
+        return None
+
+    def _log_malformed(self, name: str, text: str) -> None:
+        """Log a malformed header of an endpoint, each value once."""
+        shown = (name, text[:MAX_LOGGED_CHARS])
+        if shown in self._logged_values or len(self._logged_values) >= MAX_LOGGED:
+            return
+        self._logged_values.add(shown)
+        logger.warning(
+            "header of an endpoint could not be decoded; ignored",
+            extra={"event": "bad_header", "header": name, "value": shown[1]},
+        )
+
     def is_genuine(self, headers: HTTPHeaders) -> bool:
         """Return whether an endpoint signed the answer and it has no content coding."""
         return SIGNATURE_HEADER in headers and "Content-Encoding" not in headers
