Limits of endpoints: one gateway issues the permits of each endpoint

Cause: no gateway read the limit. The class of fault: a bound over all gateways that is kept by each for itself. A share of the limit for each doesn't bound the sum, since no share is smaller than one request: the sum grows with the fleet. Change: gateways tell each other the limits that they were told. Orders aren't counted. Ruled out: fixed owners of an endpoint without asking (callers of a service of three endpoints would find no capacity at most of 68 gateways).

--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -155,6 +155,11 @@
             return endpoint.endpoint_id in self._departed
         return known.endpoint.is_leaving and not endpoint.is_leaving
 
+    @property
+    def endpoint_ids(self) -> set[str]:
+        """Ids of all endpoints, including those that were removed lately."""
+        return set(self._entries)
+
     def _live_ids(self) -> set[str]:
         return {key for key, one in self._entries.items() if one.removed_s is None}
 
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -92,6 +92,7 @@
                 running(self.follow(exchange)) as following,
                 running(exchange.run()),
                 running(exchange.freshness.run()),
+                running(exchange.permits.run()),
             ):
                 stopped = asyncio.ensure_future(stop.wait())
                 await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
@@ -119,6 +120,7 @@
         )
         front = CallerDelegate(parts)
         exchange = PeerExchange(self.state, self.boot_ms)
+        exchange.permits.on_granted = parts.dispatcher.retry_queued
         transport, _ = await loop.create_datagram_endpoint(
             lambda: exchange, local_addr=(self.addresses.host, self.addresses.peer_port)
         )
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -180,10 +180,13 @@
     def _schedule_retry(self) -> None:
         if self._timer is None and len(self._queue):
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(RETRY_INTERVAL_S, self._retry_queued)
+            self._timer = loop.call_later(RETRY_INTERVAL_S, self.retry_queued)
 
-    def _retry_queued(self) -> None:
-        self._timer = None
+    def retry_queued(self) -> None:
+        """Place queued requests for which there is capacity now."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         now_s = asyncio.get_running_loop().time()
         settled = self._queue.place_pending(
             lambda waiting, may_be_late: self._retry(waiting, may_be_late, now_s), now_s
@@ -212,6 +215,7 @@
         service = table.services.get(placement_request.service) if table else None
         if service is None:
             return Impossible("the service is not declared")
+        self._state.want_permits(placement_request.service, now_s)
         if service.engine is None:
             return self._place_call(placement_request, now_s)
         return self._place_prompt(placement_request, service.engine, may_be_late, now_s)
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -1,21 +1,23 @@
-"""UDP exchange between gateways: load reports, suspicions and freshness queries."""
+"""UDP exchange between gateways: load reports, freshness queries and permits."""
 
 import asyncio
 import contextlib
 import logging
 import math
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine, Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
 import attrs
 
+from ..decisions.endpoint_notices import valid_rate
 from ..decisions.load_tracker import EndpointUse
 from ..decisions.peer_failures import MAX_REPORTED
 from ..exceptions import PeerError
 from ..messages.frames import Message, decode, encode
 from ..messages.gen import ttypes
 from .freshness import MS_PER_S, Freshness, age_ms
+from .permit_exchange import PermitExchange
 from .state import GatewayState, boot_time_s
 
 logger = logging.getLogger(__name__)
@@ -71,6 +73,7 @@
         self._sent_s = float("-inf")
         self._peers: dict[str, _Peer] = {}
         self.freshness = Freshness(state, self._send_to)
+        self.permits = PermitExchange(state, self._send_to)
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -105,10 +108,13 @@
         # A gateway that has just started asks before it first reports its load.
         if isinstance(body, (ttypes.LoadReport, ttypes.FreshnessAsk)):
             self.add_peer(body.node_id, PeerAddress(addr[0], addr[1]))
-        if isinstance(body, ttypes.LoadReport):
-            self._report_received(body)
-        else:
-            self.freshness.message_received(body)
+        match body:
+            case ttypes.LoadReport():
+                self._report_received(body)
+            case ttypes.PermitAsk() | ttypes.PermitGrant():
+                self.permits.message_received(body)
+            case _:
+                self.freshness.message_received(body)
 
     def _report_received(self, body: ttypes.LoadReport) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -129,6 +135,8 @@
             },
             now_s,
         )
+        self.permits.peer_reported(body.node_id, bool(body.issues_permits))
+        self._limits_received(body.named_limits or (), now_s)
         if body.configuration_version is not None:
             now_boot_s = boot_time_s()
             self._state.peer_configurations.heard(
@@ -138,6 +146,18 @@
                 now_boot_s,
             )
 
+    def _limits_received(
+        self, limits: Iterable[ttypes.NamedLimit], now_s: float
+    ) -> None:
+        for limit in limits:
+            rate = limit.requests_per_s
+            if rate is not None and not valid_rate(rate):
+                continue
+            named_s = now_s - (limit.age_ms or 0) / MS_PER_S
+            self._state.named_limits.observe(
+                limit.endpoint_id, rate, named_s, is_own=False
+            )
+
     async def run(self) -> None:
         """Send reports until cancelled."""
         loop = asyncio.get_running_loop()
@@ -172,6 +192,15 @@
                     MAX_REPORTED, now_s
                 ).items()
             ],
+            named_limits=[
+                ttypes.NamedLimit(
+                    endpoint_id, limit.requests_per_s, age_ms(now_s - limit.named_s)
+                )
+                for endpoint_id, limit in self._state.named_limits.to_report(
+                    now_s
+                ).items()
+            ],
+            issues_permits=self.permits.issues_permits(now_s),
         )
         data = encode(Message(0, report))
         for node_id, peer in list(self._peers.items()):
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -13,6 +14,7 @@
 from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
 from ..decisions.peer_configurations import PeerConfigurations
 from ..decisions.peer_failures import PeerFailures
+from ..decisions.permits import PermitHolder
 from ..decisions.placement_demand import EndpointView
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
@@ -30,6 +32,10 @@
 """Lower bound on the number of gateways that share the retry budget, until more are
 known from their reports; the smaller sites have four and five."""
 
+MAX_WANTED = 2
+"""Number of endpoints for whose permits one placement asks: it uses one, and the other
+may be denied."""
+
 
 def boot_time_s() -> float:
     """Return seconds on a clock that also counts while the host is suspended."""
@@ -50,6 +56,12 @@
     retries : RetryBudget
         Retry budget of this gateway.
     rng : random.Random
+    named_limits : NamedLimits
+        Limits that endpoints named for all gateways together.
+    permits : PermitHolder
+        Permits for requests to these endpoints.
+    on_permit_wanted : callable
+        Called when a placement lacks a permit.
     troubles, faults : FailureTracker
         All failures of endpoints, and those that are reported to other gateways: a
         lack of capacity isn't, since each gateway knows the load of all.
@@ -72,6 +84,10 @@
     faults: FailureTracker = attrs.field(factory=FailureTracker)
     named_limits: NamedLimits = attrs.field(factory=NamedLimits)
     cold_starts: ColdStartLimiter = attrs.field(factory=ColdStartLimiter)
+    permits: PermitHolder = attrs.field(
+        default=attrs.Factory(lambda self: PermitHolder(self.node_id), takes_self=True)
+    )
+    on_permit_wanted: Callable[[], None] = lambda: None
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
     peer_failures: PeerFailures = attrs.field(
         default=attrs.Factory(
@@ -164,8 +180,14 @@
     def views(self, service: str, now_s: float) -> list[EndpointView]:
         """Return the usable endpoints of a service with their load.
 
-        An endpoint in a cold start whose rate limit is exhausted is left out.
+        An endpoint in a cold start whose rate limit is exhausted is left out, and so is
+        one that named a limit and for which no permit is at hand.
         """
+        usable = [
+            endpoint
+            for endpoint in self.directory.usable(service, now_s)
+            if not self._lacks_permit(endpoint, now_s)
+        ]
         totals = self.loads.totals(now_s)
         evidence = self.peer_failures.evidence(now_s)
         config = self.table.services.get(service) if self.table else None
@@ -181,7 +203,7 @@
                     evidence.get(endpoint.endpoint_id, 0.0),
                 ),
             )
-            for endpoint in self.directory.usable(service, now_s)
+            for endpoint in usable
             if self._has_cold_capacity(endpoint, cold_rate, now_s)
         ]
 
@@ -194,6 +216,33 @@
             endpoint.endpoint_id, cold_rate, self.gateway_count(now_s), now_s
         )
 
+    def _lacks_permit(self, endpoint: Endpoint, now_s: float) -> bool:
+        limit_per_s = self.named_limits.requests_per_s(endpoint.endpoint_id)
+        return limit_per_s is not None and not self.permits.can_place(
+            endpoint.endpoint_id, now_s
+        )
+
+    def want_permits(self, service: str, now_s: float) -> None:
+        """Ask for permits of some endpoints of a service for which none is at hand."""
+        lacking = [
+            endpoint.endpoint_id
+            for endpoint in self.directory.usable(service, now_s)
+            if self._lacks_permit(endpoint, now_s)
+        ]
+        for endpoint_id in self.rng.sample(lacking, min(MAX_WANTED, len(lacking))):
+            limit_per_s = self.named_limits.requests_per_s(endpoint_id)
+            if limit_per_s is not None and self.permits.want(
+                endpoint_id, limit_per_s, now_s
+            ):
+                self.on_permit_wanted()
+
+    def forget_absent_endpoints(self) -> set[str]:
+        """Drop the limits of endpoints that are gone; return the ids of the others."""
+        present = self.directory.endpoint_ids
+        self.named_limits.retain(present)
+        self.permits.retain(present)
+        return present
+
     def place(
         self,
         request_id: str,
@@ -201,7 +250,7 @@
         uses: tuple[RequestUse, ...],
         now_s: float,
     ) -> None:
-        """Count a placement in the load and in the limit of a cold start."""
+        """Count a placement in the load and in the limits of its endpoint."""
         self.loads.place(request_id, uses, now_s)
         config = self.table.services.get(first.service) if self.table else None
         if config and config.cold_requests_per_s and now_s < first.cold_until_s:
@@ -213,14 +262,19 @@
                 now_s,
             )
 
+        if self.named_limits.requests_per_s(first.endpoint_id) is not None:
+            self.permits.try_place(request_id, first.endpoint_id, now_s)
+
     def request_sent(self, request_id: str) -> None:
         """Record that a placed request is being sent to its endpoint."""
+        self.permits.sent(request_id)
         self.cold_starts.sent(request_id)
 
     def release(self, request_id: str) -> None:
         """Record the end of a placement, whether or not its request was sent."""
         self.loads.release(request_id)
         self.cold_starts.release(request_id)
+        self.permits.release(request_id)
 
     def dump(self, now_s: float) -> dict:
         """Return the state as plain data."""
@@ -236,6 +290,7 @@
             "troubles": self.troubles.dump(now_s),
             "troubles_of_peers": self.peer_failures.evidence(now_s),
             "retries": self.retries.dump(),
+            "permits": self.permits.dump(now_s),
             "named_limits": self.named_limits.dump(now_s),
             "suspicions": self.suspicions.dump(now_s),
         }
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3738,6 +3738,98 @@
         return not (self == other)
 
 
+class NamedLimit(object):
+    """
+    Attributes:
+     - endpoint_id
+     - requests_per_s
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'requests_per_s',
+        'age_ms',
+    )
+
+
+    def __init__(self, endpoint_id=None, requests_per_s=None, age_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.requests_per_s = requests_per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.requests_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NamedLimit')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.requests_per_s is not None:
+            oprot.writeFieldBegin('requests_per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.requests_per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -3750,6 +3842,8 @@
      - configuration_age_ms
      - failure_domain
      - failures
+     - named_limits
+     - issues_permits
 
     """
 
@@ -3763,10 +3857,12 @@
         'configuration_age_ms',
         'failure_domain',
         'failures',
+        'named_limits',
+        'issues_permits',
     )
 
 
-    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None,):
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None,):
         self.node_id = node_id
         self.boot_ms = boot_ms
         self.sequence = sequence
@@ -3776,6 +3872,8 @@
         self.configuration_age_ms = configuration_age_ms
         self.failure_domain = failure_domain
         self.failures = failures
+        self.named_limits = named_limits
+        self.issues_permits = issues_permits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3849,6 +3947,22 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.named_limits = []
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = NamedLimit()
+                        _elem121.read(iprot)
+                        self.named_limits.append(_elem121)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.issues_permits = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3874,15 +3988,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter116 in self.loads:
-                iter116.write(oprot)
+            for iter122 in self.loads:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter117 in self.suspicions:
-                iter117.write(oprot)
+            for iter123 in self.suspicions:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -3900,10 +4014,229 @@
         if self.failures is not None:
             oprot.writeFieldBegin('failures', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.failures))
-            for iter118 in self.failures:
-                iter118.write(oprot)
+            for iter124 in self.failures:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.named_limits is not None:
+            oprot.writeFieldBegin('named_limits', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.named_limits))
+            for iter125 in self.named_limits:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.issues_permits is not None:
+            oprot.writeFieldBegin('issues_permits', TType.BOOL, 11)
+            oprot.writeBool(self.issues_permits)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitAsk(object):
+    """
+    Attributes:
+     - node_id
+     - ask_id
+     - endpoint_id
+     - permits
+     - requests_per_s
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'ask_id',
+        'endpoint_id',
+        'permits',
+        'requests_per_s',
+    )
+
+
+    def __init__(self, node_id=None, ask_id=None, endpoint_id=None, permits=None, requests_per_s=None,):
+        self.node_id = node_id
+        self.ask_id = ask_id
+        self.endpoint_id = endpoint_id
+        self.permits = permits
+        self.requests_per_s = requests_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.permits = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.requests_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitAsk')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 2)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 3)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.permits is not None:
+            oprot.writeFieldBegin('permits', TType.I32, 4)
+            oprot.writeI32(self.permits)
+            oprot.writeFieldEnd()
+        if self.requests_per_s is not None:
+            oprot.writeFieldBegin('requests_per_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.requests_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitGrant(object):
+    """
+    Attributes:
+     - ask_id
+     - endpoint_id
+     - permits
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'endpoint_id',
+        'permits',
+    )
+
+
+    def __init__(self, ask_id=None, endpoint_id=None, permits=None,):
+        self.ask_id = ask_id
+        self.endpoint_id = endpoint_id
+        self.permits = permits
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.permits = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitGrant')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 2)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.permits is not None:
+            oprot.writeFieldBegin('permits', TType.I32, 3)
+            oprot.writeI32(self.permits)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4207,6 +4540,8 @@
      - load_report
      - freshness_ask
      - freshness_answer
+     - permit_ask
+     - permit_grant
 
     """
 
@@ -4242,10 +4577,12 @@
         'load_report',
         'freshness_ask',
         'freshness_answer',
+        'permit_ask',
+        'permit_grant',
     )
 
 
-    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None, freshness_ask=None, freshness_answer=None,):
+    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None, freshness_ask=None, freshness_answer=None, permit_ask=None, permit_grant=None,):
         self.call_id = call_id
         self.grant_request = grant_request
         self.grant = grant
@@ -4277,6 +4614,8 @@
         self.load_report = load_report
         self.freshness_ask = freshness_ask
         self.freshness_answer = freshness_answer
+        self.permit_ask = permit_ask
+        self.permit_grant = permit_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4472,6 +4811,18 @@
                     self.freshness_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.STRUCT:
+                    self.permit_ask = PermitAsk()
+                    self.permit_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.STRUCT:
+                    self.permit_grant = PermitGrant()
+                    self.permit_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4606,6 +4957,14 @@
             oprot.writeFieldBegin('freshness_answer', TType.STRUCT, 31)
             self.freshness_answer.write(oprot)
             oprot.writeFieldEnd()
+        if self.permit_ask is not None:
+            oprot.writeFieldBegin('permit_ask', TType.STRUCT, 32)
+            self.permit_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permit_grant is not None:
+            oprot.writeFieldBegin('permit_grant', TType.STRUCT, 33)
+            self.permit_grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4905,6 +5264,13 @@
     (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
     (2, TType.I32, 'score_percent', None, None, ),  # 2
 )
+all_structs.append(NamedLimit)
+NamedLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'requests_per_s', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -4917,6 +5283,24 @@
     (7, TType.I32, 'configuration_age_ms', None, None, ),  # 7
     (8, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 8
     (9, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailures, None], False), None, ),  # 9
+    (10, TType.LIST, 'named_limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 10
+    (11, TType.BOOL, 'issues_permits', None, None, ),  # 11
+)
+all_structs.append(PermitAsk)
+PermitAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'ask_id', None, None, ),  # 2
+    (3, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'permits', None, None, ),  # 4
+    (5, TType.DOUBLE, 'requests_per_s', None, None, ),  # 5
+)
+all_structs.append(PermitGrant)
+PermitGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'permits', None, None, ),  # 3
 )
 all_structs.append(FreshnessAsk)
 FreshnessAsk.thrift_spec = (
@@ -4971,6 +5355,8 @@
     (29, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 29
     (30, TType.STRUCT, 'freshness_ask', [FreshnessAsk, None], None, ),  # 30
     (31, TType.STRUCT, 'freshness_answer', [FreshnessAnswer, None], None, ),  # 31
+    (32, TType.STRUCT, 'permit_ask', [PermitAsk, None], None, ),  # 32
+    (33, TType.STRUCT, 'permit_grant', [PermitGrant, None], None, ),  # 33
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -272,6 +272,15 @@
   2: i32 score_percent,
 }
 
+// Limit that an endpoint named in an answer to the sender.
+struct NamedLimit {
+  1: string endpoint_id,
+  // Requests a second from all gateways together; absent if the answer named none any more.
+  2: optional double requests_per_s,
+  // Time since that answer.
+  3: i32 age_ms,
+}
+
 // All load that a gateway has placed. A later report replaces an earlier one.
 struct LoadReport {
   1: string node_id,
@@ -286,6 +295,25 @@
   8: optional string failure_domain,
   // Endpoints that failed requests of the sender recently.
   9: optional list<EndpointFailures> failures,
+  10: optional list<NamedLimit> named_limits,
+  // Whether the sender issues permits; absent in reports of a build that knows none.
+  11: optional bool issues_permits,
+}
+
+// Asks the gateway that issues the permits of an endpoint to let requests be sent there.
+struct PermitAsk {
+  1: string node_id,
+  2: i64 ask_id,
+  3: string endpoint_id,
+  4: i32 permits,
+  // Rate at which the endpoint takes requests, as far as the sender knows.
+  5: double requests_per_s,
+}
+
+struct PermitGrant {
+  1: i64 ask_id,
+  2: string endpoint_id,
+  3: i32 permits,
 }
 
 // Asks another gateway how recently it has read the configuration and the directory.
@@ -343,4 +371,6 @@
   29: optional LoadReport load_report,
   30: optional FreshnessAsk freshness_ask,
   31: optional FreshnessAnswer freshness_answer,
+  32: optional PermitAsk permit_ask,
+  33: optional PermitGrant permit_grant,
 }
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -165,7 +165,7 @@
             for n in range(40)
         ]
         await asyncio.sleep(0)
-        dispatch._retry_queued()
+        dispatch.retry_queued()
         await asyncio.sleep(0)
         placed = [one.result() for one in waiting if one.done()]
         for one in waiting:
