Cold starts: one gateway issues the permits of a cold endpoint, too

What a cold endpoint bears was split among the gateways, and each had a bucket of at least one request, so that the sum grew with the fleet. Change: placements on a cold endpoint take the permits that limits brought in; decisions/cold_start is gone. A gateway that knows no peer issues at once. The tests of the dispatcher grant the permits themselves and now state the exact number placed, where they stated a range.

--- a/src/sorrelhoist/decisions/permits.py
+++ b/src/sorrelhoist/decisions/permits.py
@@ -5,8 +5,8 @@
 hashing, issues all permits of an endpoint from one token bucket. A gateway places a
 request on the endpoint only with a permit; one that isn't used soon lapses.
 
-The load pattern is an endpoint that asks all gateways together for few requests, while
-it looks idle to each of them.
+The load pattern is an endpoint that bears few requests while it looks idle to each
+gateway: one that named a limit, or one in a cold start, which fails under more.
 """
 
 import itertools
@@ -93,7 +93,7 @@
 class _Bucket:
     rate_per_s: float
     updated_s: float
-    tokens: float = 0.0
+    tokens: float = 1.0
     asks: dict[str, tuple[Ask, float]] = attrs.field(factory=dict)
 
     def refill(self, now_s: float) -> None:
@@ -114,7 +114,7 @@
     """Issues the permits of endpoints, for the newest asks first.
 
     Under overload the requests behind the oldest asks have been refused already. A
-    bucket starts empty, so that a change of the issuer adds no burst.
+    bucket starts with one permit, so that a change of the issuer adds no burst.
 
     Examples
     --------
@@ -123,10 +123,13 @@
     ...     node_id="g", ask_id=1, endpoint_id="a", permits=1, requests_per_s=10.0
     ... )
     >>> issuer.ask(ask, now_s=0.0)
+    >>> issuer.grants(now_s=0.0)
+    [Grant(node_id='g', ask_id=1, endpoint_id='a', permits=1)]
+    >>> issuer.ask(ask, now_s=0.0)
     >>> issuer.grants(now_s=0.1), round(issuer.next_grant_s(now_s=0.1), 2)
     ([], 0.14)
-    >>> issuer.grants(now_s=0.15)
-    [Grant(node_id='g', ask_id=1, endpoint_id='a', permits=1)]
+    >>> len(issuer.grants(now_s=0.15))
+    1
     """
 
     def __init__(self) -> None:
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -73,7 +73,9 @@
         self._sent_s = float("-inf")
         self._peers: dict[str, _Peer] = {}
         self.freshness = Freshness(state, self._send_to)
-        self.permits = PermitExchange(state, self._send_to)
+        self.permits = PermitExchange(
+            state, self._send_to, has_peers=lambda: bool(self._peers)
+        )
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:
--- a/src/sorrelhoist/gateway/permit_exchange.py
+++ b/src/sorrelhoist/gateway/permit_exchange.py
@@ -13,8 +13,8 @@
 logger = logging.getLogger(__name__)
 
 START_DELAY_S = 1.0
-"""Time after its start in which a gateway issues no permits: two report intervals,
-after which it knows the others."""
+"""Time after its start in which a gateway with peers issues no permits: two report
+intervals, after which it knows which of them do."""
 
 MIN_GRANT_INTERVAL_S = 0.002
 """Lower bound of the interval between two rounds of grants."""
@@ -31,13 +31,19 @@
     state : GatewayState
     send : callable
         ``send(node_id, body)`` sends a message to a peer.
+    has_peers : callable
+        Returns whether any other gateway is known, live or not.
     """
 
     def __init__(
-        self, state: GatewayState, send: Callable[[str, object], None]
+        self,
+        state: GatewayState,
+        send: Callable[[str, object], None],
+        has_peers: Callable[[], bool],
     ) -> None:
         self._state = state
         self._send = send
+        self._has_peers = has_peers
         self._issuer = PermitIssuer()
         self._issuing_peers: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -46,7 +52,9 @@
 
     def issues_permits(self, now_s: float) -> bool:
         """Return whether this gateway may issue permits."""
-        return not self._state.is_stopping and now_s >= self._started_s + START_DELAY_S
+        if self._state.is_stopping:
+            return False
+        return now_s >= self._started_s + START_DELAY_S or not self._has_peers()
 
     def peer_reported(self, node_id: str, issues_permits: bool) -> None:
         """Record whether a peer issues permits."""
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from ..decisions.cold_start import ColdStartLimiter
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.endpoint_notices import NamedLimits
@@ -59,7 +58,7 @@
     named_limits : NamedLimits
         Limits that endpoints named for all gateways together.
     permits : PermitHolder
-        Permits for requests to these endpoints.
+        Permits for requests to these endpoints, and to those in a cold start.
     on_permit_wanted : callable
         Called when a placement lacks a permit.
     troubles, faults : FailureTracker
@@ -83,7 +82,6 @@
     troubles: FailureTracker = attrs.field(factory=FailureTracker)
     faults: FailureTracker = attrs.field(factory=FailureTracker)
     named_limits: NamedLimits = attrs.field(factory=NamedLimits)
-    cold_starts: ColdStartLimiter = attrs.field(factory=ColdStartLimiter)
     permits: PermitHolder = attrs.field(
         default=attrs.Factory(lambda self: PermitHolder(self.node_id), takes_self=True)
     )
@@ -180,8 +178,8 @@
     def views(self, service: str, now_s: float) -> list[EndpointView]:
         """Return the usable endpoints of a service with their load.
 
-        An endpoint in a cold start whose rate limit is exhausted is left out, and so is
-        one that named a limit and for which no permit is at hand.
+        An endpoint that takes few requests (in a cold start, or by a limit that it
+        named) is left out while no permit for it is at hand.
         """
         usable = [
             endpoint
@@ -190,8 +188,6 @@
         ]
         totals = self.loads.totals(now_s)
         evidence = self.peer_failures.evidence(now_s)
-        config = self.table.services.get(service) if self.table else None
-        cold_rate = config.cold_requests_per_s if config else 0.0
         return [
             EndpointView(
                 endpoint=endpoint,
@@ -204,35 +200,34 @@
                 ),
             )
             for endpoint in usable
-            if self._has_cold_capacity(endpoint, cold_rate, now_s)
         ]
 
-    def _has_cold_capacity(
-        self, endpoint: Endpoint, cold_rate: float, now_s: float
-    ) -> bool:
-        if not cold_rate or now_s >= endpoint.cold_until_s:
-            return True
-        return self.cold_starts.can_place(
-            endpoint.endpoint_id, cold_rate, self.gateway_count(now_s), now_s
-        )
+    def _limit_per_s(self, endpoint: Endpoint, now_s: float) -> float | None:
+        """Return what an endpoint takes from all gateways, or None without a limit."""
+        limits_per_s = []
+        named_per_s = self.named_limits.requests_per_s(endpoint.endpoint_id)
+        if named_per_s is not None:
+            limits_per_s.append(named_per_s)
+        config = self.table.services.get(endpoint.service) if self.table else None
+        if config and config.cold_requests_per_s and now_s < endpoint.cold_until_s:
+            limits_per_s.append(config.cold_requests_per_s)
+        return min(limits_per_s, default=None)
 
     def _lacks_permit(self, endpoint: Endpoint, now_s: float) -> bool:
-        limit_per_s = self.named_limits.requests_per_s(endpoint.endpoint_id)
-        return limit_per_s is not None and not self.permits.can_place(
-            endpoint.endpoint_id, now_s
-        )
+        is_limited = self._limit_per_s(endpoint, now_s) is not None
+        return is_limited and not self.permits.can_place(endpoint.endpoint_id, now_s)
 
     def want_permits(self, service: str, now_s: float) -> None:
         """Ask for permits of some endpoints of a service for which none is at hand."""
         lacking = [
-            endpoint.endpoint_id
+            endpoint
             for endpoint in self.directory.usable(service, now_s)
             if self._lacks_permit(endpoint, now_s)
         ]
-        for endpoint_id in self.rng.sample(lacking, min(MAX_WANTED, len(lacking))):
-            limit_per_s = self.named_limits.requests_per_s(endpoint_id)
+        for endpoint in self.rng.sample(lacking, min(MAX_WANTED, len(lacking))):
+            limit_per_s = self._limit_per_s(endpoint, now_s)
             if limit_per_s is not None and self.permits.want(
-                endpoint_id, limit_per_s, now_s
+                endpoint.endpoint_id, limit_per_s, now_s
             ):
                 self.on_permit_wanted()
 
@@ -252,28 +247,16 @@
     ) -> None:
         """Count a placement in the load and in the limits of its endpoint."""
         self.loads.place(request_id, uses, now_s)
-        config = self.table.services.get(first.service) if self.table else None
-        if config and config.cold_requests_per_s and now_s < first.cold_until_s:
-            self.cold_starts.try_place(
-                request_id,
-                first.endpoint_id,
-                config.cold_requests_per_s,
-                self.gateway_count(now_s),
-                now_s,
-            )
-
-        if self.named_limits.requests_per_s(first.endpoint_id) is not None:
+        if self._limit_per_s(first, now_s) is not None:
             self.permits.try_place(request_id, first.endpoint_id, now_s)
 
     def request_sent(self, request_id: str) -> None:
         """Record that a placed request is being sent to its endpoint."""
         self.permits.sent(request_id)
-        self.cold_starts.sent(request_id)
 
     def release(self, request_id: str) -> None:
         """Record the end of a placement, whether or not its request was sent."""
         self.loads.release(request_id)
-        self.cold_starts.release(request_id)
         self.permits.release(request_id)
 
     def dump(self, now_s: float) -> dict:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -142,6 +142,13 @@
     return state, dispatch
 
 
+def grant_permits(state, permits, now_s):
+    """Grant permits for the cold endpoint, as their issuer does over a second."""
+    state.permits.want("i-cold", COLD_REQUESTS_PER_S, now_s)
+    (ask,) = state.permits.asks(now_s)
+    assert state.permits.granted(ask.ask_id, "i-cold", permits, now_s)
+
+
 def call_request(request_id, now_s):
     prompt = placement_request(request_id, 1000)
     return attrs.evolve(
@@ -156,10 +163,11 @@
 def test_one_pass_of_the_queue_places_no_more_than_a_cold_endpoint_bears():
     # All queued requests were placed in one pass of the timer, before the first of
     # them was sent and counted.
-    _, dispatch = cold_dispatcher()
+    state, dispatch = cold_dispatcher()
 
     async def main():
         now_s = asyncio.get_running_loop().time()
+        grant_permits(state, int(COLD_REQUESTS_PER_S), now_s)
         waiting = [
             asyncio.ensure_future(dispatch.place(call_request(f"r{n}", now_s), now_s))
             for n in range(40)
@@ -173,7 +181,7 @@
         await asyncio.gather(*waiting, return_exceptions=True)
         return sum(isinstance(one, Assignment) for one in placed)
 
-    assert 1 <= asyncio.run(main()) <= COLD_REQUESTS_PER_S
+    assert asyncio.run(main()) == COLD_REQUESTS_PER_S
 
 
 async def place_soon(dispatch, request_id):
@@ -190,6 +198,7 @@
     state, dispatch = cold_dispatcher()
 
     async def main():
+        grant_permits(state, 1, asyncio.get_running_loop().time())
         for number in range(50):
             assert await place_soon(dispatch, f"r{number}") is not None
             state.release(f"r{number}")
@@ -201,10 +210,11 @@
     state, dispatch = cold_dispatcher()
 
     async def main():
+        grant_permits(state, 3, asyncio.get_running_loop().time())
         for number in range(50):
             if await place_soon(dispatch, f"r{number}") is None:
                 return number
             state.request_sent(f"r{number}")
             state.release(f"r{number}")
 
-    assert 1 <= asyncio.run(main()) <= COLD_REQUESTS_PER_S
+    assert asyncio.run(main()) == 3
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -191,12 +191,13 @@
     endpoints: dict
     network: VirtualNetwork
     rng: random.Random
+    cold_per_s: float = 0.0
     calls: set = attrs.field(factory=set)
 
     def equip(self, gateway):
         """Give a gateway the configuration and the directory."""
         now_s = asyncio.get_running_loop().time()
-        service = ServiceConfig(name=SERVICE)
+        service = ServiceConfig(name=SERVICE, cold_requests_per_s=self.cold_per_s)
         gateway.state.adopt(
             RouteTable(
                 version=1, routes={("h", "/"): ROUTE}, services={SERVICE: service}
@@ -215,6 +216,15 @@
             self.calls.add(task)
             await asyncio.sleep(self.rng.expovariate(per_s))
 
+    def add(self, endpoint):
+        """Add an endpoint that all gateways know at once."""
+        found = VirtualEndpoint(endpoint)
+        self.endpoints[endpoint.endpoint_id] = found
+        now_s = asyncio.get_running_loop().time()
+        for gateway in self.gateways:
+            gateway.state.directory.put(endpoint, now_s)
+        return found
+
     def restart(self, number, stack):
         """Replace a gateway by one that has just started, at the same address."""
         old = self.gateways[number]
@@ -239,7 +249,7 @@
 
 
 @contextmanager
-def virtual_fleet(count, limits, seed=1, old_every=0, **network):
+def virtual_fleet(count, limits, seed=1, old_every=0, cold_per_s=0.0, **network):
     """Run gateways before one endpoint for each of ``limits``; None is unlimited."""
     rng = random.Random(seed)
     net = VirtualNetwork(rng, **network)
@@ -266,7 +276,7 @@
         )
         for number, limit_per_s in enumerate(limits)
     }
-    fleet = VirtualFleet(gateways, endpoints, net, rng)
+    fleet = VirtualFleet(gateways, endpoints, net, rng, cold_per_s)
     with ExitStack() as stack, pytest.MonkeyPatch.context() as patched:
         # All receivers of a report get the same bytes.
         patched.setattr(peer_exchange, "decode", _decode_once)
