--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -157,6 +157,7 @@
             endpoint=self.assignment.first.endpoint_id,
             helpers=[helper.endpoint_id for helper in self.assignment.helpers],
             prompt_tokens=size.prompt_tokens if size else None,
+            parts=self.admitted.request.shared_parts,
             choices=self.assignment.choices,
             running=loads.endpoint_use(self.assignment.first.address, now_s).streams,
             peers=len(loads.peers(now_s)),
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -285,6 +285,7 @@
             outcome="suspected",
             endpoint=endpoint.endpoint_id,
             running=running + 1,
+            parts=admitted.request.shared_parts,
         )
 
     # Failures and refusals
--- a/src/sorrelhoist/gateway/ports.py
+++ b/src/sorrelhoist/gateway/ports.py
@@ -40,6 +40,8 @@
         Id of the last event that the caller has received, or empty.
     size : PromptSize or None
         None for requests without a prompt.
+    shared_parts : tuple of str
+        Ids of the parts of its prompt that other requests may share.
     body : bytes
     """
 
@@ -52,6 +54,7 @@
     wait_s: float | None = None
     resume_after: str = ""
     size: PromptSize | None = None
+    shared_parts: tuple[str, ...] = ()
     body: bytes = b""
 
 
--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -20,6 +20,7 @@
 WORKSPACE_HEADER = "X-Tenant"
 EXPECTED_ENDPOINT_HEADER = "X-Expect-Instance"
 NOT_RUN_HEADER = "X-Not-Executed"
+PROMPT_PARTS_HEADER = "X-Prompt-Prefix"
 TOKEN_COUNT_HEADER = "X-Token-Count"
 PRIORITY_HEADER = "X-Request-Priority"
 HELPERS_HEADER = "X-Helpers"
@@ -49,6 +50,9 @@
         *(RESUME_HEADER, PRIORITY_HEADER, "Content-Length", "Expect", "Host"),
     )
 )
+MAX_SHARED_PARTS = 64
+"""Parts of a prompt beyond this number are ignored."""
+
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 
@@ -83,6 +87,7 @@
             wait_s=_decode_wait_s(headers.get(DEADLINE_HEADER)),
             resume_after=headers.get(RESUME_HEADER, ""),
             size=_decode_size(headers.get(TOKEN_COUNT_HEADER)),
+            shared_parts=_decode_shared_parts(headers.get(PROMPT_PARTS_HEADER, "")),
             body=body,
         )
 
@@ -250,3 +255,17 @@
         raise InvalidRequestError(
             f"{TOKEN_COUNT_HEADER} is no pair: {text!r}."
         ) from error
+
+
+def _decode_shared_parts(text: str) -> tuple[str, ...]:
+    """Decode the ids of the parts of a prompt, without the last, which is its own.
+
+    Examples
+    --------
+    >>> _decode_shared_parts("5C1e07a2:800, 91bd3f06:410,e4402b7d:250")
+    ('5c1e07a2', '91bd3f06')
+    >>> _decode_shared_parts("5c1e07a2:800"), _decode_shared_parts("")
+    ((), ())
+    """
+    ids = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
+    return tuple(part for part in ids[:-1] if part)[:MAX_SHARED_PARTS]
