Requests with a part under which endpoints die are refused, and no others

Cause: the evidence was kept for a hash of the whole request, which no two of these share. The class of fault: a bound over all gateways whose evidence doesn't add up. Change: evidence is kept for each shared part of a prompt, too, and reported to the other gateways at once. One gateway lets a request through now and then, to see whether the blame still holds. Ruled out: late evidence (all deaths were seen within milliseconds) and deaths discounted as a common failure (no request had two).

--- a/src/sorrelhoist/bench/experiments/virtual_gateways.py
+++ b/src/sorrelhoist/bench/experiments/virtual_gateways.py
@@ -18,9 +18,9 @@
     request_uses,
 )
 from ...decisions.placement_queue import PendingPlacement, PlacementQueue
+from ...decisions.report_rate import report_interval_s
 from ...decisions.routes import EngineCosts
 from ...gateway.dispatch import PROMPT_WAIT_SHARE, RETRY_INTERVAL_S
-from ...gateway.peer_exchange import MAX_DATAGRAMS_PER_S, MIN_REPORT_INTERVAL_S
 from .split_prefill_engine import (
     CHUNK_TOKENS,
     DecodeStream,
@@ -151,9 +151,7 @@
                     )
 
         self.fleet.clock.after(NETWORK_S, arrive)
-        interval_s = max(
-            MIN_REPORT_INTERVAL_S, len(self.fleet.gateways) / MAX_DATAGRAMS_PER_S
-        )
+        interval_s = report_interval_s(len(self.fleet.gateways))
         self.fleet.clock.after(interval_s, self.report)
 
     def arrive(self, request: Request) -> None:
--- a/src/sorrelhoist/decisions/suspicion.py
+++ b/src/sorrelhoist/decisions/suspicion.py
@@ -115,10 +115,37 @@
         death_limit = self._options.deaths_to_condemn
         return alone >= SOLO_DEATHS_TO_CONDEMN or 0 < death_limit <= len(deaths)
 
-    def completed(self, fingerprint: int, now_s: float) -> None:
-        """Clear a request of all deaths so far, since it ran to completion."""
+    def deaths(self, fingerprint: int, now_s: float) -> dict[int, float]:
+        """Return the deaths that a request is suspected of, and their times."""
+        return {
+            key.death_id: item.died_s
+            for key, item in self._evidence(fingerprint, now_s).items()
+        }
+
+    def suspects(self, death: int, now_s: float) -> set[int]:
+        """Return the fingerprints that are suspected of a death."""
+        return {
+            fingerprint
+            for fingerprint in self._by_death.get(death, ())
+            if death in self.deaths(fingerprint, now_s)
+        }
+
+    def completed(
+        self, fingerprint: int, now_s: float, completed_s: float | None = None
+    ) -> None:
+        """Clear a request of all deaths before it ran to completion.
+
+        Parameters
+        ----------
+        fingerprint : int
+        now_s : float
+        completed_s : float, optional
+            Time at which it completed, by default `now_s`.
+        """
+        limit_s = now_s if completed_s is None else completed_s
         for key, item in self._evidence(fingerprint, now_s).items():
-            self._items[key] = attrs.evolve(item, cleared=True, sends=0)
+            if item.died_s <= limit_s:
+                self._items[key] = attrs.evolve(item, cleared=True, sends=0)
 
     def merge(self, suspicions: Iterable[ttypes.Suspicion], now_s: float) -> None:
         """Merge evidence from another process; invalid items are skipped."""
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -60,6 +60,8 @@
         Holds the id of the last event that the caller has received.
     excluded : set of str
         Ids of endpoints that already failed this request.
+    is_trial : bool
+        Whether it is sent although a part of its prompt is blamed for deaths.
     """
 
     request: CallerRequest
@@ -72,6 +74,7 @@
     progress: Progress
     splitter: EventSplitter
     excluded: set[str] = attrs.field(factory=set)
+    is_trial: bool = False
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -145,6 +148,9 @@
             self.parts.state.suspicions.completed(
                 self.admitted.fingerprint, loop.time()
             )
+            self.parts.state.part_suspicions.completed(
+                request.shared_parts, loop.time()
+            )
         return failure
 
     def _log_send(self, left_s: float) -> None:
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -25,6 +25,7 @@
     costs_retry,
     give_up,
 )
+from ..decisions.part_suspicion import Blame
 from ..decisions.peer_configurations import PeerContact
 from ..decisions.placement_demand import Assignment, Busy, Impossible, Placement
 from ..decisions.retry_after import local_refusal_retry_after_s
@@ -136,6 +137,10 @@
         fingerprint = _fingerprint(request)
         if state.suspicions.is_condemned(fingerprint, self.received_s):
             return Refusal(422, "endpoints died each time they ran this request")
+        blame = state.blamed_part(request.shared_parts, self.received_s)
+        is_trial = blame is not None and state.try_part_trial(blame, self.received_s)
+        if blame is not None and not is_trial:
+            return self._part_refusal(blame)
         return AdmittedRequest(
             request=request,
             route=route,
@@ -146,11 +151,26 @@
             deadline_s=self.received_s
             + min(request.wait_s or route.timeout_s, route.timeout_s),
             progress=Progress(
-                repeat=route.repeat, max_endpoints=max(1, route.max_endpoints)
+                repeat=route.repeat,
+                max_endpoints=1 if is_trial else max(1, route.max_endpoints),
             ),
+            is_trial=is_trial,
             splitter=EventSplitter(last_id=request.resume_after),
         )
 
+    def _part_refusal(self, blame: Blame) -> Refusal:
+        """Refuse a request with a part under which endpoints die."""
+        self._log.write(
+            "part blamed",
+            outcome="refused",
+            part=blame.part,
+            deaths=blame.deaths,
+            moments=blame.moments,
+        )
+        return Refusal(
+            422, f"{blame.deaths} endpoints died on prompts with part {blame.part}"
+        )
+
     def _local_refusal(self, reason: str) -> Refusal:
         """Refuse a request that other gateways may be able to serve."""
         state = self.parts.state
@@ -179,6 +199,8 @@
                     self.request.key, admitted.workspace, boot_time_s()
                 ):
                     return give_up(admitted.progress, "its key is not valid any more")
+                if self._is_blamed_now(admitted, loop.time()):
+                    return give_up(admitted.progress, "a part of its prompt is blamed")
                 failure = await self._attempt(admitted, placement)
             finally:
                 state.release(self.request.request_id)
@@ -191,6 +213,11 @@
             if costs_retry(failure) and not state.retries.try_retry(loop.time()):
                 return give_up(admitted.progress, "the retry budget is spent")
 
+    def _is_blamed_now(self, admitted: AdmittedRequest, now_s: float) -> bool:
+        """Return whether endpoints have died on a part of the prompt meanwhile."""
+        blame = self.parts.state.blamed_part(self.request.shared_parts, now_s)
+        return blame is not None and not admitted.is_trial
+
     async def _place(self, admitted: AdmittedRequest) -> Placement:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -273,6 +300,12 @@
         if await is_reachable(endpoint.address):
             return
         now_s = asyncio.get_running_loop().time()
+        self.parts.state.part_suspicions.endpoint_died(
+            endpoint.address,
+            endpoint.endpoint_id,
+            admitted.request.shared_parts,
+            now_s,
+        )
         self.parts.state.suspicions.endpoint_died(
             endpoint.address,
             endpoint.endpoint_id,
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -13,6 +13,7 @@
 from ..decisions.endpoint_notices import valid_rate
 from ..decisions.load_tracker import EndpointUse
 from ..decisions.peer_failures import MAX_REPORTED
+from ..decisions.report_rate import report_interval_s
 from ..exceptions import PeerError
 from ..messages.frames import Message, decode, encode
 from ..messages.gen import ttypes
@@ -22,12 +23,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_DATAGRAMS_PER_S = 400.0
-"""Upper bound on the datagrams a process sends per second, whatever the fleet size."""
-
-MIN_REPORT_INTERVAL_S = 0.025
-"""Minimum interval between reports to all peers: about one engine pass."""
-
 MAX_REPORT_INTERVAL_S = 0.5
 """Interval after which an unchanged report is sent again, so that peers do not expire
 it."""
@@ -36,6 +31,9 @@
 """Time after the last report of a peer, or read of its entry in the store, at which
 this process stops sending it reports. The next report or entry resumes them."""
 
+MAX_PART_SUSPICIONS = 16
+"""Largest number of suspicions of parts in one report: a death has one for each part of
+each request that broke off."""
 
 PERCENT = 100
 
@@ -69,7 +67,7 @@
         self._state = state
         self._boot_ms = boot_ms
         self._sequence = 0
-        self._sent_version = -1
+        self._sent_version = (-1, -1)
         self._sent_s = float("-inf")
         self._peers: dict[str, _Peer] = {}
         self.freshness = Freshness(state, self._send_to)
@@ -128,6 +126,7 @@
             now_s,
         )
         self._state.suspicions.merge(body.suspicions or (), now_s)
+        self._state.part_suspicions.merge(body.part_suspicions or (), now_s)
         self._state.peer_failures.heard(
             body.node_id,
             body.failure_domain or "",
@@ -164,19 +163,17 @@
         """Send reports until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            interval_s = max(
-                MIN_REPORT_INTERVAL_S, len(self._peers) / MAX_DATAGRAMS_PER_S
-            )
-            await asyncio.sleep(interval_s)
+            await asyncio.sleep(report_interval_s(len(self._peers)))
             self._state.update_retry_share(loop.time())
             self._report(loop.time())
 
     def _report(self, now_s: float) -> None:
         loads = self._state.loads
-        is_changed = loads.version != self._sent_version
+        version = (loads.version, self._state.part_suspicions.version)
+        is_changed = version != self._sent_version
         if not is_changed and now_s - self._sent_s < MAX_REPORT_INTERVAL_S:
             return
-        self._sent_version = loads.version
+        self._sent_version = version
         self._sent_s = now_s
         self._sequence += 1
         report = ttypes.LoadReport(
@@ -185,6 +182,9 @@
             sequence=self._sequence,
             loads=[_to_wire(use, now_s) for use in loads.own_uses()],
             suspicions=self._state.suspicions.for_gossip(now_s),
+            part_suspicions=self._state.part_suspicions.for_gossip(
+                now_s, MAX_PART_SUSPICIONS
+            ),
             configuration_version=self._state.version,
             configuration_age_ms=age_ms(self._state.contact.age_s(boot_time_s())),
             failure_domain=self._state.failure_domain,
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -11,10 +11,12 @@
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.endpoint_notices import NamedLimits
 from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
+from ..decisions.part_suspicion import Blame, PartSuspicions
 from ..decisions.peer_configurations import PeerConfigurations
 from ..decisions.peer_failures import PeerFailures
 from ..decisions.permits import PermitHolder
 from ..decisions.placement_demand import EndpointView
+from ..decisions.report_rate import settle_s
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
 from ..decisions.store_contact import StoreContact
@@ -87,6 +89,11 @@
     )
     on_permit_wanted: Callable[[], None] = lambda: None
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
+    part_suspicions: PartSuspicions = attrs.field(
+        default=attrs.Factory(
+            lambda self: PartSuspicions(self.node_id), takes_self=True
+        )
+    )
     peer_failures: PeerFailures = attrs.field(
         default=attrs.Factory(
             lambda self: PeerFailures(self.failure_domain), takes_self=True
@@ -165,6 +172,18 @@
             for endpoint in self.directory.usable(service, now_s)
         )
 
+    def blamed_part(self, parts: tuple[str, ...], now_s: float) -> Blame | None:
+        """Return the part for which a request must not be sent to an endpoint."""
+        if not parts or not len(self.part_suspicions):
+            return None
+        settled_s = settle_s(len(self.loads.peers(now_s)))
+        return self.part_suspicions.blame(parts, now_s, settled_s)
+
+    def try_part_trial(self, blame: Blame, now_s: float) -> bool:
+        """Return whether to let a request with a blamed part through as a trial."""
+        gateways = [self.node_id, *self.loads.peers(now_s)]
+        return self.part_suspicions.try_trial(blame, gateways, now_s)
+
     def update_retry_share(self, now_s: float) -> None:
         """Set the retry budget to this gateway's share among the live gateways."""
         if self.shared_retries is not None:
@@ -276,4 +295,5 @@
             "permits": self.permits.dump(now_s),
             "named_limits": self.named_limits.dump(now_s),
             "suspicions": self.suspicions.dump(now_s),
+            "part_suspicions": self.part_suspicions.dump(now_s),
         }
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3844,6 +3844,7 @@
      - failures
      - named_limits
      - issues_permits
+     - part_suspicions
 
     """
 
@@ -3859,10 +3860,11 @@
         'failures',
         'named_limits',
         'issues_permits',
+        'part_suspicions',
     )
 
 
-    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None,):
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None, part_suspicions=None,):
         self.node_id = node_id
         self.boot_ms = boot_ms
         self.sequence = sequence
@@ -3874,6 +3876,7 @@
         self.failures = failures
         self.named_limits = named_limits
         self.issues_permits = issues_permits
+        self.part_suspicions = part_suspicions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3963,6 +3966,17 @@
                     self.issues_permits = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.part_suspicions = []
+                    (_etype125, _size122) = iprot.readListBegin()
+                    for _i126 in range(_size122):
+                        _elem127 = Suspicion()
+                        _elem127.read(iprot)
+                        self.part_suspicions.append(_elem127)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3988,15 +4002,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter122 in self.loads:
-                iter122.write(oprot)
+            for iter128 in self.loads:
+                iter128.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter123 in self.suspicions:
-                iter123.write(oprot)
+            for iter129 in self.suspicions:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -4014,21 +4028,28 @@
         if self.failures is not None:
             oprot.writeFieldBegin('failures', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.failures))
-            for iter124 in self.failures:
-                iter124.write(oprot)
+            for iter130 in self.failures:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.named_limits is not None:
             oprot.writeFieldBegin('named_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.named_limits))
-            for iter125 in self.named_limits:
-                iter125.write(oprot)
+            for iter131 in self.named_limits:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.issues_permits is not None:
             oprot.writeFieldBegin('issues_permits', TType.BOOL, 11)
             oprot.writeBool(self.issues_permits)
             oprot.writeFieldEnd()
+        if self.part_suspicions is not None:
+            oprot.writeFieldBegin('part_suspicions', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.part_suspicions))
+            for iter132 in self.part_suspicions:
+                iter132.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5285,6 +5306,7 @@
     (9, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailures, None], False), None, ),  # 9
     (10, TType.LIST, 'named_limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 10
     (11, TType.BOOL, 'issues_permits', None, None, ),  # 11
+    (12, TType.LIST, 'part_suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 12
 )
 all_structs.append(PermitAsk)
 PermitAsk.thrift_spec = (
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -298,6 +298,8 @@
   10: optional list<NamedLimit> named_limits,
   // Whether the sender issues permits; absent in reports of a build that knows none.
   11: optional bool issues_permits,
+  // Like suspicions, but of parts of prompts: the fingerprints are those of parts.
+  12: optional list<Suspicion> part_suspicions,
 }
 
 // Asks the gateway that issues the permits of an endpoint to let requests be sent there.
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -22,8 +22,8 @@
     MAX_LOOSE_PART_MS,
     MAX_TIGHT_PART_MS,
 )
+from sorrelhoist.decisions.report_rate import report_interval_s
 from sorrelhoist.decisions.routes import EngineCosts
-from sorrelhoist.gateway.peer_exchange import MAX_DATAGRAMS_PER_S, MIN_REPORT_INTERVAL_S
 
 COSTS = EngineCosts(
     max_running=8,
@@ -186,7 +186,7 @@
 
     def __init__(self, gateways):
         self.arrivals_per_s = ARRIVALS_PER_S * gateways
-        interval_s = max(MIN_REPORT_INTERVAL_S, gateways / MAX_DATAGRAMS_PER_S)
+        interval_s = report_interval_s(gateways)
         self.steps_between_reports = max(1, int(interval_s / STEP_S))
         self.worlds = [
             World(count=2 * gateways, gateways=gateways, seed=n)
