Retry budget: what traffic earns isn't cut by a small share of the slack

Each gateway saved up at most its share of the slack, which is less than one retry in large fleets (106 over 68 gateways: 0.78), so that no gateway could retry whatever its traffic had earned. Evidence: test_a_gateway_with_steady_traffic_can_retry_in_a_fleet_of_any_size fails before with 68 and 300 gateways. The sum was never exceeded: new test with 5 to 300 gateways, idle to busy, before and after. Change: what first attempts earn is kept apart and lapses after a window.

--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -1,5 +1,7 @@
 """Retry budgets, which keep retries after failures from multiplying the load."""
 
+from collections import deque
+
 import attrs
 
 DEFAULT_RATIO = 0.2
@@ -28,7 +30,9 @@
         """Set the budget of one process to its share.
 
         Half of the total is granted as a balance and half over time, so that no
-        window exceeds the total.
+        window exceeds the total. What first attempts earn is kept apart and lapses
+        after a window: a share of the slack may be less than one retry, and must not
+        limit what traffic has earned.
 
         Examples
         --------
@@ -42,6 +46,15 @@
         budget.ratio = self.ratio / 2
         budget.max_balance = share
         budget.floor_per_s = share / self.window_s
+        budget.earned_ttl_s = self.window_s
+
+
+@attrs.frozen
+class _Earned:
+    """Part of a retry that a first attempt earned."""
+
+    retries: float
+    earned_s: float
 
 
 @attrs.define
@@ -56,11 +69,16 @@
         Retries per second that are allowed without any traffic.
     max_balance : float
         Maximum number of retries that can be saved up.
+    earned_ttl_s : float or None
+        Time after which what a first attempt earned lapses. None counts it in the
+        balance instead.
     """
 
     ratio: float = DEFAULT_RATIO
     floor_per_s: float = DEFAULT_FLOOR_PER_S
     max_balance: float = DEFAULT_MAX_BALANCE
+    earned_ttl_s: float | None = None
+    _earned: deque["_Earned"] = attrs.field(init=False, factory=deque)
     _balance: float = attrs.field(init=False)
     _updated_s: float | None = attrs.field(init=False, default=None)
 
@@ -79,7 +97,11 @@
     def record_first_attempt(self, now_s: float) -> None:
         """Record a first attempt, which earns a fraction of a retry."""
         self._refill(now_s)
-        self._add(self.ratio)
+        if self.earned_ttl_s is None:
+            self._add(self.ratio)
+            return
+        self._drop_lapsed(now_s)
+        self._earned.append(_Earned(self.ratio, now_s))
 
     def try_retry(self, now_s: float) -> bool:
         """Spend one retry if the budget allows it.
@@ -90,11 +112,34 @@
             False if the budget is empty: fail the request without a retry.
         """
         self._refill(now_s)
-        if self._balance < 1.0:
+        self._drop_lapsed(now_s)
+        if self._balance + sum(one.retries for one in self._earned) < 1.0:
             return False
-        self._balance -= 1.0
+        wanted = 1.0
+        # What lapses first is spent first.
+        while wanted > 0.0 and self._earned:
+            oldest = self._earned.popleft()
+            used = min(wanted, oldest.retries)
+            wanted -= used
+            if used < oldest.retries:
+                left = _Earned(oldest.retries - used, oldest.earned_s)
+                self._earned.appendleft(left)
+        self._balance -= wanted
         return True
 
+    def _drop_lapsed(self, now_s: float) -> None:
+        ttl_s = self.earned_ttl_s
+        while (
+            ttl_s is not None
+            and self._earned
+            and now_s - self._earned[0].earned_s >= ttl_s
+        ):
+            self._earned.popleft()
+
     def dump(self) -> dict:
         """Return the state as plain data for the state dump."""
-        return {"balance": self._balance, "ratio": self.ratio}
+        return {
+            "balance": self._balance,
+            "earned": sum(one.retries for one in self._earned),
+            "ratio": self.ratio,
+        }
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -1,8 +1,12 @@
+"""Retry budgets: of one process, and of all gateways together."""
+
+import random
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sorrelhoist.decisions.retries import RetryBudget
+from sorrelhoist.decisions.retries import RetryBudget, SharedRetryBudget
 
 
 def spend_all(budget, now_s):
@@ -35,3 +39,45 @@
         else:
             retries += budget.try_retry(now_s)
     assert retries <= 50 + 0.2 * attempts + 2.0 * now_s + 1e-6
+
+
+# Budgets shared between gateways
+
+SHARED = SharedRetryBudget(ratio=0.2, slack=106.0, window_s=10.0)
+FLEETS = pytest.mark.parametrize("count", [5, 30, 68, 300])
+
+
+def shared_budgets(count):
+    budgets = [RetryBudget() for _ in range(count)]
+    for budget in budgets:
+        SHARED.set_process_share(budget, count)
+    return budgets
+
+
+@FLEETS
+@pytest.mark.parametrize("per_s", [0.1, 1.0, 10.0])
+def test_all_gateways_together_keep_to_the_shared_budget(count, per_s):
+    # Each attempt fails, after an idle time or a steady load.
+    budgets, rng = shared_budgets(count), random.Random(count)
+    sent_s, retried_s = [], []
+    for step in range(400):
+        now_s = 60.0 + step * 0.1
+        for budget in budgets:
+            if rng.random() < per_s * 0.1:
+                budget.record_first_attempt(now_s)
+                sent_s.append(now_s)
+                if now_s > 75.0 and budget.try_retry(now_s):
+                    retried_s.append(now_s)
+    for end_s in range(80, 100):
+        windows = (end_s - 10.0, end_s - 15.0, end_s - 20.0)
+        requests = max(sum(a <= one < a + 10.0 for one in sent_s) for a in windows)
+        retries = sum(end_s - 10.0 <= one < end_s for one in retried_s)
+        assert retries <= 0.2 * requests + 106.0
+
+
+@FLEETS
+def test_a_gateway_with_steady_traffic_can_retry_in_a_fleet_of_any_size(count):
+    budget = shared_budgets(count)[0]
+    for step in range(100):
+        budget.record_first_attempt(60.0 + step * 0.1)
+    assert budget.try_retry(70.0)
