Endpoints that say in their answers that they are leaving get no new requests

Before, only the store's record made an endpoint leaving. Change: the notice in an answer's head (plain, error, declined, stream) makes it leaving at once, and the other gateways hear of it in the next report. It goes before the store's record, whatever that says later, until the endpoint starts again ('born'); the order of evidence is a table in tests/decisions/test_directory.py. Queued and reserved work is checked right before each send, as before. The digest of the directory now holds 'born', so that gateways of the former build and of this one don't confirm each other's directory and read it themselves while both run.

--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -18,6 +18,18 @@
 from which the store may come back."""
 
 
+LEAVING_GRACE_S = 1.0
+"""Time for which an endpoint that says in its answers that it is leaving is still used
+if its service has no other: half of the time for which leaving endpoints go on serving.
+"""
+
+LEAVING_REPORT_S = 10.0
+"""Time for which peers are told of such an endpoint; its record follows soon."""
+
+MAX_REPORTED_LEAVING = 32
+"""Largest number of such endpoints in one report, the newest."""
+
+
 @attrs.frozen(kw_only=True)
 class Endpoint:
     """One process lifetime of an endpoint, as it registered itself.
@@ -32,6 +44,9 @@
     is_leaving : bool
     cold_until_s : float
         Time at which its cold start ends.
+    born_ms : int
+        Time of its start, Unix milliseconds; 0 if it doesn't say. A process that starts
+        again under the same id has another.
     """
 
     endpoint_id: str
@@ -41,6 +56,7 @@
     capacity: int
     is_leaving: bool = False
     cold_until_s: float = 0.0
+    born_ms: int = 0
 
 
 @attrs.frozen
@@ -66,6 +82,24 @@
     removed_s: float | None = None
 
 
+@attrs.frozen
+class Leaving:
+    """What an endpoint said of its leaving in an answer.
+
+    Parameters
+    ----------
+    born_ms : int
+        Start of the process that said it.
+    said_s : float
+    is_own : bool
+        Whether the answer came to this gateway.
+    """
+
+    born_ms: int
+    said_s: float
+    is_own: bool
+
+
 def _digest_of(endpoint: Endpoint) -> int:
     fields = (
         endpoint.endpoint_id,
@@ -75,6 +109,7 @@
         str(endpoint.capacity),
         str(endpoint.is_leaving),
         str(endpoint.cold_until_s > 0),
+        *([str(endpoint.born_ms)] if endpoint.born_ms else []),
     )
     # The message field is a signed 64-bit integer.
     return xxhash.xxh3_64_intdigest("\0".join(fields).encode()) >> 1
@@ -88,6 +123,9 @@
     `REMOVAL_HOLD_S` after the directory is back, since a live endpoint registers again
     within that time. The same holds for one that is missing after the store came back
     from an older copy.
+
+    Of two sources, an answer in which an endpoint says that it is leaving goes before
+    its registration, whatever that says later, until the endpoint starts again.
     """
 
     def __init__(self) -> None:
@@ -96,6 +134,9 @@
         self._read_s = float("-inf")
         self._hold_until_s = float("-inf")
         self._departed: dict[str, float] = {}
+        self._leaving: dict[str, Leaving] = {}
+        self.leaving_version = 0
+        """Number of endpoints that told this gateway that they are leaving."""
 
     def read_succeeded(self, now_s: float) -> None:
         """Record a complete read; a long gap before it counts as an outage."""
@@ -108,6 +149,9 @@
         known = self._entries.get(endpoint.endpoint_id)
         self._entries[endpoint.endpoint_id] = _Entry(endpoint, now_s)
         self._departed.pop(endpoint.endpoint_id, None)
+        said = self._leaving.get(endpoint.endpoint_id)
+        if said is not None and said.born_ms != endpoint.born_ms:
+            del self._leaving[endpoint.endpoint_id]
         if known is None or known.removed_s is not None:
             return True
         # Each heartbeat reports the end of the cold start again, so it is ignored.
@@ -128,6 +172,50 @@
         for endpoint_id in self._entries.keys() - endpoint_ids:
             self.remove(endpoint_id, now_s)
 
+    def said_leaving(
+        self, endpoint_id: str, born_ms: int, now_s: float, is_own: bool = True
+    ) -> bool:
+        """Record that an endpoint said in an answer that it is leaving.
+
+        Parameters
+        ----------
+        endpoint_id : str
+        born_ms : int
+            `Endpoint.born_ms` of the process that said it.
+        now_s : float
+        is_own : bool
+            Whether the answer came to this gateway; others' aren't reported again.
+
+        Returns
+        -------
+        bool
+            Whether this is news. It isn't if the endpoint has started again since.
+        """
+        entry = self._entries.get(endpoint_id)
+        if entry is None or entry.endpoint.born_ms != born_ms:
+            return False
+        known = self._leaving.get(endpoint_id)
+        if known is not None and (known.is_own or not is_own):
+            return False
+        said_s = known.said_s if known else now_s
+        self._leaving[endpoint_id] = Leaving(born_ms, said_s, is_own)
+        self.leaving_version += is_own
+        return known is None
+
+    def leaving_to_report(self, now_s: float) -> dict[str, Leaving]:
+        """Return the endpoints that told this gateway lately that they are leaving."""
+        own = [
+            (endpoint_id, said)
+            for endpoint_id, said in self._leaving.items()
+            if said.is_own and now_s - said.said_s < LEAVING_REPORT_S
+        ]
+        return dict(own[-MAX_REPORTED_LEAVING:])
+
+    @property
+    def leaving_ids(self) -> set[str]:
+        """Ids of the endpoints that said in an answer that they are leaving."""
+        return set(self._leaving)
+
     def restore(self, copy: Sequence[Endpoint], now_s: float) -> Restored:
         """Merge a complete read of a store that came back from an older copy.
 
@@ -181,21 +269,37 @@
         return self._domains_out
 
     def usable(self, service: str, now_s: float) -> list[Endpoint]:
-        """Return the endpoints of a service that may get new work."""
+        """Return the endpoints of a service that may get new work.
+
+        If all say in their answers that they are leaving, those that began to say so
+        within `LEAVING_GRACE_S` may.
+        """
         self._drop_expired(now_s)
-        return [
+        found = [
             entry.endpoint
             for entry in self._entries.values()
-            if entry.endpoint.service == service
-            and not entry.endpoint.is_leaving
-            and entry.endpoint.failure_domain not in self._domains_out
-            and (entry.removed_s is None or now_s < self._hold_until_s)
+            if entry.endpoint.service == service and self._is_open(entry, now_s)
+        ]
+        staying = [one for one in found if one.endpoint_id not in self._leaving]
+        return staying or [
+            one
+            for one in found
+            if now_s - self._leaving[one.endpoint_id].said_s < LEAVING_GRACE_S
         ]
 
     def is_usable(self, endpoint: Endpoint, now_s: float) -> bool:
         """Return whether a previously chosen endpoint may still get work."""
         entry = self._entries.get(endpoint.endpoint_id)
-        if entry is None or entry.endpoint.is_leaving:
+        if entry is None or not self._is_open(entry, now_s):
+            return False
+        if endpoint.endpoint_id not in self._leaving:
+            return True
+        usable = self.usable(endpoint.service, now_s)
+        return any(one.endpoint_id == endpoint.endpoint_id for one in usable)
+
+    def _is_open(self, entry: _Entry, now_s: float) -> bool:
+        """Return whether an endpoint may get work as far as the store's records say."""
+        if entry.endpoint.is_leaving:
             return False
         if entry.endpoint.failure_domain in self._domains_out:
             return False
@@ -209,6 +313,7 @@
         ]
         for key in gone:
             del self._entries[key]
+            self._leaving.pop(key, None)
             self._remember_departed(key, now_s)
 
     @property
@@ -231,7 +336,10 @@
             "domains_out": sorted(self._domains_out),
             "endpoints": {
                 key: attrs.asdict(entry.endpoint)
-                | {"removed": entry.removed_s is not None}
+                | {
+                    "removed": entry.removed_s is not None,
+                    "said_leaving": key in self._leaving,
+                }
                 for key, entry in self._entries.items()
             },
         }
--- a/src/sorrelhoist/decisions/endpoint_notices.py
+++ b/src/sorrelhoist/decisions/endpoint_notices.py
@@ -24,9 +24,12 @@
     ----------
     limit_per_s : float or None
         Requests a second that it takes from all gateways together, if it names a limit.
+    is_leaving : bool
+        Whether it is about to leave and takes no new requests.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 @attrs.define
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -274,6 +274,13 @@
                 endpoint=endpoint_id,
                 limit_per_s=notice.limit_per_s,
             )
+        endpoint = self.assignment.first
+        if notice.is_leaving and self.parts.state.directory.said_leaving(
+            endpoint.endpoint_id, endpoint.born_ms, now_s
+        ):
+            self.log.write(
+                "endpoint leaving", outcome="leaving", endpoint=endpoint.endpoint_id
+            )
 
     def _check_head(self, head: AnswerHead) -> Failure | None:
         dialect = self.parts.dialect
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -47,7 +47,13 @@
         def limited_endpoints(options: CallbackOptions) -> list[Observation]:
             return [Observation(len(state.named_limits.limited()))]
 
+        def leaving_endpoints(options: CallbackOptions) -> list[Observation]:
+            return [Observation(len(state.directory.leaving_ids))]
+
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
+        meter.create_observable_gauge(
+            "sorrelhoist_leaving_endpoints", [leaving_endpoints]
+        )
         meter.create_observable_gauge(
             "sorrelhoist_limited_endpoints", [limited_endpoints]
         )
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -67,7 +67,7 @@
         self._state = state
         self._boot_ms = boot_ms
         self._sequence = 0
-        self._sent_version = (-1, -1)
+        self._sent_version = (-1, -1, -1)
         self._sent_s = float("-inf")
         self._peers: dict[str, _Peer] = {}
         self.freshness = Freshness(state, self._send_to)
@@ -138,6 +138,18 @@
         )
         self.permits.peer_reported(body.node_id, bool(body.issues_permits))
         self._limits_received(body.named_limits or (), now_s)
+        for leaving in body.leaving or ():
+            if self._state.directory.said_leaving(
+                leaving.endpoint_id, leaving.born_ms or 0, now_s, is_own=False
+            ):
+                logger.info(
+                    "endpoint is leaving",
+                    extra={
+                        "event": "endpoint_leaving",
+                        "endpoint": leaving.endpoint_id,
+                        "heard_from": body.node_id,
+                    },
+                )
         if body.configuration_version is not None:
             now_boot_s = boot_time_s()
             self._state.peer_configurations.heard(
@@ -169,7 +181,11 @@
 
     def _report(self, now_s: float) -> None:
         loads = self._state.loads
-        version = (loads.version, self._state.part_suspicions.version)
+        version = (
+            loads.version,
+            self._state.part_suspicions.version,
+            self._state.directory.leaving_version,
+        )
         is_changed = version != self._sent_version
         if not is_changed and now_s - self._sent_s < MAX_REPORT_INTERVAL_S:
             return
@@ -203,6 +219,12 @@
                 ).items()
             ],
             issues_permits=self.permits.issues_permits(now_s),
+            leaving=[
+                ttypes.LeavingEndpoint(endpoint_id, said.born_ms)
+                for endpoint_id, said in self._state.directory.leaving_to_report(
+                    now_s
+                ).items()
+            ],
         )
         data = encode(Message(0, report))
         for node_id, peer in list(self._peers.items()):
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3830,6 +3830,86 @@
         return not (self == other)
 
 
+class LeavingEndpoint(object):
+    """
+    Attributes:
+     - endpoint_id
+     - born_ms
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'born_ms',
+    )
+
+
+    def __init__(self, endpoint_id=None, born_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.born_ms = born_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingEndpoint')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -3845,6 +3925,7 @@
      - named_limits
      - issues_permits
      - part_suspicions
+     - leaving
 
     """
 
@@ -3861,10 +3942,11 @@
         'named_limits',
         'issues_permits',
         'part_suspicions',
+        'leaving',
     )
 
 
-    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None, part_suspicions=None,):
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None, part_suspicions=None, leaving=None,):
         self.node_id = node_id
         self.boot_ms = boot_ms
         self.sequence = sequence
@@ -3877,6 +3959,7 @@
         self.named_limits = named_limits
         self.issues_permits = issues_permits
         self.part_suspicions = part_suspicions
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3977,6 +4060,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = LeavingEndpoint()
+                        _elem133.read(iprot)
+                        self.leaving.append(_elem133)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4002,15 +4096,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter128 in self.loads:
-                iter128.write(oprot)
+            for iter134 in self.loads:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter129 in self.suspicions:
-                iter129.write(oprot)
+            for iter135 in self.suspicions:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -4028,15 +4122,15 @@
         if self.failures is not None:
             oprot.writeFieldBegin('failures', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.failures))
-            for iter130 in self.failures:
-                iter130.write(oprot)
+            for iter136 in self.failures:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.named_limits is not None:
             oprot.writeFieldBegin('named_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.named_limits))
-            for iter131 in self.named_limits:
-                iter131.write(oprot)
+            for iter137 in self.named_limits:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.issues_permits is not None:
@@ -4046,8 +4140,15 @@
         if self.part_suspicions is not None:
             oprot.writeFieldBegin('part_suspicions', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_suspicions))
-            for iter132 in self.part_suspicions:
-                iter132.write(oprot)
+            for iter138 in self.part_suspicions:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter139 in self.leaving:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5292,6 +5393,12 @@
     (2, TType.DOUBLE, 'requests_per_s', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(LeavingEndpoint)
+LeavingEndpoint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -5307,6 +5414,7 @@
     (10, TType.LIST, 'named_limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 10
     (11, TType.BOOL, 'issues_permits', None, None, ),  # 11
     (12, TType.LIST, 'part_suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 12
+    (13, TType.LIST, 'leaving', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 13
 )
 all_structs.append(PermitAsk)
 PermitAsk.thrift_spec = (
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -281,6 +281,13 @@
   3: i32 age_ms,
 }
 
+// Endpoint that said in an answer to the sender that it is leaving.
+struct LeavingEndpoint {
+  1: string endpoint_id,
+  // Start of the process that said it, Unix milliseconds; 0 if unknown.
+  2: i64 born_ms,
+}
+
 // All load that a gateway has placed. A later report replaces an earlier one.
 struct LoadReport {
   1: string node_id,
@@ -300,6 +307,7 @@
   11: optional bool issues_permits,
   // Like suspicions, but of parts of prompts: the fingerprints are those of parts.
   12: optional list<Suspicion> part_suspicions,
+  13: optional list<LeavingEndpoint> leaving,
 }
 
 // Asks the gateway that issues the permits of an endpoint to let requests be sent there.
--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -26,6 +26,7 @@
 HELPERS_HEADER = "X-Helpers"
 FAULTY_SERVER_HEADER = "At-Server"
 LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
 ORDER_PATH = "/order"
 KEY_SCHEME = "Token "
 
@@ -140,7 +141,8 @@
         if status == MISDIRECTED_REQUEST:
             return None
         return EndpointNotice(
-            limit_per_s=self._decode_rate(LIMIT_HEADER, headers.get(LIMIT_HEADER))
+            limit_per_s=self._decode_rate(LIMIT_HEADER, headers.get(LIMIT_HEADER)),
+            is_leaving=headers.get(LEAVING_HEADER, "").strip() == "1",
         )
 
     def _decode_rate(self, name: str, text: str | None) -> float | None:
--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -159,6 +159,7 @@
             capacity=max(1, int(capacity)),
             is_leaving=state == "draining",
             cold_until_s=now_s + cold_ms / 1000 if cold_ms > 0 else 0.0,
+            born_ms=int(fields.get("born", 0)),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise MalformedRecordError(f"endpoint {key}: {error!r}") from error
--- a/tests/decisions/test_directory.py
+++ b/tests/decisions/test_directory.py
@@ -1,8 +1,11 @@
 """Endpoints that register, leave, expire and register again."""
 
 import attrs
+import pytest
 
 from sorrelhoist.decisions.directory import (
+    LEAVING_GRACE_S,
+    LEAVING_REPORT_S,
     OUTAGE_GAP_S,
     REMOVAL_HOLD_S,
     Directory,
@@ -138,3 +141,81 @@
     assert directory.usable("llm", 10.5 + REMOVAL_HOLD_S) == []
     assert directory.restore([ONE], 14.0).refused == ("i-1",)
     assert directory.usable("llm", 14.0) == []
+
+
+# Endpoints that say in their answers that they are leaving
+
+BORN = attrs.evolve(ONE, born_ms=1000)
+OTHER = attrs.evolve(ONE, endpoint_id="i-2", address="10.0.0.2:80", born_ms=1000)
+
+
+def record(**changes):
+    return lambda directory, now_s: directory.put(attrs.evolve(BORN, **changes), now_s)
+
+
+def answer(born_ms=1000, is_own=True):
+    return lambda directory, now_s: directory.said_leaving(
+        "i-1", born_ms, now_s, is_own
+    )
+
+
+def restored_copy(directory, now_s):
+    directory.restore([BORN, OTHER], now_s)
+
+
+@pytest.mark.parametrize(
+    "events, is_usable",
+    [
+        ([answer()], False),
+        ([answer(is_own=False)], False),
+        ([answer(), record()], False),
+        ([answer(is_own=False), record()], False),
+        ([answer(), record(is_leaving=True), record()], False),
+        ([answer(), restored_copy], False),
+        ([record(is_leaving=True), answer(), restored_copy], False),
+        ([answer(), record(born_ms=2000)], True),
+        ([answer(), record(born_ms=2000), answer()], True),
+        ([answer(), record(born_ms=2000), answer(born_ms=2000)], False),
+        ([answer(), record(address="10.0.0.9:80", born_ms=2000)], True),
+        ([answer(born_ms=900)], True),
+        ([record(is_leaving=True), record()], True),
+    ],
+)
+def test_order_of_evidence_that_an_endpoint_is_leaving(events, is_usable):
+    directory = known()
+    directory.put(BORN, 10.0)
+    directory.put(OTHER, 10.0)
+    for number, event in enumerate(events):
+        event(directory, 10.1 + number * 0.1)
+    usable = [one.endpoint_id for one in directory.usable("llm", 12.0)]
+    assert usable == (["i-1", "i-2"] if is_usable else ["i-2"])
+    found = attrs.evolve(BORN, endpoint_id="i-1")
+    assert directory.is_usable(found, 12.0) is is_usable
+
+
+def test_an_endpoint_of_another_id_at_the_address_of_one_that_leaves_is_usable():
+    directory = known()
+    directory.put(BORN, 10.0)
+    directory.said_leaving("i-1", 1000, 10.1)
+    directory.put(attrs.evolve(BORN, endpoint_id="i-9", born_ms=2000), 10.2)
+    assert [one.endpoint_id for one in directory.usable("llm", 10.3)] == ["i-9"]
+
+
+def test_if_all_leave_they_are_used_for_a_while():
+    directory = known()
+    directory.put(BORN, 10.0)
+    directory.said_leaving("i-1", 1000, 10.1)
+    assert directory.is_usable(BORN, 10.1 + LEAVING_GRACE_S / 2)
+    assert directory.usable("llm", 10.1 + LEAVING_GRACE_S) == []
+    assert not directory.is_usable(BORN, 10.1 + LEAVING_GRACE_S)
+
+
+def test_only_own_answers_are_reported_to_the_others():
+    directory = known()
+    directory.put(BORN, 10.0)
+    directory.put(OTHER, 10.0)
+    assert directory.said_leaving("i-1", 1000, 10.1)
+    assert not directory.said_leaving("i-1", 1000, 10.2)
+    assert directory.said_leaving("i-2", 1000, 10.2, is_own=False)
+    assert list(directory.leaving_to_report(10.3)) == ["i-1"]
+    assert directory.leaving_to_report(10.1 + LEAVING_REPORT_S) == {}
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -235,12 +235,13 @@
     return b"".join(event(number) for number in range(first, last + 1))
 
 
-def streams(count=5, pause_s=0.0, break_after=None, torn=b"", end=True):
+def streams(count=5, pause_s=0.0, break_after=None, torn=b"", end=True, extra=()):
     """Stream the events after the request's ``Last-Event-Id``."""
 
     async def script(received, writer):
         first = int(received.headers.get("last-event-id", 0)) + 1
-        headers = [*echo_headers(received), ("Content-Type", "text/event-stream")]
+        headers = [*echo_headers(received), *extra]
+        headers.append(("Content-Type", "text/event-stream"))
         headers.append(("Transfer-Encoding", "chunked"))
         writer.write(answer_bytes(200, headers, length=False))
         for number in range(first, count + 1):
