Endpoints that turn a request away with a Retry-After get nothing until its end

Change: the endpoint is full for this gateway until the pause ends, and up to a quarter of it longer, drawn by each gateway, so that they don't return together. Checked again right before each send. A pause is no failure; retries after it leave a quarter of the retry budget. A request that could only go to endpoints that want pauses waits if its time allows, else it is refused at once with the end of the first pause as Retry-After. In test_exchange the test of faults that are reported now waits for the end of the pause of 1 s that its endpoint asks for, before it expects the gateway to find that it is gone; what it asserts is unchanged. Orders (reservations, releases) go on: they free memory that the endpoint needs. The gateway sends no probes.

--- a/src/sorrelhoist/decisions/endpoint_notices.py
+++ b/src/sorrelhoist/decisions/endpoint_notices.py
@@ -26,10 +26,13 @@
         Requests a second that it takes from all gateways together, if it names a limit.
     is_leaving : bool
         Whether it is about to leave and takes no new requests.
+    pause_s : float or None
+        Time for which it wants no requests from this gateway, if it asks for a pause.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 @attrs.define
--- a/src/sorrelhoist/decisions/forwarding.py
+++ b/src/sorrelhoist/decisions/forwarding.py
@@ -12,6 +12,9 @@
 """Maximum number of endpoints that may decline a request before it is refused: each
 costs a round trip and a part of the shared retry budget."""
 
+PAUSE_KEPT_SHARE = 0.25
+"""Share of the retry budget that retries after a request for a pause leave unused."""
+
 
 @attrs.frozen
 class NotSent:
@@ -46,11 +49,14 @@
         Address of another endpoint that it depended on, if it named one.
     is_full : bool
         Whether it had no free capacity, which is not a fault.
+    asks_for_pause : bool
+        Whether it also said for how long it wants no requests from this gateway.
     """
 
     detail: str
     faulty_address: str = ""
     is_full: bool = False
+    asks_for_pause: bool = False
 
 
 @attrs.frozen
@@ -205,6 +211,24 @@
             return True
 
 
+def kept_share(failure: Failure) -> float:
+    """Return the share of the retry budget that a retry must leave to other failures.
+
+    Endpoints that ask for a pause turn many requests away, and must not use up what
+    requests need whose endpoint has failed.
+
+    Examples
+    --------
+    >>> kept_share(Declined("full", asks_for_pause=True)), kept_share(Broken("reset"))
+    (0.25, 0.0)
+    """
+    match failure:
+        case Declined(asks_for_pause=True):
+            return PAUSE_KEPT_SHARE
+        case _:
+            return 0.0
+
+
 def give_up(progress: Progress, reason: str) -> NextStep:
     """Choose the answer to a request that has no usable endpoint or no time left."""
     if progress.runs or progress.has_begun or progress.is_in_flight:
--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -103,9 +103,15 @@
         self._drop_lapsed(now_s)
         self._earned.append(_Earned(self.ratio, now_s))
 
-    def try_retry(self, now_s: float) -> bool:
+    def try_retry(self, now_s: float, kept_share: float = 0.0) -> bool:
         """Spend one retry if the budget allows it.
 
+        Parameters
+        ----------
+        now_s : float
+        kept_share : float
+            Share of the maximum balance that must be left.
+
         Returns
         -------
         bool
@@ -113,7 +119,8 @@
         """
         self._refill(now_s)
         self._drop_lapsed(now_s)
-        if self._balance + sum(one.retries for one in self._earned) < 1.0:
+        left = self._balance + sum(one.retries for one in self._earned) - 1.0
+        if left < kept_share * self.max_balance:
             return False
         wanted = 1.0
         # What lapses first is spent first.
@@ -122,8 +129,7 @@
             used = min(wanted, oldest.retries)
             wanted -= used
             if used < oldest.retries:
-                left = _Earned(oldest.retries - used, oldest.earned_s)
-                self._earned.appendleft(left)
+                self._earned.appendleft(_Earned(oldest.retries - used, oldest.earned_s))
         self._balance -= wanted
         return True
 
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -281,6 +281,17 @@
             self.log.write(
                 "endpoint leaving", outcome="leaving", endpoint=endpoint.endpoint_id
             )
+        if notice.pause_s is not None:
+            until_s = self.parts.state.pauses.pause(
+                endpoint, notice.pause_s, self.parts.state.rng, now_s
+            )
+            self.log.write(
+                "pause asked",
+                outcome="paused",
+                endpoint=endpoint.endpoint_id,
+                asked_s=notice.pause_s,
+                left_s=round(until_s - now_s, 3),
+            )
 
     def _check_head(self, head: AnswerHead) -> Failure | None:
         dialect = self.parts.dialect
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -123,7 +123,8 @@
             )
             if not isinstance(placement, Busy):
                 return placement
-        if waiting.give_up_s <= now_s:
+        pause_s = self._state.pause_left_s(placement_request.service, now_s) or 0.0
+        if waiting.give_up_s <= now_s + pause_s:
             return Busy()
         future = asyncio.get_running_loop().create_future()
         self._pending[waiting] = (placement_request, future)
@@ -144,8 +145,15 @@
         """Record for the drain rate that a request ended and freed its slot."""
         self._drains.setdefault(service, DrainRate()).ended(now_s)
 
-    def retry_after_s(self, service: str) -> float:
-        """Return the Retry-After of a refusal, from the backlog and the drain rate."""
+    def retry_after_s(self, service: str, now_s: float) -> float:
+        """Return the Retry-After of a refusal.
+
+        It is the end of the first pause if all endpoints want one; otherwise it follows
+        from the backlog and the drain rate.
+        """
+        pause_s = self._state.pause_left_s(service, now_s)
+        if pause_s is not None:
+            return pause_s
         drain = self._drains.get(service) or DrainRate()
         waiting = sum(
             placement_request.service == service
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -24,6 +24,7 @@
     after_failure,
     costs_retry,
     give_up,
+    kept_share,
 )
 from ..decisions.part_suspicion import Blame
 from ..decisions.peer_configurations import PeerContact
@@ -210,7 +211,9 @@
             step = await self._handle_failure(admitted, failure, placement)
             if not isinstance(step, TryAgain):
                 return step
-            if costs_retry(failure) and not state.retries.try_retry(loop.time()):
+            if costs_retry(failure) and not state.retries.try_retry(
+                loop.time(), kept_share(failure)
+            ):
                 return give_up(admitted.progress, "the retry budget is spent")
 
     def _is_blamed_now(self, admitted: AdmittedRequest, now_s: float) -> bool:
@@ -238,8 +241,8 @@
         self, admitted: AdmittedRequest, assignment: Assignment
     ) -> Failure | None:
         now_s = asyncio.get_running_loop().time()
-        if not self.parts.state.directory.is_usable(assignment.first, now_s):
-            return Withheld("the endpoint is leaving")
+        if not self.parts.state.may_send(assignment.first, now_s):
+            return Withheld("the endpoint is leaving or wants a pause")
         attempt = Attempt(
             parts=self.parts,
             admitted=admitted,
@@ -255,9 +258,13 @@
         now_s = asyncio.get_running_loop().time()
         state = self.parts.state
         first = assignment.first
-        admitted.excluded.add(first.endpoint_id)
+        is_pause = isinstance(failure, Declined) and failure.asks_for_pause
+        if not is_pause:
+            admitted.excluded.add(first.endpoint_id)
         blamed, weight = first, 1.0
         match failure:
+            case Declined(asks_for_pause=True):
+                weight = 0.0
             case Declined(faulty_address=address, is_full=is_full):
                 blamed = _helper_at(assignment, address) or first
                 admitted.excluded.add(blamed.endpoint_id)
@@ -331,7 +338,9 @@
         now_s = asyncio.get_running_loop().time()
         match step:
             case RefuseNotRun(reason=reason):
-                retry_after_s = self.parts.dispatcher.retry_after_s(admitted.service)
+                retry_after_s = self.parts.dispatcher.retry_after_s(
+                    admitted.service, now_s
+                )
                 return await self._refuse(Refusal(503, reason, retry_after_s))
             case FailUnknown(reason=reason):
                 is_late = now_s >= admitted.deadline_s
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a gateway: OpenTelemetry counters, latency histograms and a gauge."""
 
+import time
+
 import attrs
 from opentelemetry.metrics import (
     CallbackOptions,
@@ -50,7 +52,13 @@
         def leaving_endpoints(options: CallbackOptions) -> list[Observation]:
             return [Observation(len(state.directory.leaving_ids))]
 
+        def paused_endpoints(options: CallbackOptions) -> list[Observation]:
+            return [Observation(len(state.pauses.dump(time.monotonic())))]
+
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
+        meter.create_observable_gauge(
+            "sorrelhoist_paused_endpoints", [paused_endpoints]
+        )
         meter.create_observable_gauge(
             "sorrelhoist_leaving_endpoints", [leaving_endpoints]
         )
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -12,6 +12,7 @@
 from ..decisions.endpoint_notices import NamedLimits
 from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
 from ..decisions.part_suspicion import Blame, PartSuspicions
+from ..decisions.pauses import EndpointPauses
 from ..decisions.peer_configurations import PeerConfigurations
 from ..decisions.peer_failures import PeerFailures
 from ..decisions.permits import PermitHolder
@@ -59,6 +60,8 @@
     rng : random.Random
     named_limits : NamedLimits
         Limits that endpoints named for all gateways together.
+    pauses : EndpointPauses
+        Pauses that endpoints asked this gateway for.
     permits : PermitHolder
         Permits for requests to these endpoints, and to those in a cold start.
     on_permit_wanted : callable
@@ -84,6 +87,7 @@
     troubles: FailureTracker = attrs.field(factory=FailureTracker)
     faults: FailureTracker = attrs.field(factory=FailureTracker)
     named_limits: NamedLimits = attrs.field(factory=NamedLimits)
+    pauses: EndpointPauses = attrs.field(factory=EndpointPauses)
     permits: PermitHolder = attrs.field(
         default=attrs.Factory(lambda self: PermitHolder(self.node_id), takes_self=True)
     )
@@ -198,12 +202,14 @@
         """Return the usable endpoints of a service with their load.
 
         An endpoint that takes few requests (in a cold start, or by a limit that it
-        named) is left out while no permit for it is at hand.
+        named) is left out while no permit for it is at hand, and one that asked for a
+        pause until it ends.
         """
         usable = [
             endpoint
             for endpoint in self.directory.usable(service, now_s)
-            if not self._lacks_permit(endpoint, now_s)
+            if not self.pauses.is_paused(endpoint, now_s)
+            and not self._lacks_permit(endpoint, now_s)
         ]
         totals = self.loads.totals(now_s)
         evidence = self.peer_failures.evidence(now_s)
@@ -236,6 +242,16 @@
         is_limited = self._limit_per_s(endpoint, now_s) is not None
         return is_limited and not self.permits.can_place(endpoint.endpoint_id, now_s)
 
+    def may_send(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Return whether a request that was placed on an endpoint may be sent there."""
+        return self.directory.is_usable(endpoint, now_s) and not self.pauses.is_paused(
+            endpoint, now_s
+        )
+
+    def pause_left_s(self, service: str, now_s: float) -> float | None:
+        """Return how long all endpoints of a service want nothing; None if any does."""
+        return self.pauses.left_s(self.directory.usable(service, now_s), now_s)
+
     def want_permits(self, service: str, now_s: float) -> None:
         """Ask for permits of some endpoints of a service for which none is at hand."""
         lacking = [
@@ -292,6 +308,7 @@
             "troubles": self.troubles.dump(now_s),
             "troubles_of_peers": self.peer_failures.evidence(now_s),
             "retries": self.retries.dump(),
+            "pauses": self.pauses.dump(now_s),
             "permits": self.permits.dump(now_s),
             "named_limits": self.named_limits.dump(now_s),
             "suspicions": self.suspicions.dump(now_s),
--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 
 from tornado.httputil import HTTPHeaders
 
@@ -27,6 +28,7 @@
 FAULTY_SERVER_HEADER = "At-Server"
 LIMIT_HEADER = "Server-Limit"
 LEAVING_HEADER = "Server-Leaving"
+PAUSE_HEADER = "Retry-After"
 ORDER_PATH = "/order"
 KEY_SCHEME = "Token "
 
@@ -134,7 +136,8 @@
             return None
         faulty = headers.get(FAULTY_SERVER_HEADER, "")
         is_full = status == SERVICE_UNAVAILABLE and not faulty
-        return Declined(f"status {status}", faulty, is_full)
+        asks_for_pause = is_full and self._decode_pause_s(status, headers) is not None
+        return Declined(f"status {status}", faulty, is_full, asks_for_pause)
 
     def read_notice(self, status: int, headers: HTTPHeaders) -> EndpointNotice | None:
         """Return what an endpoint says of itself, or None if another one answered."""
@@ -143,8 +146,23 @@
         return EndpointNotice(
             limit_per_s=self._decode_rate(LIMIT_HEADER, headers.get(LIMIT_HEADER)),
             is_leaving=headers.get(LEAVING_HEADER, "").strip() == "1",
+            pause_s=self._decode_pause_s(status, headers),
         )
 
+    def _decode_pause_s(self, status: int, headers: HTTPHeaders) -> float | None:
+        """Decode the pause that a refusal asks for, in seconds; None without one."""
+        text = headers.get(PAUSE_HEADER)
+        if status != SERVICE_UNAVAILABLE or text is None:
+            return None
+        try:
+            value = float(text)
+        except ValueError:
+            value = math.nan
+        if value >= 0.0:
+            return value
+        self._log_malformed(PAUSE_HEADER, text)
+        return None
+
     def _decode_rate(self, name: str, text: str | None) -> float | None:
         """Decode a rate in requests a second; a malformed one counts as absent."""
         if text is None:
@@ -152,7 +170,7 @@
         try:
             value = float(text)
         except ValueError:
-            value = float("nan")
+            value = math.nan
         if valid_rate(value):
             return value
         self._log_malformed(name, text)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -358,6 +358,7 @@
         await fleet.fetch()
         assert "i-full" not in fleet.state.faults.worst(9, time.monotonic())
         await fleet.endpoints[0].stop()
+        await until(lambda: not fleet.state.pauses.dump(time.monotonic()))
         await fleet.fetch()
         assert "i-full" in fleet.state.faults.worst(9, time.monotonic())
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -39,3 +39,37 @@
     for _ in range(3):
         dialect.read_notice(200, HTTPHeaders({"Server-Limit": "some"}))
     assert [record.value for record in caplog.records] == ["some"]
+
+
+@pytest.mark.parametrize(
+    "status, text, pause_s",
+    [
+        (503, "2", 2.0),
+        (503, "0.25", 0.25),
+        (503, "1e9", 1e9),
+        (503, "-1", None),
+        (503, "soon", None),
+        (503, "nan", None),
+        (200, "2", None),
+        (429, "2", None),
+    ],
+)
+def test_pause_that_a_refusal_asks_for(status, text, pause_s):
+    headers = HTTPHeaders({"Retry-After": text, "X-Not-Executed": "1"})
+    notice = PlatformDialect().read_notice(status, headers)
+    assert notice.pause_s == pause_s
+
+
+@pytest.mark.parametrize(
+    "text, is_leaving", [("1", True), ("0", False), ("yes", False), ("", False)]
+)
+def test_leaving_of_an_answer(text, is_leaving):
+    headers = HTTPHeaders({"Server-Leaving": text})
+    assert PlatformDialect().read_notice(200, headers).is_leaving is is_leaving
+
+
+def test_an_answer_that_blames_another_endpoint_asks_for_no_pause_as_full():
+    headers = HTTPHeaders(
+        {"Retry-After": "2", "X-Not-Executed": "1", "At-Server": "10.0.0.1:80"}
+    )
+    assert not PlatformDialect().parse_decline(503, headers).asks_for_pause
