Unframed streams that end before their first event are broken off; soak: new notices

An unframed stream whose endpoint died before the first event was passed on as a complete, empty answer, and cleared the parts of its prompt of the death. The soak's endpoints name limits, ask for pauses, and say that they are leaving.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -342,6 +342,9 @@
             await self.caller.write(b"".join(events))
         if splitter.has_partial_event:
             return Broken("the stream ended in the middle of an event")
+        if not splitter.last_id and not head.is_framed:
+            # It ends like one whose endpoint died before the first event.
+            return Broken("the stream ended before its first event")
         if not self.caller.has_begun:
             await self._begin_stream(head)
         self.caller.finish()
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -56,6 +56,11 @@
     reason: str
     headers: HTTPHeaders
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer says where it ends, other than by its connection."""
+        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+
 
 @attrs.define(eq=False)
 class Upstream:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -88,6 +88,27 @@
     await endpoint.stop()
 
 
+async def name_limit(world, process, endpoint, duration_s):
+    endpoint.notices["Server-Limit"] = str(world.rng.choice([0.5, 2, 10]))
+    await asyncio.sleep(duration_s)
+    endpoint.notices.pop("Server-Limit", None)
+
+
+async def ask_for_pause(world, process, endpoint, duration_s):
+    endpoint.pause_s = round(world.rng.uniform(0.1, 2.0), 2)
+    await asyncio.sleep(duration_s)
+    endpoint.pause_s = 0.0
+
+
+async def say_leaving(world, process, endpoint, duration_s):
+    """Say it in answers first; the record follows, or the endpoint is just gone."""
+    if sum(one.state == "ready" for one in world.endpoints) < 5:
+        return
+    endpoint.notices["Server-Leaving"] = "1"
+    await asyncio.sleep(duration_s)
+    await replace(world, process, endpoint, duration_s)
+
+
 async def change_keys(world, process, endpoint, duration_s):
     world.version += world.rng.randint(1, 3)
     old = world.keys.pop(0)
@@ -112,6 +133,7 @@
     for fault in (
         *(freeze, kill, terminate, reload, harm_store, restore_store),
         *(harm_link, sicken, replace, change_keys),
+        *(name_limit, ask_for_pause, say_leaving),
     )
 }
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -89,6 +89,11 @@
     service: str = ""
     state: str = "ready"
     proxy: Proxy | None = None
+    notices: dict = attrs.field(factory=dict)
+    """Headers in which it says something of itself."""
+
+    pause_s: float = 0.0
+    """If not zero, it turns requests away and asks for a pause of this length."""
 
 
 @attrs.define(eq=False)
@@ -218,17 +223,23 @@
         async def script(received, writer):
             headers = received.headers
             request_id = headers["x-attempt-id"]
+            if endpoint.pause_s:
+                refusal = [("X-Not-Executed", "1"), ("Retry-After", endpoint.pause_s)]
+                writer.write(answer_bytes(503, refusal))
+                await writer.drain()
+                return
             key = headers.get("x-tenant", "").removeprefix("tenant-")
             now_s = time.monotonic()
             self.runs.append(EndpointRun(request_id, key, received.path, now_s))
             if endpoint in self.faulty_endpoints and self.rng.random() < 0.5:
                 await self._faulty_answer(received, writer)
             elif received.path.startswith("/stream"):
-                await self._stream(received, writer)
+                await self._stream(endpoint, received, writer)
             else:
                 await asyncio.sleep(0.02)
                 body = f"answer to {request_id}".encode()
-                writer.write(answer_bytes(200, echo_headers(received), body))
+                says = [*echo_headers(received), *endpoint.notices.items()]
+                writer.write(answer_bytes(200, says, body))
                 await writer.drain()
 
         return script
@@ -247,9 +258,10 @@
                 writer.write(answer_bytes(200, echo_headers(received), b"x" * 50)[:-9])
                 await writer.drain()
 
-    async def _stream(self, received, writer):
+    async def _stream(self, endpoint, received, writer):
         first = int(received.headers.get("last-event-id", 0)) + 1
-        headers = [*echo_headers(received), ("Transfer-Encoding", "chunked")]
+        headers = [*echo_headers(received), *endpoint.notices.items()]
+        headers.append(("Transfer-Encoding", "chunked"))
         writer.write(answer_bytes(200, headers, length=False))
         for number in range(first, STREAM_EVENTS + 1):
             writer.write(chunk(event(number)))
