--- a/src/sorrelhoist/decisions/membership_store.py
+++ b/src/sorrelhoist/decisions/membership_store.py
@@ -28,6 +28,8 @@
 MAX_TOMBSTONES = 8192
 MAX_EVENTS = 65536
 MAX_INCARNATION_RAISES = 2
+# Processes whose raises are counted; the one that raised longest ago is dropped first.
+MAX_TRACKED_BOOTS = 256
 PAUSE_CONFLICT_WINDOW_S = 60.0
 UPDATE_BURST_BYTES = 4000.0
 
@@ -223,8 +225,10 @@
             and now_s - self._paused_at_s < PAUSE_CONFLICT_WINDOW_S
         ):
             return True
-        raises = self._incarnation_raises.get(report.boot_id, 0)
+        raises = self._incarnation_raises.pop(report.boot_id, 0)
         self._incarnation_raises[report.boot_id] = raises + 1
+        while len(self._incarnation_raises) > MAX_TRACKED_BOOTS:
+            del self._incarnation_raises[next(iter(self._incarnation_raises))]
         return raises >= MAX_INCARNATION_RAISES
 
     def _put(self, member: Member, now_s: float, disseminate: bool = True) -> None:
