--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -223,7 +223,6 @@
         service = table.services.get(placement_request.service) if table else None
         if service is None:
             return Impossible("the service is not declared")
-        self._state.want_permits(placement_request.service, now_s)
         if service.engine is None:
             return self._place_call(placement_request, now_s)
         return self._place_prompt(placement_request, service.engine, may_be_late, now_s)
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -202,15 +202,18 @@
         """Return the usable endpoints of a service with their load.
 
         An endpoint that takes few requests (in a cold start, or by a limit that it
-        named) is left out while no permit for it is at hand, and one that asked for a
-        pause until it ends.
+        named) is left out while no permit for it is at hand, and one is asked for. One
+        that asked for a pause is left out until it ends.
         """
-        usable = [
-            endpoint
-            for endpoint in self.directory.usable(service, now_s)
-            if not self.pauses.is_paused(endpoint, now_s)
-            and not self._lacks_permit(endpoint, now_s)
-        ]
+        usable: list[Endpoint] = []
+        lacking: list[Endpoint] = []
+        for endpoint in self.directory.usable(service, now_s):
+            if self.pauses.is_paused(endpoint, now_s):
+                continue
+            (lacking if self._lacks_permit(endpoint, now_s) else usable).append(
+                endpoint
+            )
+        self._want_permits(lacking, now_s)
         totals = self.loads.totals(now_s)
         evidence = self.peer_failures.evidence(now_s)
         return [
@@ -252,13 +255,7 @@
         """Return how long all endpoints of a service want nothing; None if any does."""
         return self.pauses.left_s(self.directory.usable(service, now_s), now_s)
 
-    def want_permits(self, service: str, now_s: float) -> None:
-        """Ask for permits of some endpoints of a service for which none is at hand."""
-        lacking = [
-            endpoint
-            for endpoint in self.directory.usable(service, now_s)
-            if self._lacks_permit(endpoint, now_s)
-        ]
+    def _want_permits(self, lacking: list[Endpoint], now_s: float) -> None:
         for endpoint in self.rng.sample(lacking, min(MAX_WANTED, len(lacking))):
             limit_per_s = self._limit_per_s(endpoint, now_s)
             if limit_per_s is not None and self.permits.want(
