Notices count only if the answer belongs to the request

Found in reading the diff: an answer to another request, or one without a signature, could make an endpoint leaving, name a limit or lift one. test_an_answer_to_another_request_says_nothing_of_the_endpoint fails before.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -203,8 +203,9 @@
                 self._read_timeout = limit
                 self._restart_timer(limit, timeout_s)
                 head = await upstream.head()
-                self._record_notice(head)
                 failure = self._check_head(head)
+                if not isinstance(failure, Broken):
+                    self._record_notice(head)
                 if failure is not None:
                     return failure
                 if not self.admitted.route.is_stream or head.status != 200:
--- a/tests/gateway/test_leaving_endpoints.py
+++ b/tests/gateway/test_leaving_endpoints.py
@@ -9,7 +9,13 @@
     run_with_gateways,
     send_calls,
 )
-from tests.platform.standins import declines, streams, whole
+from tests.platform.standins import (
+    SIGNATURE,
+    answer_bytes,
+    declines,
+    streams,
+    whole,
+)
 
 DRAIN_S = 2.0
 LEAVING = ("Server-Leaving", "1")
@@ -80,3 +86,20 @@
         assert len(endpoint.requests) > before
 
     run_with_gateways(1, main)
+
+
+def test_an_answer_to_another_request_says_nothing_of_the_endpoint():
+    async def crossed(received, writer):
+        headers = [SIGNATURE, ("X-Attempt-Id", "another"), LEAVING]
+        writer.write(answer_bytes(200, [*headers, ("Server-Limit", "1")], b"x"))
+        await writer.drain()
+
+    async def main(found):
+        endpoint = await add_endpoint(found, crossed, capacity=100)
+        await found[0].fetch()
+        assert endpoint.requests
+        state = found[0].state
+        assert state.directory.leaving_ids == set()
+        assert state.named_limits.limited() == {}
+
+    run_with_gateways(1, main)
