--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -51,6 +51,7 @@
 
     endpoint: Endpoint
     limit_per_s: float | None = None
+    is_leaving: bool = False
     arrivals: list = attrs.field(factory=list)
 
 
@@ -178,6 +179,8 @@
         limit_per_s = endpoint.limit_per_s
         if limit_per_s is not None:
             self.told_s.setdefault(endpoint_id, loop.time())
+        if endpoint.is_leaving and not self.is_old:
+            self.state.directory.said_leaving(endpoint_id, 0, loop.time())
         if not self.is_old:
             self.state.named_limits.observe(endpoint_id, limit_per_s, loop.time())
         self.state.release(request_id)
