Placement modules move into a package

The modules that place prompts, with their load tracker and queue, move to decisions/placement/, and their tests with them.

--- a/src/sorrelhoist/bench/experiments/virtual_gateways.py
+++ b/src/sorrelhoist/bench/experiments/virtual_gateways.py
@@ -8,16 +8,16 @@
 import attrs
 
 from ...decisions.directory import Endpoint
-from ...decisions.load_tracker import TIGHT_PAUSE_S, EndpointUse, LoadTracker
-from ...decisions.placement import place_prompt
-from ...decisions.placement_demand import (
+from ...decisions.placement.demand import (
     Assignment,
     Demand,
     EndpointView,
     Placement,
     request_uses,
 )
-from ...decisions.placement_queue import PendingPlacement, PlacementQueue
+from ...decisions.placement.load_tracker import TIGHT_PAUSE_S, EndpointUse, LoadTracker
+from ...decisions.placement.queue import PendingPlacement, PlacementQueue
+from ...decisions.placement.strategy import place_prompt
 from ...decisions.report_rate import report_interval_s
 from ...decisions.routes import EngineCosts
 from ...gateway.dispatch import PROMPT_WAIT_SHARE, RETRY_INTERVAL_S
--- /dev/null
+++ b/src/sorrelhoist/decisions/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of requests on endpoints: demand, load, strategies and the queue."""
--- a/src/sorrelhoist/decisions/placement_demand.py
+++ b/src/sorrelhoist/decisions/placement/demand.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from .directory import Endpoint
+from ..directory import Endpoint
+from ..routes import EngineCosts
 from .load_tracker import EndpointUse, RequestUse
-from .routes import EngineCosts
 
 MAX_TICKET_KV_SHARE = 0.75
 """Fraction of the KV cache of an endpoint that may be reserved for a part of a prompt
--- a/src/sorrelhoist/decisions/placement_long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -10,7 +10,8 @@
 import random
 from collections.abc import Sequence
 
-from .placement_demand import (
+from ..routes import EngineCosts
+from .demand import (
     Assignment,
     Busy,
     Demand,
@@ -21,7 +22,6 @@
     has_free_kv_cache,
     ticket_count,
 )
-from .routes import EngineCosts
 
 MAX_HELPERS = 16
 """Maximum number of helpers per request that engines support."""
--- a/src/sorrelhoist/decisions/placement_queue.py
+++ b/src/sorrelhoist/decisions/placement/queue.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from .placement_demand import Busy, Placement
+from .demand import Busy, Placement
 
 
 @attrs.define(order=False, eq=False)
--- a/src/sorrelhoist/decisions/placement_short.py
+++ b/src/sorrelhoist/decisions/placement/short.py
@@ -15,7 +15,9 @@
 
 import attrs
 
-from .placement_demand import (
+from ..rendezvous import ranked
+from ..routes import EngineCosts
+from .demand import (
     Assignment,
     Busy,
     Demand,
@@ -24,8 +26,6 @@
     free_slots,
     has_capacity,
 )
-from .rendezvous import ranked
-from .routes import EngineCosts
 
 BACKLOG_LIMITS_MS = (75.0, 150.0, 300.0, math.inf)
 """Successive limits on the prefill backlog ahead of a short prompt: two short prompts,
--- a/src/sorrelhoist/decisions/placement.py
+++ b/src/sorrelhoist/decisions/placement/strategy.py
@@ -1,16 +1,16 @@
 """Placement of prompts: prefill on one endpoint, or split across several.
 
-The load patterns that each strategy is designed for are described in `placement_short`
-and `placement_long`.
+The load patterns that each strategy is designed for are described in `short`
+and `long`.
 """
 
 import random
 from collections.abc import Sequence
 
-from .placement_demand import Busy, Demand, EndpointView, Impossible, Placement
-from .placement_long import MAX_TIGHT_PART_MS, min_first_event_ms, place_long
-from .placement_short import place_short
-from .routes import EngineCosts
+from ..routes import EngineCosts
+from .demand import Busy, Demand, EndpointView, Impossible, Placement
+from .long import MAX_TIGHT_PART_MS, min_first_event_ms, place_long
+from .short import place_short
 
 
 def place_prompt(
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -7,8 +7,8 @@
 
 from ..decisions.event_stream import EventSplitter
 from ..decisions.forwarding import Broken, Failed, Failure, Progress
-from ..decisions.load_tracker import TIGHT_PAUSE_S
-from ..decisions.placement_demand import Assignment
+from ..decisions.placement.demand import Assignment
+from ..decisions.placement.load_tracker import TIGHT_PAUSE_S
 from ..decisions.routes import Route, Workspace
 from .caller import CallerConnection
 from .parts import GatewayParts
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -6,9 +6,7 @@
 import attrs
 
 from ..decisions.drain_rate import DrainRate
-from ..decisions.load_tracker import TIGHT_PAUSE_S, RequestUse
-from ..decisions.placement import place_prompt
-from ..decisions.placement_demand import (
+from ..decisions.placement.demand import (
     Assignment,
     Busy,
     Demand,
@@ -16,7 +14,9 @@
     Placement,
     request_uses,
 )
-from ..decisions.placement_queue import PendingPlacement, PlacementQueue
+from ..decisions.placement.load_tracker import TIGHT_PAUSE_S, RequestUse
+from ..decisions.placement.queue import PendingPlacement, PlacementQueue
+from ..decisions.placement.strategy import place_prompt
 from ..decisions.retry_after import Backlog, BacklogBased, retry_after_s
 from ..decisions.routes import EngineCosts, Route
 from .ports import CallerRequest, PromptSize
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -28,7 +28,7 @@
 )
 from ..decisions.part_suspicion import Blame
 from ..decisions.peer_configurations import PeerContact
-from ..decisions.placement_demand import Assignment, Busy, Impossible, Placement
+from ..decisions.placement.demand import Assignment, Busy, Impossible, Placement
 from ..decisions.retry_after import local_refusal_retry_after_s
 from .attempt import AdmittedRequest, Attempt
 from .caller import CallerConnection
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -11,8 +11,8 @@
 import attrs
 
 from ..decisions.endpoint_notices import valid_rate
-from ..decisions.load_tracker import EndpointUse
 from ..decisions.peer_failures import MAX_REPORTED
+from ..decisions.placement.load_tracker import EndpointUse
 from ..decisions.report_rate import report_interval_s
 from ..exceptions import PeerError
 from ..messages.frames import Message, decode, encode
--- a/src/sorrelhoist/gateway/reservations.py
+++ b/src/sorrelhoist/gateway/reservations.py
@@ -13,7 +13,7 @@
 
 from ..decisions.directory import Endpoint
 from ..decisions.forwarding import NotSent
-from ..decisions.placement_demand import Ticket
+from ..decisions.placement.demand import Ticket
 from .ports import Dialect, Order
 from .upstream import ExchangeError, connected, is_reachable
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -10,13 +10,13 @@
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.endpoint_notices import NamedLimits
-from ..decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
 from ..decisions.part_suspicion import Blame, PartSuspicions
 from ..decisions.pauses import EndpointPauses
 from ..decisions.peer_configurations import PeerConfigurations
 from ..decisions.peer_failures import PeerFailures
 from ..decisions.permits import PermitHolder
-from ..decisions.placement_demand import EndpointView
+from ..decisions.placement.demand import EndpointView
+from ..decisions.placement.load_tracker import EndpointUse, LoadTracker, RequestUse
 from ..decisions.report_rate import settle_s
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
--- a/tests/decisions/test_load_tracker.py
+++ b/tests/decisions/placement/test_load_tracker.py
@@ -1,6 +1,6 @@
 """Load of local placements and of peers' reports, which count until they expire."""
 
-from sorrelhoist.decisions.load_tracker import (
+from sorrelhoist.decisions.placement.load_tracker import (
     PEER_REPORT_TTL_S,
     EndpointUse,
     LoadTracker,
--- a/tests/decisions/test_placement_long.py
+++ b/tests/decisions/placement/test_long.py
@@ -8,15 +8,15 @@
 from sorrelhoist.bench.experiments.virtual_gateways import COSTS, GatewayFleet
 from sorrelhoist.bench.experiments.virtual_prompts import KINDS, Arrival, draw_arrivals
 from sorrelhoist.decisions.directory import Endpoint
-from sorrelhoist.decisions.load_tracker import EndpointUse
-from sorrelhoist.decisions.placement import place_prompt
-from sorrelhoist.decisions.placement_demand import (
+from sorrelhoist.decisions.placement.demand import (
     Assignment,
     Busy,
     Demand,
     EndpointView,
     request_uses,
 )
+from sorrelhoist.decisions.placement.load_tracker import EndpointUse
+from sorrelhoist.decisions.placement.strategy import place_prompt
 
 QUICK, MIDDLE, LONG = KINDS
 NOW_S = 100.0
--- a/tests/decisions/test_placement_queue.py
+++ b/tests/decisions/placement/test_queue.py
@@ -1,7 +1,7 @@
 """Order in which queued requests are placed."""
 
-from sorrelhoist.decisions.placement_demand import Busy, Impossible
-from sorrelhoist.decisions.placement_queue import PendingPlacement, PlacementQueue
+from sorrelhoist.decisions.placement.demand import Busy, Impossible
+from sorrelhoist.decisions.placement.queue import PendingPlacement, PlacementQueue
 
 
 def settled(queue, places, now_s=0.0):
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/placement/test_strategy.py
@@ -7,9 +7,7 @@
 import pytest
 
 from sorrelhoist.decisions.directory import Endpoint
-from sorrelhoist.decisions.load_tracker import EndpointUse, LoadTracker, RequestUse
-from sorrelhoist.decisions.placement import place_prompt
-from sorrelhoist.decisions.placement_demand import (
+from sorrelhoist.decisions.placement.demand import (
     Assignment,
     Busy,
     Demand,
@@ -17,11 +15,17 @@
     Impossible,
     first_kv_tokens,
 )
-from sorrelhoist.decisions.placement_long import (
+from sorrelhoist.decisions.placement.load_tracker import (
+    EndpointUse,
+    LoadTracker,
+    RequestUse,
+)
+from sorrelhoist.decisions.placement.long import (
     MAX_HELPERS,
     MAX_LOOSE_PART_MS,
     MAX_TIGHT_PART_MS,
 )
+from sorrelhoist.decisions.placement.strategy import place_prompt
 from sorrelhoist.decisions.report_rate import report_interval_s
 from sorrelhoist.decisions.routes import EngineCosts
 
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from sorrelhoist.decisions.directory import Endpoint
-from sorrelhoist.decisions.placement_demand import Assignment
+from sorrelhoist.decisions.placement.demand import Assignment
 from sorrelhoist.decisions.routes import (
     Repeat,
     Route,
