Interfaces for demanding load: limits, engine costs, delays, messages

Settings give a process its resource limits; a service's runtime gives the cost of a decode step by request and by context, the prompt tokens read in a step, and the delays between failure domains. Messages gain the pause target of an endpoint's streams, the demand of workspaces, updates of loads between reports and changes of the directory. Nothing uses them yet.

--- a/src/sorrelhoist/decisions/routes.py
+++ b/src/sorrelhoist/decisions/routes.py
@@ -101,6 +101,12 @@
         Attention time per million pairs of a token and a token before it.
     hop_ms : float
         Added to each decode step while another engine holds a part of the prompt.
+    per_stream_ms : float
+        Added to each decode step for each request in the batch.
+    context_ms_per_thousand : float
+        Added to each decode step per 1,000 tokens of context of each request.
+    chunk_tokens : int
+        Maximum number of prompt tokens that are read in one decode step; 0 if unknown.
     """
 
     max_running: int
@@ -110,6 +116,9 @@
     prefill_tokens_per_s: float
     pair_ms_per_million: float
     hop_ms: float = 0.0
+    per_stream_ms: float = 0.0
+    context_ms_per_thousand: float = 0.0
+    chunk_tokens: int = 0
 
     def read_ms(self, prompt_tokens: int) -> float:
         """Return the prefill time of a prompt on a single engine, in ms.
@@ -145,6 +154,8 @@
         Rate limit of an endpoint during its cold start; 0 for no limit.
     engine : EngineCosts or None
         None for a service without a model engine.
+    domain_delays_s : dict
+        Delay of a message between two failure domains, by their names in both orders.
     """
 
     name: str
@@ -152,6 +163,7 @@
     max_connections: int = 0
     cold_requests_per_s: float = 0.0
     engine: EngineCosts | None = None
+    domain_delays_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -18,6 +18,7 @@
 from ..decisions.placement.demand import EndpointView
 from ..decisions.placement.load_tracker import EndpointUse, LoadTracker, RequestUse
 from ..decisions.report_rate import settle_s
+from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
 from ..decisions.store_contact import StoreContact
@@ -58,6 +59,7 @@
     retries : RetryBudget
         Retry budget of this gateway.
     rng : random.Random
+    limits : ResourceLimits
     named_limits : NamedLimits
         Limits that endpoints named for all gateways together.
     pauses : EndpointPauses
@@ -81,6 +83,7 @@
     shared_retries: SharedRetryBudget | None = None
     retries: RetryBudget = attrs.field(factory=RetryBudget)
     rng: random.Random = attrs.field(factory=random.Random)
+    limits: ResourceLimits = ResourceLimits()
     table: RouteTable | None = None
     directory: Directory = attrs.field(factory=Directory)
     loads: LoadTracker = attrs.field(factory=LoadTracker)
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -3506,6 +3506,7 @@
      - helps
      - due_in_ms
      - placed_ms
+     - pause_ms
 
     """
 
@@ -3519,10 +3520,11 @@
         'helps',
         'due_in_ms',
         'placed_ms',
+        'pause_ms',
     )
 
 
-    def __init__(self, address=None, streams=None, tight_streams=None, kv_tokens=None, read_ms=None, reading_age_ms=None, helps=None, due_in_ms=None, placed_ms=None,):
+    def __init__(self, address=None, streams=None, tight_streams=None, kv_tokens=None, read_ms=None, reading_age_ms=None, helps=None, due_in_ms=None, placed_ms=None, pause_ms=None,):
         self.address = address
         self.streams = streams
         self.tight_streams = tight_streams
@@ -3532,6 +3534,7 @@
         self.helps = helps
         self.due_in_ms = due_in_ms
         self.placed_ms = placed_ms
+        self.pause_ms = pause_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3587,6 +3590,11 @@
                     self.placed_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.pause_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3633,6 +3641,10 @@
             oprot.writeFieldBegin('placed_ms', TType.I64, 9)
             oprot.writeI64(self.placed_ms)
             oprot.writeFieldEnd()
+        if self.pause_ms is not None:
+            oprot.writeFieldBegin('pause_ms', TType.I32, 10)
+            oprot.writeI32(self.pause_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3910,6 +3922,211 @@
         return not (self == other)
 
 
+class WorkspaceDemand(object):
+    """
+    Attributes:
+     - workspace
+     - read_ms
+     - waiting
+
+    """
+
+    __slots__ = (
+        'workspace',
+        'read_ms',
+        'waiting',
+    )
+
+
+    def __init__(self, workspace=None, read_ms=None, waiting=None,):
+        self.workspace = workspace
+        self.read_ms = read_ms
+        self.waiting = waiting
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.workspace = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.read_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkspaceDemand')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.I64, 1)
+            oprot.writeI64(self.workspace)
+            oprot.writeFieldEnd()
+        if self.read_ms is not None:
+            oprot.writeFieldBegin('read_ms', TType.I32, 2)
+            oprot.writeI32(self.read_ms)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 3)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceDemand(object):
+    """
+    Attributes:
+     - service_name
+     - waiting
+     - waiting_read_ms
+     - workspaces
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'waiting',
+        'waiting_read_ms',
+        'workspaces',
+    )
+
+
+    def __init__(self, service_name=None, waiting=None, waiting_read_ms=None, workspaces=None,):
+        self.service_name = service_name
+        self.waiting = waiting
+        self.waiting_read_ms = waiting_read_ms
+        self.workspaces = workspaces
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.waiting_read_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.workspaces = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = WorkspaceDemand()
+                        _elem103.read(iprot)
+                        self.workspaces.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceDemand')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 2)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.waiting_read_ms is not None:
+            oprot.writeFieldBegin('waiting_read_ms', TType.I32, 3)
+            oprot.writeI32(self.waiting_read_ms)
+            oprot.writeFieldEnd()
+        if self.workspaces is not None:
+            oprot.writeFieldBegin('workspaces', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.workspaces))
+            for iter104 in self.workspaces:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -3926,6 +4143,8 @@
      - issues_permits
      - part_suspicions
      - leaving
+     - demands
+     - headroom_percent
 
     """
 
@@ -3943,10 +4162,12 @@
         'issues_permits',
         'part_suspicions',
         'leaving',
+        'demands',
+        'headroom_percent',
     )
 
 
-    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None, part_suspicions=None, leaving=None,):
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None, part_suspicions=None, leaving=None, demands=None, headroom_percent=None,):
         self.node_id = node_id
         self.boot_ms = boot_ms
         self.sequence = sequence
@@ -3960,6 +4181,8 @@
         self.issues_permits = issues_permits
         self.part_suspicions = part_suspicions
         self.leaving = leaving
+        self.demands = demands
+        self.headroom_percent = headroom_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3988,22 +4211,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = EndpointLoad()
-                        _elem103.read(iprot)
-                        self.loads.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = EndpointLoad()
+                        _elem110.read(iprot)
+                        self.loads.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.suspicions = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = Suspicion()
-                        _elem109.read(iprot)
-                        self.suspicions.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = Suspicion()
+                        _elem116.read(iprot)
+                        self.suspicions.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4025,22 +4248,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.failures = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = EndpointFailures()
-                        _elem115.read(iprot)
-                        self.failures.append(_elem115)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = EndpointFailures()
+                        _elem122.read(iprot)
+                        self.failures.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.named_limits = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = NamedLimit()
-                        _elem121.read(iprot)
-                        self.named_limits.append(_elem121)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = NamedLimit()
+                        _elem128.read(iprot)
+                        self.named_limits.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4052,25 +4275,41 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.part_suspicions = []
-                    (_etype125, _size122) = iprot.readListBegin()
-                    for _i126 in range(_size122):
-                        _elem127 = Suspicion()
-                        _elem127.read(iprot)
-                        self.part_suspicions.append(_elem127)
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = Suspicion()
+                        _elem134.read(iprot)
+                        self.part_suspicions.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = LeavingEndpoint()
-                        _elem133.read(iprot)
-                        self.leaving.append(_elem133)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = LeavingEndpoint()
+                        _elem140.read(iprot)
+                        self.leaving.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = ServiceDemand()
+                        _elem146.read(iprot)
+                        self.demands.append(_elem146)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.headroom_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4096,15 +4335,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter134 in self.loads:
-                iter134.write(oprot)
+            for iter147 in self.loads:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter135 in self.suspicions:
-                iter135.write(oprot)
+            for iter148 in self.suspicions:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -4122,15 +4361,15 @@
         if self.failures is not None:
             oprot.writeFieldBegin('failures', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.failures))
-            for iter136 in self.failures:
-                iter136.write(oprot)
+            for iter149 in self.failures:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.named_limits is not None:
             oprot.writeFieldBegin('named_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.named_limits))
-            for iter137 in self.named_limits:
-                iter137.write(oprot)
+            for iter150 in self.named_limits:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.issues_permits is not None:
@@ -4140,17 +4379,358 @@
         if self.part_suspicions is not None:
             oprot.writeFieldBegin('part_suspicions', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.part_suspicions))
-            for iter138 in self.part_suspicions:
-                iter138.write(oprot)
+            for iter151 in self.part_suspicions:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter139 in self.leaving:
-                iter139.write(oprot)
+            for iter152 in self.leaving:
+                iter152.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter153 in self.demands:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.headroom_percent is not None:
+            oprot.writeFieldBegin('headroom_percent', TType.I32, 15)
+            oprot.writeI32(self.headroom_percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadUpdate(object):
+    """
+    Attributes:
+     - node_id
+     - boot_ms
+     - sequence
+     - loads
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'boot_ms',
+        'sequence',
+        'loads',
+    )
+
+
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None,):
+        self.node_id = node_id
+        self.boot_ms = boot_ms
+        self.sequence = sequence
+        self.loads = loads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.boot_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = EndpointLoad()
+                        _elem159.read(iprot)
+                        self.loads.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadUpdate')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.boot_ms is not None:
+            oprot.writeFieldBegin('boot_ms', TType.I64, 2)
+            oprot.writeI64(self.boot_ms)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter160 in self.loads:
+                iter160.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DirectoryRecord(object):
+    """
+    Attributes:
+     - endpoint_id
+     - value
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'value',
+    )
+
+
+    def __init__(self, endpoint_id=None, value=None,):
+        self.endpoint_id = endpoint_id
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DirectoryRecord')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DirectoryUpdate(object):
+    """
+    Attributes:
+     - node_id
+     - era
+     - digest_before
+     - digest_after
+     - records
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'era',
+        'digest_before',
+        'digest_after',
+        'records',
+        'age_ms',
+    )
+
+
+    def __init__(self, node_id=None, era=None, digest_before=None, digest_after=None, records=None, age_ms=None,):
+        self.node_id = node_id
+        self.era = era
+        self.digest_before = digest_before
+        self.digest_after = digest_after
+        self.records = records
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.digest_before = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.digest_after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = DirectoryRecord()
+                        _elem166.read(iprot)
+                        self.records.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DirectoryUpdate')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.digest_before is not None:
+            oprot.writeFieldBegin('digest_before', TType.I64, 3)
+            oprot.writeI64(self.digest_before)
+            oprot.writeFieldEnd()
+        if self.digest_after is not None:
+            oprot.writeFieldBegin('digest_after', TType.I64, 4)
+            oprot.writeI64(self.digest_after)
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter167 in self.records:
+                iter167.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4664,6 +5244,8 @@
      - freshness_answer
      - permit_ask
      - permit_grant
+     - load_update
+     - directory_update
 
     """
 
@@ -4701,10 +5283,12 @@
         'freshness_answer',
         'permit_ask',
         'permit_grant',
+        'load_update',
+        'directory_update',
     )
 
 
-    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None, freshness_ask=None, freshness_answer=None, permit_ask=None, permit_grant=None,):
+    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None, freshness_ask=None, freshness_answer=None, permit_ask=None, permit_grant=None, load_update=None, directory_update=None,):
         self.call_id = call_id
         self.grant_request = grant_request
         self.grant = grant
@@ -4738,6 +5322,8 @@
         self.freshness_answer = freshness_answer
         self.permit_ask = permit_ask
         self.permit_grant = permit_grant
+        self.load_update = load_update
+        self.directory_update = directory_update
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4945,6 +5531,18 @@
                     self.permit_grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.STRUCT:
+                    self.load_update = LoadUpdate()
+                    self.load_update.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 35:
+                if ftype == TType.STRUCT:
+                    self.directory_update = DirectoryUpdate()
+                    self.directory_update.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5087,6 +5685,14 @@
             oprot.writeFieldBegin('permit_grant', TType.STRUCT, 33)
             self.permit_grant.write(oprot)
             oprot.writeFieldEnd()
+        if self.load_update is not None:
+            oprot.writeFieldBegin('load_update', TType.STRUCT, 34)
+            self.load_update.write(oprot)
+            oprot.writeFieldEnd()
+        if self.directory_update is not None:
+            oprot.writeFieldBegin('directory_update', TType.STRUCT, 35)
+            self.directory_update.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5379,6 +5985,7 @@
     (7, TType.I32, 'helps', None, None, ),  # 7
     (8, TType.I32, 'due_in_ms', None, None, ),  # 8
     (9, TType.I64, 'placed_ms', None, None, ),  # 9
+    (10, TType.I32, 'pause_ms', None, None, ),  # 10
 )
 all_structs.append(EndpointFailures)
 EndpointFailures.thrift_spec = (
@@ -5399,6 +6006,21 @@
     (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'born_ms', None, None, ),  # 2
 )
+all_structs.append(WorkspaceDemand)
+WorkspaceDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'workspace', None, None, ),  # 1
+    (2, TType.I32, 'read_ms', None, None, ),  # 2
+    (3, TType.I32, 'waiting', None, None, ),  # 3
+)
+all_structs.append(ServiceDemand)
+ServiceDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'waiting', None, None, ),  # 2
+    (3, TType.I32, 'waiting_read_ms', None, None, ),  # 3
+    (4, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceDemand, None], False), None, ),  # 4
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -5415,6 +6037,32 @@
     (11, TType.BOOL, 'issues_permits', None, None, ),  # 11
     (12, TType.LIST, 'part_suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 12
     (13, TType.LIST, 'leaving', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 13
+    (14, TType.LIST, 'demands', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 14
+    (15, TType.I32, 'headroom_percent', None, None, ),  # 15
+)
+all_structs.append(LoadUpdate)
+LoadUpdate.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'boot_ms', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
+)
+all_structs.append(DirectoryRecord)
+DirectoryRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
+)
+all_structs.append(DirectoryUpdate)
+DirectoryUpdate.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'era', None, None, ),  # 2
+    (3, TType.I64, 'digest_before', None, None, ),  # 3
+    (4, TType.I64, 'digest_after', None, None, ),  # 4
+    (5, TType.LIST, 'records', (TType.STRUCT, [DirectoryRecord, None], False), None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
 all_structs.append(PermitAsk)
 PermitAsk.thrift_spec = (
@@ -5487,6 +6135,8 @@
     (31, TType.STRUCT, 'freshness_answer', [FreshnessAnswer, None], None, ),  # 31
     (32, TType.STRUCT, 'permit_ask', [PermitAsk, None], None, ),  # 32
     (33, TType.STRUCT, 'permit_grant', [PermitGrant, None], None, ),  # 33
+    (34, TType.STRUCT, 'load_update', [LoadUpdate, None], None, ),  # 34
+    (35, TType.STRUCT, 'directory_update', [DirectoryUpdate, None], None, ),  # 35
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -264,6 +264,8 @@
   8: optional i32 due_in_ms,
   // Cumulative prefill time of all prefills that the sender has ever placed there.
   9: i64 placed_ms,
+  // Shortest pause target of the sender's streams there; absent if none has one.
+  10: optional i32 pause_ms,
 }
 
 struct EndpointFailures {
@@ -288,6 +290,24 @@
   2: i64 born_ms,
 }
 
+// Load of one workspace at a service.
+struct WorkspaceDemand {
+  // Hash of the name of the workspace.
+  1: i64 workspace,
+  // Prefill time that is placed and not complete, or waits.
+  2: i32 read_ms,
+  // Requests that wait for placement.
+  3: i32 waiting,
+}
+
+// Requests of one service that wait for placement at the sender, and its largest workspaces.
+struct ServiceDemand {
+  1: string service_name,
+  2: i32 waiting,
+  3: i32 waiting_read_ms,
+  4: list<WorkspaceDemand> workspaces,
+}
+
 // All load that a gateway has placed. A later report replaces an earlier one.
 struct LoadReport {
   1: string node_id,
@@ -308,6 +328,36 @@
   // Like suspicions, but of parts of prompts: the fingerprints are those of parts.
   12: optional list<Suspicion> part_suspicions,
   13: optional list<LeavingEndpoint> leaving,
+  // Absent in reports of a build that doesn't report demand.
+  14: optional list<ServiceDemand> demands,
+  // Unused share of the sender's scarcest resource: processor, link or memory.
+  15: optional i32 headroom_percent,
+}
+
+// New totals of some endpoints of the sender's last report, sent before the next one.
+struct LoadUpdate {
+  1: string node_id,
+  2: i64 boot_ms,
+  // From the same counter as that of reports.
+  3: i64 sequence,
+  4: list<EndpointLoad> loads,
+}
+
+struct DirectoryRecord {
+  1: string endpoint_id,
+  // The record of the store; absent if the store has none any more.
+  2: optional binary value,
+}
+
+// Changes of the directory that the sender has just read from the store.
+struct DirectoryUpdate {
+  1: string node_id,
+  2: i64 era,
+  3: i64 digest_before,
+  4: i64 digest_after,
+  5: list<DirectoryRecord> records,
+  // Time since the read was sent.
+  6: i32 age_ms,
 }
 
 // Asks the gateway that issues the permits of an endpoint to let requests be sent there.
@@ -383,4 +433,6 @@
   31: optional FreshnessAnswer freshness_answer,
   32: optional PermitAsk permit_ask,
   33: optional PermitGrant permit_grant,
+  34: optional LoadUpdate load_update,
+  35: optional DirectoryUpdate directory_update,
 }
--- a/src/sorrelhoist/platform/main.py
+++ b/src/sorrelhoist/platform/main.py
@@ -110,6 +110,7 @@
             window_s=settings.retry_window_s,
         ),
         rng=random.Random(f"{settings.node_id} {time.time_ns()}"),
+        limits=settings.limits,
         suspicions=SuspicionTable(
             SuspicionOptions(deaths_to_condemn=DEATHS_TO_CONDEMN)
         ),
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..decisions.resource_limits import ResourceLimits
 from ..exceptions import SettingsError
 
 PATH_VARIABLE = "SORRELHOIST_SETTINGS"
@@ -13,6 +14,12 @@
 """Also stated in ``deploy/system.toml``; the default port of OpenTelemetry's
 Prometheus exporter."""
 
+BYTES_PER_MB = 1_000_000
+BYTES_PER_S_PER_MBPS = 125_000
+
+SLOW_READERS_CONTRACT = "pressure"
+"""Entry of `contracts` in deployments whose callers and endpoints may read slowly."""
+
 
 @attrs.frozen(kw_only=True)
 class PlatformSettings:
@@ -32,6 +39,7 @@
         Time from the stop signal until the process is killed.
     retry_ratio, retry_slack, retry_window_s : float
         Retry budget shared by all processes.
+    limits : ResourceLimits
     """
 
     node_id: str
@@ -48,6 +56,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    limits: ResourceLimits = ResourceLimits()
 
 
 def load_settings(path: Path | None = None) -> PlatformSettings:
@@ -84,4 +93,17 @@
         retry_ratio=float(bounds["retry_ratio"]),
         retry_slack=float(bounds["retry_slack"]),
         retry_window_s=float(bounds["retry_window_s"]),
+        limits=_decode_limits(fields),
+    )
+
+
+def _decode_limits(fields: dict) -> ResourceLimits:
+    limits = fields.get("limits", {})
+    share, cores = limits.get("cpu_share"), limits.get("cpu_cores", 1)
+    memory_mb, link_mbps = limits.get("memory_mb"), limits.get("link_mbps")
+    return ResourceLimits(
+        memory_bytes=int(memory_mb * BYTES_PER_MB) if memory_mb else None,
+        processor_cores=share * cores if share else None,
+        link_bytes_per_s=link_mbps * BYTES_PER_S_PER_MBPS if link_mbps else None,
+        counts_buffers=SLOW_READERS_CONTRACT in fields.get("contracts", ()),
     )
--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -94,6 +94,7 @@
         max_connections=int(fields.get("max_conns", 0)),
         cold_requests_per_s=float(fields.get("cold_per_s", 0.0)),
         engine=_engine(runtime) if runtime else None,
+        domain_delays_s=_domain_delays_s(runtime or {}),
     )
 
 
@@ -107,9 +108,21 @@
         prefill_tokens_per_s=float(fields["read_per_s"]),
         pair_ms_per_million=float(fields["pairs_per_m"]),
         hop_ms=float(fields.get("hop_ms", 0.0)),
+        per_stream_ms=float(fields.get("per_seq_ms", 0.0)),
+        context_ms_per_thousand=float(fields.get("context_per_k", 0.0)),
+        chunk_tokens=int(fields.get("chunk", 0)),
     )
 
 
+def _domain_delays_s(runtime: dict) -> dict[tuple[str, str], float]:
+    """Decode the delays between failure domains, which are stated for one direction."""
+    delays_s: dict[tuple[str, str], float] = {}
+    for row in runtime.get("delays") or ():
+        ends = (row["from"], row["target_version"])
+        delays_s[ends] = delays_s[ends[::-1]] = float(row["delay_ms"]) / 1000
+    return delays_s
+
+
 def _workspaces(tenants: list | None) -> dict[str, Workspace] | None:
     if tenants is None:
         return None
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 from click.testing import CliRunner
 
 from sorrelhoist.cli import main
+from sorrelhoist.decisions.resource_limits import ResourceLimits
 from sorrelhoist.exceptions import SettingsError
 from sorrelhoist.platform.settings import load_settings
 
@@ -36,6 +37,27 @@
     assert (found.revoke_s, found.grace_s, found.peer_port) == (5.0, 8.0, 7340)
 
 
+def test_limits_of_the_process_are_decoded(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(
+        'contracts = ["base", "pressure"]\n'
+        + TEXT
+        + "[limits]\ncpu_share = 0.717\ncpu_cores = 3\nmemory_mb = 552\n"
+        + "link_mbps = 100.0\n"
+    )
+    limits = load_settings(path).limits
+    assert limits.memory_bytes == 552_000_000
+    assert limits.processor_cores == pytest.approx(2.151)
+    assert limits.link_bytes_per_s == 12_500_000
+    assert limits.counts_buffers
+
+
+def test_without_limits_none_are_assumed(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(TEXT)
+    assert load_settings(path).limits == ResourceLimits()
+
+
 @pytest.mark.parametrize("lost", ["node =", "revoke_ms", "addr", "[bounds]"])
 def test_a_file_without_a_required_field_is_refused(tmp_path, lost):
     path = tmp_path / "boot.toml"
