Count the prefills that a peer places after its first one

Cause: EndpointLoad.placed_ms was sent but not read on receipt, so the cumulative prefill time of a peer was 0 and only the first prefill that it placed on an endpoint was added to the remaining prefill there. Change: the field is read; its absence counts as 0, as before. Result: tests/gateway/test_peer_exchange.py gives a backlog of 800 ms for prefills of 500 and 400 ms placed 0.1 s apart, 400 ms without the change.

--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -272,6 +272,7 @@
         else float("inf"),
         helps=load.helps or 0,
         due_s=float("inf") if load.due_in_ms is None else now_s + load.due_in_ms / 1000,
+        placed_ms=load.placed_ms or 0,
     )
 
 
