Measure the pauses of streams where events are relayed

Cause: a stream is late if a pause between two events exceeds the route's target, and nothing measured these pauses. Change: a histogram and a counter of pauses over the target by route, and a log line for each of those with the pass time that the engine's costs lead to expect, the prefill that was queued when the pass began, and the prefill that this gateway and its peers placed since then.

--- a/src/sorrelhoist/decisions/placement/load_tracker.py
+++ b/src/sorrelhoist/decisions/placement/load_tracker.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from .prefill_history import PrefillHistory
+
 PEER_REPORT_TTL_S = 2.0
 """Age at which the report of a peer is ignored and the peer is considered gone: several
 report intervals."""
@@ -171,6 +173,7 @@
         self._peers: dict[str, _PeerReport] = {}
         self._remaining: dict[str, _RemainingPrefill] = {}
         self._placed_ms: dict[str, float] = {}
+        self.history = PrefillHistory()
         self.version = 0
 
     def place(
@@ -182,6 +185,7 @@
             placed_ms = self._placed_ms.get(use.address, 0.0)
             self._placed_ms[use.address] = placed_ms + use.read_ms
             self._add_remaining(use.address, use.read_ms, now_s)
+            self.history.record(use.address, use.read_ms, is_own=True, now_s=now_s)
         self.version += 1
 
     def _add_remaining(self, address: str, read_ms: float, now_s: float) -> None:
@@ -218,7 +222,9 @@
             known = _PeerReport({}, sequence, boot_ms, now_s)
         by_address = {use.address: use for use in uses}
         for use in by_address.values():
-            self._add_remaining(use.address, known.placed_since(use), now_s)
+            placed_ms = known.placed_since(use)
+            self._add_remaining(use.address, placed_ms, now_s)
+            self.history.record(use.address, placed_ms, is_own=False, now_s=now_s)
         self._peers[node_id] = _PeerReport(by_address, sequence, boot_ms, now_s)
         return True
 
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -9,6 +9,7 @@
 from ..decisions.forwarding import Broken, Failed, Failure, Progress
 from ..decisions.placement.demand import Assignment
 from ..decisions.placement.load_tracker import TIGHT_PAUSE_S
+from ..decisions.placement.pause_monitor import StreamPauses, estimate_pass
 from ..decisions.routes import Route, Workspace
 from .caller import CallerConnection
 from .parts import GatewayParts
@@ -332,10 +333,12 @@
         timeout_s = max(MIN_STREAM_TIMEOUT_S, STREAM_TIMEOUT_PAUSES * pause_s)
         splitter = EventSplitter(last_id=self.admitted.splitter.last_id)
         self.admitted.splitter = splitter
+        pauses = StreamPauses(target_s=pause_s)
         async for chunk in upstream.chunks():
             events = splitter.feed(chunk)
             if not events:
                 continue
+            self._record_pause(pauses, len(events))
             if not self.caller.has_begun:
                 await self._begin_stream(head)
             self._restart_timer(limit, timeout_s)
@@ -352,6 +355,37 @@
         self.log.write("answered", outcome="answered", last_id=splitter.last_id)
         return None
 
+    def _record_pause(self, pauses: StreamPauses, events: int) -> None:
+        """Record the pause before events, and log it if it makes the stream late."""
+        began_s = pauses.last_event_s
+        now_s = asyncio.get_running_loop().time()
+        pause_s = pauses.relayed(events, now_s)
+        if pause_s is None or began_s is None:
+            return
+        route = {"route": self.admitted.route.name}
+        self.parts.metrics.stream_pause.record(pause_s, route)
+        if not pauses.is_over_target(pause_s):
+            return
+        self.parts.metrics.pauses_over_target.add(1, route)
+        state, endpoint = self.parts.state, self.assignment.first
+        use = state.loads.endpoint_use(endpoint.address, now_s)
+        costs = state.engine_costs(self.admitted.service)
+        estimate = costs and estimate_pass(
+            state.loads.history.placed(endpoint.address), use, costs, began_s
+        )
+        self.log.write(
+            "pause over target",
+            outcome="late",
+            endpoint=endpoint.endpoint_id,
+            pause_ms=round(pause_s * 1000),
+            target_ms=round(pauses.target_s * 1000),
+            event_number=pauses.events - events + 1,
+            streams=use.streams,
+            kv_tokens=use.kv_tokens,
+            load_age_ms=round(state.loads.oldest_report_s(now_s) * 1000),
+            **(estimate.log_fields() if estimate else {}),
+        )
+
     async def _begin_stream(self, head: AnswerHead) -> None:
         self.admitted.progress.has_begun = True
         waited_s = asyncio.get_running_loop().time() - self.admitted.received_s
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -14,6 +14,9 @@
 from ..node.metrics import ProcessMetrics
 from .state import GatewayState, boot_time_s
 
+PAUSE_BUCKETS_S = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0, 2.0, 4.0)
+"""Boundaries around the usual pause targets of routes."""
+
 
 @attrs.frozen
 class GatewayMetrics:
@@ -29,12 +32,18 @@
         Duration of each placement in seconds, with the time in the queue.
     first_event : Histogram
         Time from the receipt of the request headers to the first event, in seconds.
+    stream_pause : Histogram
+        Time between two relayed events of a stream in seconds, by route.
+    pauses_over_target : Counter
+        Pauses of streams that exceed the target of their route, by route.
     """
 
     requests: Counter
     failures: Counter
     placement_wait: Histogram
     first_event: Histogram
+    stream_pause: Histogram
+    pauses_over_target: Counter
 
     @classmethod
     def create(cls, meter: Meter, state: GatewayState) -> "GatewayMetrics":
@@ -77,6 +86,16 @@
             first_event=meter.create_histogram(
                 "sorrelhoist_gateway_first_event_seconds"
             ),
+            # Without the suffix of the unit, which the exporter adds, the boundaries
+            # of this instrument apply instead of the general ones.
+            stream_pause=meter.create_histogram(
+                "sorrelhoist_gateway_stream_pause",
+                unit="s",
+                explicit_bucket_boundaries_advisory=PAUSE_BUCKETS_S,
+            ),
+            pauses_over_target=meter.create_counter(
+                "sorrelhoist_gateway_pauses_over_target"
+            ),
         )
 
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -20,7 +20,7 @@
 from ..decisions.report_rate import settle_s
 from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import RetryBudget, SharedRetryBudget
-from ..decisions.routes import RouteTable, Workspace
+from ..decisions.routes import EngineCosts, RouteTable, Workspace
 from ..decisions.store_contact import StoreContact
 from ..decisions.suspicion import SuspicionTable
 
@@ -146,6 +146,11 @@
         """Return whether a new request can still complete before the process exits."""
         return self.stopping_s is None or now_s < self.stopping_s + SHUTDOWN_ACCEPT_S
 
+    def engine_costs(self, service: str) -> EngineCosts | None:
+        """Return the costs of a service's engines; None without such engines."""
+        config = self.table.services.get(service) if self.table else None
+        return config.engine if config else None
+
     def is_ready(self, now_boot_s: float) -> bool:
         """Return whether the load balancer should send callers to this gateway."""
         return (
--- /dev/null
+++ b/tests/decisions/placement/test_pause_monitor.py
@@ -0,0 +1,49 @@
+"""Explanation of pauses over the target by what was placed on the endpoint."""
+
+import attrs
+
+from sorrelhoist.bench.experiments.virtual_gateways import COSTS
+from sorrelhoist.decisions.placement.load_tracker import (
+    EndpointUse,
+    LoadTracker,
+    RequestUse,
+)
+from sorrelhoist.decisions.placement.pause_monitor import estimate_pass
+from sorrelhoist.decisions.placement.prefill_history import MAX_PREFILLS
+
+
+def placed_by_both(peer_ms):
+    """Return a tracker with prefills of two gateways on endpoint `a`."""
+    tracker = LoadTracker()
+    tracker.place("r1", (RequestUse(address="a", read_ms=100.0),), now_s=0.9)
+    tracker.place("r2", (RequestUse(address="a", read_ms=60.0),), now_s=1.1)
+    reported = EndpointUse(address="a", streams=1, read_ms=peer_ms, placed_ms=peer_ms)
+    tracker.peer_reported("peer", 1, 1, [reported], now_s=1.15)
+    return tracker
+
+
+def estimate(tracker, costs=COSTS):
+    use = tracker.endpoint_use("a", now_s=1.3)
+    return estimate_pass(tracker.history.placed("a"), use, costs, began_s=0.95)
+
+
+def test_a_pause_is_explained_by_the_prefills_of_all_gateways():
+    # Without the share of each gateway, a pause that a peer's prefill caused looked
+    # like a slow engine.
+    found = estimate(placed_by_both(peer_ms=40.0))
+    assert (round(found.backlog_ms), found.own_ms, found.peer_ms) == (50, 60.0, 40.0)
+    assert round(found.expected_ms) == round(COSTS.pass_ms) + 150
+
+
+def test_a_pass_is_not_expected_to_prefill_more_than_its_steps_take():
+    # A prefill of seconds runs over many passes and doesn't excuse one of seconds.
+    costs = attrs.evolve(COSTS, chunk_tokens=2048)
+    found = estimate(placed_by_both(peer_ms=9000.0), costs)
+    assert 450 < found.expected_ms < 550
+
+
+def test_the_history_of_an_endpoint_is_bounded():
+    tracker = LoadTracker()
+    for number in range(3 * MAX_PREFILLS):
+        tracker.place(number, (RequestUse(address="a", read_ms=1.0),), now_s=1.0)
+    assert len(tracker.history.placed("a")) == MAX_PREFILLS
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -1,6 +1,7 @@
 """Streams from one endpoint, their timeouts, and failover to another endpoint."""
 
 import asyncio
+import logging
 import time
 
 import pytest
@@ -213,3 +214,21 @@
         assert (await fleet.stream()).body == all_events(1, 2)
 
     run_with_fleet(main)
+
+
+def test_only_pauses_over_the_target_are_logged(caplog):
+    # Nothing measured the pause between two events, though pauses made more streams
+    # late than first events did.
+    async def main(fleet):
+        await fleet.add(in_sequence(streams(3, pause_s=0.1), streams(3, pause_s=0.35)))
+        for _ in range(2):
+            assert (await fleet.stream()).is_complete
+
+    with caplog.at_level(logging.INFO):
+        run_with_fleet(main)
+    late = [one for one in caplog.records if one.message == "pause over target"]
+    assert [one.event_number for one in late] == [2, 3]
+    for one in late:
+        assert one.pause_ms >= 340
+        assert (one.endpoint, one.target_ms, one.streams) == ("i-1", 250, 1)
+        assert one.expected_ms < 100
