Bounds on heads, bodies and events that endpoints send

An endpoint that sent informational heads without end kept its request until the deadline, a plain answer without end was kept in memory whole, and an event over 1 MiB ended the exchange with an unhandled ValueError. Heads with a status of 1xx are now limited to 8, plain answers to 16 MiB, and all three count as a broken answer. Comments of event streams don't restart the timer of the next event.

--- a/src/sorrelhoist/decisions/event_stream.py
+++ b/src/sorrelhoist/decisions/event_stream.py
@@ -38,18 +38,36 @@
         """
         *events, self._buffer = (self._buffer + data).split(_END)
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError(f"an event is over {MAX_EVENT_BYTES} bytes")
+            raise ValueError(f"an event over {MAX_EVENT_BYTES} bytes")
         whole = [event + _END for event in events if event.strip()]
         for event in whole:
             self.last_id = event_id(event) or self.last_id
         return whole
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event in the buffer."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer holds an incomplete event."""
         return bool(self._buffer.strip())
 
 
+def is_comment(event: bytes) -> bool:
+    r"""Return whether an event has only comment lines, which say nothing of progress.
+
+    Examples
+    --------
+    >>> is_comment(b": still here\n\n"), is_comment(b": note\ndata: x\n\n")
+    (True, False)
+    """
+    return event.startswith(b":") and all(
+        line.startswith(b":") for line in event.splitlines() if line
+    )
+
+
 def event_id(event: bytes) -> str:
     r"""Return the id of an event, or an empty string.
 
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -5,7 +5,7 @@
 import attrs
 from tornado.httputil import HTTPHeaders
 
-from ..decisions.event_stream import EventSplitter
+from ..decisions.event_stream import EventSplitter, is_comment
 from ..decisions.forwarding import Broken, Failed, Failure, Progress
 from ..decisions.placement.demand import Assignment
 from ..decisions.placement.load_tracker import TIGHT_PAUSE_S
@@ -333,12 +333,18 @@
         splitter = EventSplitter(last_id=self.admitted.splitter.last_id)
         self.admitted.splitter = splitter
         async for chunk in upstream.chunks():
-            events = splitter.feed(chunk)
-            if not events:
+            try:
+                events = splitter.feed(chunk)
+            except ValueError as error:
+                return Broken(str(error))
+            # Comments keep no stream alive, and are none before its first event.
+            is_progress = not all(map(is_comment, events))
+            if not is_progress and not (events and self.caller.has_begun):
                 continue
             if not self.caller.has_begun:
                 await self._begin_stream(head)
-            self._restart_timer(limit, timeout_s)
+            if is_progress:
+                self._restart_timer(limit, timeout_s)
             self.parts.state.loads.prefill_completed(self.admitted.request.request_id)
             await self.caller.write(b"".join(events))
         if splitter.has_partial_event:
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import attrs
@@ -30,6 +30,14 @@
 """A live endpoint in any failure domain accepts a connection within this time."""
 
 READ_BYTES = 65_536
+"""Bytes of one read, and bound of a head, a chunk's header or a trailer that is not
+complete."""
+
+MAX_INFORMATIONAL_HEADS = 8
+"""Heads with a status of 1xx before an answer; engines send none or one."""
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Longest answer that is not a stream: four times the longest request."""
 
 USER_TIMEOUT_MS = 3_000
 """TCP closes a connection whose sent data is unacknowledged for this long."""
@@ -102,9 +110,13 @@
         Raises
         ------
         ExchangeError
-            If the endpoint sent none.
+            If the endpoint sent none, or one over the bounds.
         """
         event = await self._next()
+        for _ in range(MAX_INFORMATIONAL_HEADS):
+            if not isinstance(event, h11.InformationalResponse):
+                break
+            event = await self._next()
         if not isinstance(event, h11.Response):
             raise ExchangeError(Broken(f"no answer but {type(event).__name__}"))
         headers = HTTPHeaders()
@@ -129,9 +141,27 @@
             else:
                 raise ExchangeError(Broken(f"{type(event).__name__} in a body"))
 
-    async def body(self) -> bytes:
-        """Read the complete body."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def body(self, on_size: Callable[[int], None] = lambda size: None) -> bytes:
+        """Read the complete body.
+
+        Parameters
+        ----------
+        on_size : callable
+            Called with the number of bytes read so far, after each read.
+
+        Raises
+        ------
+        ExchangeError
+            If the body is truncated, malformed or over `MAX_ANSWER_BYTES`.
+        """
+        chunks, size = [], 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > MAX_ANSWER_BYTES:
+                raise ExchangeError(Broken(f"a body over {MAX_ANSWER_BYTES} bytes"))
+            on_size(size)
+            chunks.append(chunk)
+        return b"".join(chunks)
 
     async def _next(self) -> object:
         while True:
@@ -139,10 +169,9 @@
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(Broken(f"garbled: {error}")) from error
-            if event is h11.NEED_DATA:
-                self._protocol.receive_data(await self._read())
-            elif not isinstance(event, h11.InformationalResponse):
+            if event is not h11.NEED_DATA:
                 return event
+            self._protocol.receive_data(await self._read())
 
     async def _read(self) -> bytes:
         try:
