Placements of long prompts are sent to all gateways at once

With 22 and 27 gateways reports go out every 55 to 65 ms, and long prompts that two gateways place within that time collide on the same engines. Updates are merged by sequence for each endpoint, so reordered ones can't undo newer loads; the next report repairs lost ones.

--- a/src/sorrelhoist/decisions/placement/demand.py
+++ b/src/sorrelhoist/decisions/placement/demand.py
@@ -96,6 +96,8 @@
         Expected time to the first event.
     choices : int
         Number of endpoints among which the first one was drawn.
+    is_long : bool
+        Whether the prompt was too long to be placed as a short one.
     """
 
     first: Endpoint
@@ -104,6 +106,7 @@
     part_ms: float = 0.0
     first_event_ms: float = 0.0
     choices: int = 1
+    is_long: bool = False
 
 
 @attrs.frozen
--- a/src/sorrelhoist/decisions/placement/load_tracker.py
+++ b/src/sorrelhoist/decisions/placement/load_tracker.py
@@ -119,10 +119,26 @@
 
 @attrs.define
 class _PeerReport:
+    """Last report of a peer, merged with the updates that are newer.
+
+    Parameters
+    ----------
+    uses : dict
+        Load by address.
+    sequence, boot_ms : int
+    heard_s : float
+    updated : dict
+        Sequence of the update that the load of an address comes from.
+    sends_updates : bool
+        Whether an update of this process was heard.
+    """
+
     uses: dict[str, EndpointUse]
     sequence: int
     boot_ms: int
     heard_s: float
+    updated: dict[str, int] = attrs.field(factory=dict)
+    sends_updates: bool = False
 
     def placed_since(self, use: EndpointUse) -> float:
         """Return the prefill time placed on an endpoint since this report, in ms."""
@@ -219,9 +235,53 @@
         by_address = {use.address: use for use in uses}
         for use in by_address.values():
             self._add_remaining(use.address, known.placed_since(use), now_s)
-        self._peers[node_id] = _PeerReport(by_address, sequence, boot_ms, now_s)
+        # An update that was sent after this report may have overtaken it.
+        updated = {
+            address: number
+            for address, number in known.updated.items()
+            if number > sequence
+        }
+        by_address |= {address: known.uses[address] for address in updated}
+        self._peers[node_id] = _PeerReport(
+            by_address, sequence, boot_ms, now_s, updated, known.sends_updates
+        )
         return True
 
+    def peer_updated(
+        self,
+        node_id: str,
+        boot_ms: int,
+        sequence: int,
+        uses: Iterable[EndpointUse],
+        now_s: float,
+    ) -> bool:
+        """Merge new loads of some endpoints into the report of a peer.
+
+        Returns
+        -------
+        bool
+            False if the last report of the peer is newer.
+        """
+        known = self._peers.get(node_id)
+        if known is None or known.boot_ms < boot_ms:
+            known = self._peers[node_id] = _PeerReport({}, -1, boot_ms, now_s)
+        if (known.boot_ms, known.sequence) >= (boot_ms, sequence):
+            return False
+        known.sends_updates = True
+        known.heard_s = now_s
+        for use in uses:
+            if known.updated.get(use.address, -1) < sequence:
+                self._add_remaining(use.address, known.placed_since(use), now_s)
+                known.uses[use.address] = use
+                known.updated[use.address] = sequence
+        return True
+
+    def peers_without_updates(self, now_s: float) -> int:
+        """Return the number of live peers whose placements come by reports only."""
+        return sum(
+            not self._peers[node_id].sends_updates for node_id in self.peers(now_s)
+        )
+
     def peers(self, now_s: float) -> list[str]:
         """Return the ids of the peers with a report that has not expired."""
         return [
@@ -236,7 +296,10 @@
         return max((age for age in ages if age < PEER_REPORT_TTL_S), default=0.0)
 
     def own_uses(self) -> list[EndpointUse]:
-        """Return the load of local placements by endpoint, to report it to peers."""
+        """Return the load of local placements by endpoint, to report it to peers.
+
+        Each is a new object, to which the loads of peers may be added.
+        """
         sums: dict[str, EndpointUse] = {}
         for placement in self._placements.values():
             for use in placement.uses:
@@ -285,6 +348,7 @@
         """Return the state as plain data."""
         return {
             "own": len(self._placements),
+            "peers_without_updates": self.peers_without_updates(now_s),
             "peers": {
                 node_id: now_s - report.heard_s
                 for node_id, report in self._peers.items()
--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -151,6 +151,7 @@
             tickets=tickets,
             part_ms=part_ms,
             first_event_ms=wait_ms + part_ms + 2 * costs.pass_ms,
+            is_long=True,
         )
         splits.append(split)
     return splits
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -257,6 +257,8 @@
             self._state.place(
                 placement_request.request.request_id, placement.first, uses, now_s
             )
+            if placement.is_long:
+                self._state.on_long_placed([use.address for use in uses], now_s)
         return placement
 
     def _place_call(
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -55,6 +55,16 @@
         def paused_endpoints(options: CallbackOptions) -> list[Observation]:
             return [Observation(len(state.pauses.dump(time.monotonic())))]
 
+        def load_updates(options: CallbackOptions) -> list[Observation]:
+            rate = state.update_rate
+            return [
+                Observation(rate.sent, {"outcome": "sent"}),
+                Observation(rate.held_back, {"outcome": "held_back"}),
+            ]
+
+        meter.create_observable_counter(
+            "sorrelhoist_gateway_load_updates", [load_updates]
+        )
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
         meter.create_observable_gauge(
             "sorrelhoist_paused_endpoints", [paused_endpoints]
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -75,6 +75,7 @@
             state, self._send_to, has_peers=lambda: bool(self._peers)
         )
         self._transport: asyncio.DatagramTransport | None = None
+        state.on_long_placed = self._on_long_placed
 
     def connection_made(self, transport: Any) -> None:
         """Keep the transport for sending."""
@@ -111,6 +112,8 @@
         match body:
             case ttypes.LoadReport():
                 self._report_received(body)
+            case ttypes.LoadUpdate():
+                self._update_received(body)
             case ttypes.PermitAsk() | ttypes.PermitGrant():
                 self.permits.message_received(body)
             case _:
@@ -159,6 +162,16 @@
                 now_boot_s,
             )
 
+    def _update_received(self, body: ttypes.LoadUpdate) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._state.loads.peer_updated(
+            body.node_id or "",
+            body.boot_ms or 0,
+            body.sequence or 0,
+            (_from_wire(load, now_s) for load in body.loads or ()),
+            now_s,
+        )
+
     def _limits_received(
         self, limits: Iterable[ttypes.NamedLimit], now_s: float
     ) -> None:
@@ -178,6 +191,33 @@
             await asyncio.sleep(report_interval_s(len(self._peers)))
             self._state.update_retry_share(loop.time())
             self._report(loop.time())
+            if self._state.update_rate.is_announcement_due(
+                len(self._peers), loop.time()
+            ):
+                self._on_long_placed((), loop.time())
+
+    def _on_long_placed(self, addresses: Iterable[str], now_s: float) -> None:
+        """Send the new loads of some endpoints to all peers, as far as the rate allows.
+
+        The next report carries them again, for peers that this update doesn't reach.
+        """
+        if not self._state.update_rate.try_send(len(self._peers), now_s):
+            return
+        self._sequence += 1
+        wanted = set(addresses)
+        update = ttypes.LoadUpdate(
+            node_id=self._state.node_id,
+            boot_ms=self._boot_ms,
+            sequence=self._sequence,
+            loads=[
+                _to_wire(use, now_s)
+                for use in self._state.loads.own_uses()
+                if use.address in wanted
+            ],
+        )
+        data = encode(Message(0, update))
+        for peer in self._peers.values():
+            self._send(data, peer.address)
 
     def _report(self, now_s: float) -> None:
         loads = self._state.loads
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -3,7 +3,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -17,7 +17,7 @@
 from ..decisions.permits import PermitHolder
 from ..decisions.placement.demand import EndpointView
 from ..decisions.placement.load_tracker import EndpointUse, LoadTracker, RequestUse
-from ..decisions.report_rate import settle_s
+from ..decisions.report_rate import UpdateRate, settle_s
 from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
@@ -68,6 +68,9 @@
         Permits for requests to these endpoints, and to those in a cold start.
     on_permit_wanted : callable
         Called when a placement lacks a permit.
+    update_rate : UpdateRate
+    on_long_placed : callable
+        Called with the addresses and the present time when a long prompt was placed.
     troubles, faults : FailureTracker
         All failures of endpoints, and those that are reported to other gateways: a
         lack of capacity isn't, since each gateway knows the load of all.
@@ -95,6 +98,10 @@
         default=attrs.Factory(lambda self: PermitHolder(self.node_id), takes_self=True)
     )
     on_permit_wanted: Callable[[], None] = lambda: None
+    update_rate: UpdateRate = attrs.field(factory=UpdateRate)
+    on_long_placed: Callable[[Iterable[str], float], None] = lambda addresses, now_s: (
+        None
+    )
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
     part_suspicions: PartSuspicions = attrs.field(
         default=attrs.Factory(
@@ -305,6 +312,7 @@
             "contact_age_s": self.contact.age_s(boot_time_s()),
             "directory": self.directory.dump(now_s),
             "loads": self.loads.dump(now_s),
+            "load_updates": attrs.asdict(self.update_rate),
             "troubles": self.troubles.dump(now_s),
             "troubles_of_peers": self.peer_failures.evidence(now_s),
             "retries": self.retries.dump(),
--- a/tests/decisions/placement/test_load_tracker.py
+++ b/tests/decisions/placement/test_load_tracker.py
@@ -109,3 +109,55 @@
     tracker.prefill_completed("r")
     assert round(tracker.endpoint_use("a", 0.1).slack_ms(0.1)) == 2800
     assert EndpointUse(address="a").slack_ms(0.1) == float("inf")
+
+
+# Updates between two reports
+
+
+def update(tracker, sequence, *uses, boot_ms=1, now_s=1.0):
+    return tracker.peer_updated("peer", boot_ms, sequence, uses, now_s)
+
+
+def read_ms(tracker, address):
+    return tracker.endpoint_use(address, now_s=1.0).read_ms
+
+
+def test_updates_in_any_order_end_in_the_newest_load_of_each_endpoint():
+    tracker = LoadTracker()
+    report(tracker, sequence=1)
+    assert update(tracker, 4, use(read_ms=400.0))
+    assert update(tracker, 2, use(read_ms=200.0), use(read_ms=30.0, address="b"))
+    # A report that was sent between them replaces only what is older.
+    report(tracker, sequence=3, uses=[use(read_ms=300.0)])
+    assert (read_ms(tracker, "a"), read_ms(tracker, "b")) == (400.0, 0.0)
+    assert not update(tracker, 2, use(read_ms=30.0, address="b"))
+    # The report after a lost update has the load of all endpoints.
+    report(tracker, sequence=6, uses=[use(read_ms=600.0, address="b")])
+    assert (read_ms(tracker, "a"), read_ms(tracker, "b")) == (0.0, 600.0)
+
+
+def test_prefill_in_an_update_and_in_the_next_report_is_counted_once():
+    tracker = LoadTracker()
+    placed = EndpointUse(address="a", read_ms=500.0, reading_s=1.0, placed_ms=500.0)
+    update(tracker, 1, placed)
+    report(tracker, sequence=2, uses=[placed], now_s=1.1)
+    assert round(tracker.endpoint_use("a", 1.2).backlog_ms(1.2)) == 300
+
+
+def test_an_update_of_a_restarted_peer_replaces_its_load_from_before():
+    tracker = LoadTracker()
+    report(tracker, sequence=500)
+    assert update(tracker, 1, use(address="b"), boot_ms=2)
+    assert not update(tracker, 501, use(read_ms=900.0), boot_ms=1)
+    assert (read_ms(tracker, "a"), read_ms(tracker, "b")) == (0.0, 100.0)
+
+
+def test_a_peer_without_updates_is_counted_until_one_is_heard():
+    tracker = LoadTracker()
+    report(tracker, sequence=1)
+    assert tracker.peers_without_updates(1.0) == 1
+    update(tracker, 2)
+    report(tracker, sequence=3)
+    assert tracker.peers_without_updates(1.0) == 0
+    report(tracker, sequence=1, boot_ms=2)
+    assert tracker.peers_without_updates(1.0) == 1
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -13,6 +13,7 @@
 from sorrelhoist.decisions.directory import Endpoint
 from sorrelhoist.decisions.placement.demand import Assignment
 from sorrelhoist.decisions.routes import (
+    EngineCosts,
     Repeat,
     Route,
     RouteTable,
@@ -95,7 +96,7 @@
 class VirtualGateway:
     """One gateway: real state, dispatcher and peer exchange.
 
-    An old build drops what it doesn't know: named limits and permits.
+    An old build drops what it doesn't know: named limits, permits and load updates.
     """
 
     node_id: str
@@ -122,6 +123,9 @@
         self.exchange.permits.on_granted = self.dispatcher.retry_queued
         self.exchange.connection_made(self)
         if self.is_old:
+            self.exchange._update_received = lambda body: None
+            self.exchange._on_long_placed = lambda addresses, now_s: None
+            self.state.on_long_placed = self.exchange._on_long_placed
             self.exchange.permits.issues_permits = lambda now_s: None
             self.exchange.permits.message_received = lambda body: None
             self.exchange._limits_received = lambda limits, now_s: None
@@ -195,12 +199,15 @@
     network: VirtualNetwork
     rng: random.Random
     cold_per_s: float = 0.0
+    engine: EngineCosts | None = None
     calls: set = attrs.field(factory=set)
 
     def equip(self, gateway):
         """Give a gateway the configuration and the directory."""
         now_s = asyncio.get_running_loop().time()
-        service = ServiceConfig(name=SERVICE, cold_requests_per_s=self.cold_per_s)
+        service = ServiceConfig(
+            name=SERVICE, cold_requests_per_s=self.cold_per_s, engine=self.engine
+        )
         gateway.state.adopt(
             RouteTable(
                 version=1, routes={("h", "/"): ROUTE}, services={SERVICE: service}
@@ -252,7 +259,9 @@
 
 
 @contextmanager
-def virtual_fleet(count, limits, seed=1, old_every=0, cold_per_s=0.0, **network):
+def virtual_fleet(
+    count, limits, seed=1, old_every=0, cold_per_s=0.0, engine=None, **network
+):
     """Run gateways before one endpoint for each of ``limits``; None is unlimited."""
     rng = random.Random(seed)
     net = VirtualNetwork(rng, **network)
@@ -279,7 +288,7 @@
         )
         for number, limit_per_s in enumerate(limits)
     }
-    fleet = VirtualFleet(gateways, endpoints, net, rng, cold_per_s)
+    fleet = VirtualFleet(gateways, endpoints, net, rng, cold_per_s, engine)
     with ExitStack() as stack, pytest.MonkeyPatch.context() as patched:
         # All receivers of a report get the same bytes.
         patched.setattr(peer_exchange, "decode", _decode_once)
