Derive the prefill beside streams from their pause targets

Cause: 120 and 420 ms of prefill beside tight and other streams, and the bound of 0.45 s between the two, were measured for pauses of 250 and 600 ms and engines that prefill 154 tokens per ms. Change: placement/pauses.py computes the prefill that fits into a pass from the shortest pause target of the streams there (carried in the loads as pause_ms; assumed from tight_streams if a former build reports none), the decode steps of an event with their cost by request and by context, and room for two short prompts that are not reported yet. The bound of a short prompt and of a tight stream follow from the same costs. The longest part at each endpoint is computed once in a placement instead of once for each number of parts.

--- a/src/sorrelhoist/bench/experiments/split_prefill_engine.py
+++ b/src/sorrelhoist/bench/experiments/split_prefill_engine.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from ...decisions.placement.pauses import decode_pass_ms
 from ...decisions.routes import EngineCosts
 from .virtual_fleet import Clock
 from .virtual_prompts import MS_PER_S
@@ -46,10 +47,12 @@
     left_events : int
     on_event : callable
         Called at each event, with the number of events that remain.
+    context_tokens : int
     """
 
     left_events: int
     on_event: Callable[[int], None]
+    context_tokens: int = 0
 
 
 @attrs.define(eq=False)
@@ -60,10 +63,13 @@
     ----------
     clock : Clock
     costs : EngineCosts
+    slowness : float
+        Factor by which it takes longer than its costs.
     """
 
     clock: Clock
     costs: EngineCosts
+    slowness: float = 1.0
     peer_parts: list[PrefillPart] = attrs.field(factory=list)
     own: list[PrefillPart] = attrs.field(factory=list)
     streams: list[DecodeStream] = attrs.field(factory=list)
@@ -112,7 +118,7 @@
     def _run_pass(self) -> None:
         streams = list(self.streams)
         steps = self.costs.tokens_per_event if streams else 1
-        duration_ms, completed = self._steps(steps, len(streams))
+        duration_ms, completed = self._steps(steps, streams)
         if not duration_ms:
             self._is_busy = False
             return
@@ -120,8 +126,14 @@
             duration_ms / MS_PER_S, lambda: self._finish_pass(streams, completed)
         )
 
-    def _steps(self, steps: int, streams: int) -> tuple[float, list[PrefillPart]]:
-        duration_ms = steps * self.costs.step_ms if streams else 0.0
+    def _steps(
+        self, steps: int, streams: list[DecodeStream]
+    ) -> tuple[float, list[PrefillPart]]:
+        context_tokens = sum(stream.context_tokens for stream in streams)
+        duration_ms = (
+            decode_pass_ms(len(streams), context_tokens, self.costs) if streams else 0.0
+        )
+        duration_ms *= self.slowness
         completed: list[PrefillPart] = []
         for part in [*reversed(self.peer_parts), *self.own]:
             needed = max(1, math.ceil(part.left_ms / part.chunk_ms))
@@ -129,7 +141,7 @@
             steps -= done
             done_ms = min(part.left_ms, done * part.chunk_ms)
             part.left_ms -= done_ms
-            duration_ms += done_ms
+            duration_ms += done_ms * self.slowness
             if part.left_ms <= 0:
                 completed.append(part)
             if not steps:
--- a/src/sorrelhoist/bench/experiments/virtual_gateways.py
+++ b/src/sorrelhoist/bench/experiments/virtual_gateways.py
@@ -15,7 +15,8 @@
     Placement,
     request_uses,
 )
-from ...decisions.placement.load_tracker import TIGHT_PAUSE_S, EndpointUse, LoadTracker
+from ...decisions.placement.load_tracker import EndpointUse, LoadTracker
+from ...decisions.placement.pauses import is_tight
 from ...decisions.placement.queue import PendingPlacement, PlacementQueue
 from ...decisions.placement.strategy import place_prompt
 from ...decisions.report_rate import report_interval_s
@@ -28,7 +29,7 @@
     SplitPrefillEngine,
 )
 from .virtual_fleet import Clock
-from .virtual_prompts import Arrival
+from .virtual_prompts import MS_PER_S, Arrival
 
 NETWORK_S = 0.001
 """Delay between two gateways, as in the users' failure domains."""
@@ -58,6 +59,7 @@
     first_event_s: float = math.inf
     last_event_s: float = math.inf
     longest_pause_s: float = 0.0
+    late_pauses: int = 0
     is_complete: bool = False
     is_over: bool = False
     prefills_left: int = 0
@@ -83,6 +85,7 @@
     def __init__(self, engines: int, gateways: int, costs: EngineCosts, seed: int):
         self.clock = Clock()
         self.costs = costs
+        self._shortest_pause_ms = math.inf
         self.endpoints = [
             Endpoint(
                 endpoint_id=f"i-{number}",
@@ -101,10 +104,17 @@
             for number in range(gateways)
         ]
 
+    @property
+    def shortest_pause_ms(self) -> float:
+        """Shortest pause target of the prompts that are replayed."""
+        return self._shortest_pause_ms
+
     def replay(self, arrivals: Sequence[Arrival], rng: random.Random) -> list[Request]:
         """Serve all arrivals and return their final states."""
         requests = [Request(key, arrival) for key, arrival in enumerate(arrivals)]
         start_s = arrivals[0].at_s
+        pauses_s = {arrival.kind.pause_s for arrival in arrivals}
+        self._shortest_pause_ms = min(pauses_s) * MS_PER_S
         for request in requests:
             gateway = rng.choice(self.gateways)
             self.clock.after(
@@ -162,7 +172,10 @@
             self.now_s + kind.objective_s,
             self.now_s + kind.objective_s * PROMPT_WAIT_SHARE,
             self.now_s + kind.objective_s * PROMPT_WAIT_SHARE,
-            (kind.pause_s < TIGHT_PAUSE_S, request.arrival.prompt_tokens.bit_length()),
+            (
+                is_tight(kind.pause_s, self.fleet.costs),
+                request.arrival.prompt_tokens.bit_length(),
+            ),
         )
         self.queue.push(waiting)
         self.waiting[waiting] = request
@@ -192,7 +205,9 @@
         demand = Demand(
             prompt_tokens=arrival.prompt_tokens,
             output_tokens=kind.events * self.fleet.costs.tokens_per_event,
-            is_tight=kind.pause_s < TIGHT_PAUSE_S,
+            is_tight=is_tight(kind.pause_s, self.fleet.costs),
+            pause_ms=kind.pause_s * MS_PER_S,
+            service_pause_ms=self.fleet.shortest_pause_ms,
             objective_left_s=arrival.at_s + kind.objective_s - self.now_s,
             deadline_left_s=arrival.at_s + kind.deadline_s - self.now_s,
             may_be_late=may_be_late,
@@ -246,12 +261,15 @@
             else:
                 pause_s = self.now_s - request.last_event_s
                 request.longest_pause_s = max(request.longest_pause_s, pause_s)
+                request.late_pauses += pause_s > request.arrival.kind.pause_s
             request.last_event_s = self.now_s
             if not left_events:
                 request.is_complete = True
                 self.end(request)
 
-        stream = DecodeStream(request.arrival.kind.events, received)
+        stream = DecodeStream(
+            request.arrival.kind.events, received, request.arrival.prompt_tokens
+        )
         request.items.append((engine, stream))
         # The first event contains only the first token.
         received(stream.left_events)
--- a/src/sorrelhoist/decisions/placement/demand.py
+++ b/src/sorrelhoist/decisions/placement/demand.py
@@ -6,7 +6,7 @@
 
 from ..directory import Endpoint
 from ..routes import EngineCosts
-from .load_tracker import EndpointUse, RequestUse
+from .load_tracker import ASSUMED_TIGHT_PAUSE_MS, EndpointUse, RequestUse
 
 MAX_TICKET_KV_SHARE = 0.75
 """Fraction of the KV cache of an endpoint that may be reserved for a part of a prompt
@@ -27,6 +27,10 @@
     prompt_tokens, output_tokens : int
     is_tight : bool
         Whether the stream has a short target for the pause between two events.
+    pause_ms : float
+        This target; infinite if there is none.
+    service_pause_ms : float
+        Shortest target of all streams of the service.
     objective_left_s : float
         Time until the first event misses its latency objective.
     deadline_left_s : float
@@ -45,6 +49,8 @@
     deadline_left_s: float
     may_be_late: bool = False
     excluded: frozenset[str] = frozenset()
+    pause_ms: float = float("inf")
+    service_pause_ms: float = ASSUMED_TIGHT_PAUSE_MS
 
     @property
     def kv_tokens(self) -> int:
@@ -176,6 +182,7 @@
         read_ms=assignment.part_ms,
         kv_tokens=first_kv_tokens(demand, costs),
         is_tight=demand.is_tight,
+        pause_ms=demand.pause_ms,
         due_s=due_s,
     )
     held = {ticket.endpoint.address: ticket.tokens for ticket in assignment.tickets}
--- a/src/sorrelhoist/decisions/placement/load_tracker.py
+++ b/src/sorrelhoist/decisions/placement/load_tracker.py
@@ -18,8 +18,9 @@
 """Fraction of its prefill time that still counts when a prefill takes longer
 than estimated."""
 
-TIGHT_PAUSE_S = 0.45
-"""Streams with a shorter pause target cannot share an engine with a long prefill."""
+ASSUMED_TIGHT_PAUSE_MS, ASSUMED_PAUSE_MS = 250.0, 600.0
+"""Pause targets that are assumed of tight and of other streams where none is known: in
+reports of a former build, and for routes without a target."""
 
 
 @attrs.frozen(kw_only=True)
@@ -36,6 +37,8 @@
         Whether it occupies a slot in the decode batch; a helper's part does not.
     is_tight : bool
         Whether its stream has a short pause target.
+    pause_ms : float
+        Pause target of its stream; infinite if it has none.
     due_s : float
         Time by which its prefill must complete; after it the prefill is late.
     """
@@ -45,6 +48,7 @@
     kv_tokens: int = 0
     is_stream: bool = True
     is_tight: bool = False
+    pause_ms: float = float("inf")
     due_s: float = float("inf")
 
 
@@ -67,6 +71,8 @@
         Earliest time by which one of the prefills must complete.
     placed_ms : float
         Cumulative prefill time of all prefills ever placed, including completed ones.
+    pause_ms : float
+        Shortest pause target of the streams; infinite if none is known.
     """
 
     address: str
@@ -78,12 +84,15 @@
     helps: int = 0
     due_s: float = float("inf")
     placed_ms: float = 0.0
+    pause_ms: float = float("inf")
 
     def add(self, use: RequestUse, placed_s: float, is_prefilling: bool) -> None:
         """Add the use of one request."""
         self.streams += use.is_stream
         self.tight_streams += use.is_stream and use.is_tight
         self.kv_tokens += use.kv_tokens
+        if use.is_stream:
+            self.pause_ms = min(self.pause_ms, use.pause_ms)
         if is_prefilling:
             self.read_ms += use.read_ms
             self.reading_s = min(self.reading_s, placed_s)
@@ -92,6 +101,9 @@
 
     def join(self, other: "EndpointUse") -> None:
         """Add the load that a peer reported for the same endpoint."""
+        if other.streams:
+            known_ms = self.shortest_pause_ms if self.streams else float("inf")
+            self.pause_ms = min(known_ms, other.shortest_pause_ms)
         self.streams += other.streams
         self.tight_streams += other.tight_streams
         self.kv_tokens += other.kv_tokens
@@ -100,6 +112,13 @@
         self.helps += other.helps
         self.due_s = min(self.due_s, other.due_s)
 
+    @property
+    def shortest_pause_ms(self) -> float:
+        """Shortest pause target of the streams, or what is assumed if none is known."""
+        if self.pause_ms != float("inf"):
+            return self.pause_ms
+        return ASSUMED_TIGHT_PAUSE_MS if self.tight_streams else ASSUMED_PAUSE_MS
+
     def slack_ms(self, now_s: float) -> float:
         """Estimate the longest prefill that can run first and make no other late."""
         return (self.due_s - now_s) * 1000 - self.backlog_ms(now_s)
--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -22,17 +22,15 @@
     has_free_kv_cache,
     ticket_count,
 )
+from .pauses import max_prefill_ms
 
 MAX_HELPERS = 16
 """Maximum number of helpers per request that engines support."""
 
-MAX_TIGHT_PART_MS = 120.0
-"""Longest prefill in one pass on an endpoint with streams whose pause target is 250 ms:
-the target minus the pass itself and the prefills of two more short prompts."""
-
-MAX_LOOSE_PART_MS = 420.0
-"""Longest prefill in one pass on an endpoint with streams whose pause target is
-600 ms."""
+MAX_TIGHT_PART_MS, MAX_LOOSE_PART_MS = 120.0, 420.0
+"""Longest prefills in one pass that were measured beside streams with pause targets of
+250 and 600 ms, on engines that prefill 154 tokens per ms. They are the reference of the
+model in `pauses`, which decides."""
 
 OBJECTIVE_SHARE_ONE_GATEWAY, OBJECTIVE_SHARE_MANY_GATEWAYS = 0.1, 0.35
 """A prefill is split until its first event is expected within this fraction of the time
@@ -56,12 +54,12 @@
 """Added to each ticket, since engines allocate KV cache in blocks."""
 
 
-def _largest_part_ms(view: EndpointView, now_s: float) -> float:
+def _largest_part_ms(view: EndpointView, costs: EngineCosts, now_s: float) -> float:
     """Return the longest part with which pause targets and due times are still met."""
     slack_ms = view.use.slack_ms(now_s)
     if not view.use.streams:
         return slack_ms
-    limit_ms = MAX_TIGHT_PART_MS if view.use.tight_streams else MAX_LOOSE_PART_MS
+    limit_ms = max_prefill_ms(view.use, costs)
     return min(slack_ms, limit_ms - view.use.backlog_ms(now_s))
 
 
@@ -128,13 +126,13 @@
 ) -> list[Assignment]:
     """Return the best split for each number of parts, fewest first."""
     splits: list[Assignment] = []
+    largest_ms = {view: _largest_part_ms(view, costs, now_s) for view in by_backlog}
     for parts in range(1, min(MAX_HELPERS + 1, len(by_backlog)) + 1):
         part_ms = read_ms / parts
         eligible = [
             view
             for view in by_backlog
-            if _largest_part_ms(view, now_s) >= part_ms
-            and view.use.helps < costs.max_running
+            if largest_ms[view] >= part_ms and view.use.helps < costs.max_running
         ]
         chosen = _choose_parts(demand, eligible, parts, costs)
         if chosen is None:
--- a/src/sorrelhoist/decisions/placement/strategy.py
+++ b/src/sorrelhoist/decisions/placement/strategy.py
@@ -9,7 +9,8 @@
 
 from ..routes import EngineCosts
 from .demand import Busy, Demand, EndpointView, Impossible, Placement
-from .long import MAX_TIGHT_PART_MS, min_first_event_ms, place_long
+from .long import min_first_event_ms, place_long
+from .pauses import max_short_ms
 from .short import place_short
 
 
@@ -47,7 +48,7 @@
     if not usable:
         return Busy()
     healthy = [view for view in usable if not view.is_avoided]
-    if read_ms <= MAX_TIGHT_PART_MS:
+    if read_ms <= max_short_ms(demand.service_pause_ms, costs):
         return place_short(
             demand, healthy or usable, read_ms, costs, gateways, rng, now_s
         )
--- a/src/sorrelhoist/decisions/routes.py
+++ b/src/sorrelhoist/decisions/routes.py
@@ -206,6 +206,17 @@
     workspaces: dict[str, Workspace] | None = None
     limits: CallerLimits = CallerLimits()
 
+    def shortest_pauses_ms(self) -> dict[str, float]:
+        """Return the shortest pause target of each service that has one."""
+        shortest_ms: dict[str, float] = {}
+        for route in self.routes.values():
+            if route.pause_s == float("inf"):
+                continue
+            for target in route.targets:
+                known_ms = shortest_ms.get(target.service, float("inf"))
+                shortest_ms[target.service] = min(known_ms, route.pause_s * 1000)
+        return shortest_ms
+
     def match(self, host: str, path: str) -> Route | None:
         """Find the route with the longest matching path prefix.
 
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -8,8 +8,8 @@
 from ..decisions.event_stream import EventSplitter
 from ..decisions.forwarding import Broken, Failed, Failure, Progress
 from ..decisions.placement.demand import Assignment
-from ..decisions.placement.load_tracker import TIGHT_PAUSE_S
 from ..decisions.placement.pause_monitor import StreamPauses, estimate_pass
+from ..decisions.placement.pauses import is_tight
 from ..decisions.routes import Route, Workspace
 from .caller import CallerConnection
 from .parts import GatewayParts
@@ -183,9 +183,10 @@
     def _engine_priority(self) -> int | None:
         if self.admitted.request.size is None:
             return None
+        costs = self.parts.state.engine_costs(self.admitted.service)
         return (
             TIGHT_STREAM_PRIORITY
-            if self.admitted.route.pause_s < TIGHT_PAUSE_S
+            if is_tight(self.admitted.route.pause_s, costs)
             else None
         )
 
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -14,7 +14,8 @@
     Placement,
     request_uses,
 )
-from ..decisions.placement.load_tracker import TIGHT_PAUSE_S, RequestUse
+from ..decisions.placement.load_tracker import RequestUse
+from ..decisions.placement.pauses import is_tight
 from ..decisions.placement.queue import PendingPlacement, PlacementQueue
 from ..decisions.placement.strategy import place_prompt
 from ..decisions.retry_after import Backlog, BacklogBased, retry_after_s
@@ -72,15 +73,18 @@
 Lane = tuple[str, bool, int]
 
 
-def _lane(placement_request: PlacementRequest) -> Lane:
+def _lane(placement_request: PlacementRequest, costs: EngineCosts | None) -> Lane:
     """Return the lane of the queue within which the earliest due time goes first.
 
     Prompts of different sizes have different lanes: one that finds no capacity blocks
     those of its size behind it, but not smaller ones.
     """
     size = placement_request.request.size or DEFAULT_PROMPT_SIZE
-    is_tight = placement_request.route.pause_s < TIGHT_PAUSE_S
-    return (placement_request.service, is_tight, size.prompt_tokens.bit_length())
+    return (
+        placement_request.service,
+        is_tight(placement_request.route.pause_s, costs),
+        size.prompt_tokens.bit_length(),
+    )
 
 
 class Dispatcher:
@@ -182,7 +186,9 @@
             if placement_request.has_begun
             else give_up_s,
             late_from_s=placement_request.objective_due_s - objective_s * (1 - share),
-            lane=_lane(placement_request),
+            lane=_lane(
+                placement_request, self._state.engine_costs(placement_request.service)
+            ),
         )
 
     def _schedule_retry(self) -> None:
@@ -238,7 +244,9 @@
         demand = Demand(
             prompt_tokens=size.prompt_tokens,
             output_tokens=size.output_tokens,
-            is_tight=placement_request.route.pause_s < TIGHT_PAUSE_S,
+            is_tight=is_tight(placement_request.route.pause_s, costs),
+            pause_ms=placement_request.route.pause_s * 1000,
+            service_pause_ms=self._state.shortest_pause_ms(placement_request.service),
             objective_left_s=placement_request.objective_due_s - now_s,
             deadline_left_s=placement_request.deadline_s - now_s,
             may_be_late=may_be_late,
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -256,6 +256,7 @@
         helps=use.helps,
         due_in_ms=None if math.isinf(use.due_s) else int((use.due_s - now_s) * 1000),
         placed_ms=int(use.placed_ms),
+        pause_ms=None if math.isinf(use.pause_ms) else int(use.pause_ms),
     )
 
 
@@ -273,6 +274,7 @@
         helps=load.helps or 0,
         due_s=float("inf") if load.due_in_ms is None else now_s + load.due_in_ms / 1000,
         placed_ms=load.placed_ms or 0,
+        pause_ms=float("inf") if load.pause_ms is None else load.pause_ms,
     )
 
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -16,7 +16,12 @@
 from ..decisions.peer_failures import PeerFailures
 from ..decisions.permits import PermitHolder
 from ..decisions.placement.demand import EndpointView
-from ..decisions.placement.load_tracker import EndpointUse, LoadTracker, RequestUse
+from ..decisions.placement.load_tracker import (
+    ASSUMED_TIGHT_PAUSE_MS,
+    EndpointUse,
+    LoadTracker,
+    RequestUse,
+)
 from ..decisions.report_rate import settle_s
 from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import RetryBudget, SharedRetryBudget
@@ -109,6 +114,7 @@
     peer_configurations: PeerConfigurations = attrs.field(factory=PeerConfigurations)
     store_restorations: int = 0
     stopping_s: float | None = None
+    _shortest_pauses_ms: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def adopt(self, table: RouteTable) -> bool:
         """Apply a version of the configuration if it is newer than the current one.
@@ -130,6 +136,7 @@
             },
         )
         self.table = table
+        self._shortest_pauses_ms = table.shortest_pauses_ms()
         return True
 
     @property
@@ -151,6 +158,10 @@
         config = self.table.services.get(service) if self.table else None
         return config.engine if config else None
 
+    def shortest_pause_ms(self, service: str) -> float:
+        """Return the shortest pause target of the streams of a service."""
+        return self._shortest_pauses_ms.get(service, ASSUMED_TIGHT_PAUSE_MS)
+
     def is_ready(self, now_boot_s: float) -> bool:
         """Return whether the load balancer should send callers to this gateway."""
         return (
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -19,3 +19,11 @@
         tracker.peer_reported("peer", 1, sequence, [received], NOW_S + sequence / 10)
     later_s = NOW_S + 0.2
     assert round(tracker.endpoint_use("a", later_s).backlog_ms(later_s)) == 800
+
+
+def test_the_shortest_pause_target_reaches_peers():
+    sent = EndpointUse(address="a", streams=2, tight_streams=1, pause_ms=200.0)
+    assert _from_wire(_to_wire(sent, NOW_S), NOW_S).shortest_pause_ms == 200.0
+    former = _to_wire(sent, NOW_S)
+    former.pause_ms = None
+    assert _from_wire(former, NOW_S).shortest_pause_ms == 250.0
