--- /dev/null
+++ b/src/sorrelhoist/decisions/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory that a gateway holds for callers and endpoints, and its limits."""
