Reading on while a caller is slow, within the memory budget

The gateway stopped reading an answer while its caller was slow. Endpoints cut answers that stay unread for some seconds; that counted as their failure, and the stream was run again elsewhere. Request bodies and answers were held without a common bound.

Where a memory limit is known, data that a caller doesn't take at once is now held in the account of its request. Over the budget, the connections over their share with most unread data are closed; at its deadline a caller that still hasn't read its answer is, too. Both are logged with their reason and count neither as a failure nor as a reason to run the work again. Requests that don't fit are refused with 503 before their bodies are kept, and the gateway reports itself not ready until the pressure ends. Without a limit the endpoint waits for the caller as before, but that wait no longer counts as silence of the endpoint.

--- a/src/sorrelhoist/decisions/memory/account.py
+++ b/src/sorrelhoist/decisions/memory/account.py
@@ -7,7 +7,7 @@
 
 CONNECTION_BYTES = 32 * 1024
 """Charged for each request besides its data: its connections' objects, header fields
-and tasks. A gateway with 200 requests held 20 to 30 kB for each of them."""
+and tasks. An estimate: what it misses is part of the measured base of the program."""
 
 MAX_RECEIPT_S = 4.0
 """Time after which a caller counts as slow to send its body: 4 MB take 3.4 s on a link
--- a/src/sorrelhoist/decisions/memory/base.py
+++ b/src/sorrelhoist/decisions/memory/base.py
@@ -8,7 +8,7 @@
 MAX_BASE_SHARE = 0.5
 """Upper bound as a fraction of the limit, so that some budget is always left."""
 
-GROWTH_TIME_S = 30.0
+GROWTH_TIME_S = 5.0
 """Time over which a rise of the estimate follows the measurements: memory that was
 freed stays with the process for a while, and is used again by what is held next."""
 
@@ -30,7 +30,7 @@
     >>> base.measure(45_000_000, held_bytes=0, now_s=0.0)
     >>> base.measure(95_000_000, held_bytes=40_000_000, now_s=3.0)
     >>> round(base.base_bytes / 1e6, 1)
-    46.0
+    51.0
     """
 
     limit_bytes: int
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -13,6 +13,7 @@
 
 from ..decisions.routes import CallerLimits
 from .dispatch import Dispatcher
+from .memory import MemoryKeeper
 from .metrics import create_metrics
 from .parts import GatewayParts
 from .peer_exchange import PeerExchange, running
@@ -93,6 +94,7 @@
                 running(exchange.run()),
                 running(exchange.freshness.run()),
                 running(exchange.permits.run()),
+                running(front.parts.memory.run()),
             ):
                 stopped = asyncio.ensure_future(stop.wait())
                 await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
@@ -117,6 +119,7 @@
             reserver=Reserver(self.dialect),
             dialect=self.dialect,
             metrics=metrics,
+            memory=MemoryKeeper(self.state.memory, metrics),
         )
         front = CallerDelegate(parts)
         exchange = PeerExchange(self.state, self.boot_ms)
@@ -141,8 +144,9 @@
         addresses, limits = self.addresses, CallerLimits()
         operator_pages = StatusDelegate(_operator_answers(front.parts, metrics_text))
         metrics_address = f"{addresses.host}:{addresses.metrics_port}"
+        is_limited = self.state.limits.memory_bytes is not None
         return [
-            listen(front, addresses.front, limits),
+            listen(front, addresses.front, limits, is_limited),
             listen(StatusDelegate(readiness(self.state)), addresses.ready, limits),
             listen(operator_pages, metrics_address, limits),
         ]
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -309,7 +309,8 @@
         self, upstream: Upstream, head: AnswerHead
     ) -> Failure | None:
         """Relay an answer that is not a stream once it is complete."""
-        body = await upstream.body()
+        account = self.caller.account
+        body = await upstream.body(account.hold_answer if account else _ignore_size)
         progress = self.admitted.progress
         is_last = progress.runs + 1 >= progress.max_endpoints
         if self.caller.has_begun:
@@ -320,8 +321,9 @@
         headers["Content-Length"] = str(len(body))
         self.log.write("answered", outcome="answered", status=head.status)
         await self.caller.begin(head, headers)
-        await self.caller.write(body)
-        self.caller.finish()
+        if account is not None:
+            account.hold_answer(0)
+        self.caller.write(body)
         return None
 
     async def _relay_stream(
@@ -332,11 +334,15 @@
         timeout_s = max(MIN_STREAM_TIMEOUT_S, STREAM_TIMEOUT_PAUSES * pause_s)
         splitter = EventSplitter(last_id=self.admitted.splitter.last_id)
         self.admitted.splitter = splitter
+        account = self.caller.account
+        is_limited = self.parts.state.memory.limit_bytes is not None
         async for chunk in upstream.chunks():
             try:
                 events = splitter.feed(chunk)
             except ValueError as error:
                 return Broken(str(error))
+            if account is not None and account.answer_bytes != splitter.partial_bytes:
+                account.hold_answer(splitter.partial_bytes)
             # Comments keep no stream alive, and are none before its first event.
             is_progress = not all(map(is_comment, events))
             if not is_progress and not (events and self.caller.has_begun):
@@ -346,7 +352,13 @@
             if is_progress:
                 self._restart_timer(limit, timeout_s)
             self.parts.state.loads.prefill_completed(self.admitted.request.request_id)
-            await self.caller.write(b"".join(events))
+            self.caller.write(b"".join(events))
+            if not is_limited and not self.caller.has_drained:
+                # Without a limit the endpoint waits for the caller, which is no pause
+                # of the endpoint.
+                self._restart_timer(limit, None)
+                await self.caller.drained()
+                self._restart_timer(limit, timeout_s)
         if splitter.has_partial_event:
             return Broken("the stream ended in the middle of an event")
         if not splitter.last_id and not head.is_framed:
@@ -354,7 +366,6 @@
             return Broken("the stream ended before its first event")
         if not self.caller.has_begun:
             await self._begin_stream(head)
-        self.caller.finish()
         self.log.write("answered", outcome="answered", last_id=splitter.last_id)
         return None
 
@@ -371,6 +382,10 @@
         return self.parts.dialect.caller_headers(head.headers)
 
 
+def _ignore_size(size_bytes: int) -> None:
+    """Ignore the size of an answer that no account is kept for."""
+
+
 def _helpers(assignment: Assignment, ticket_ids: dict[str, str]) -> tuple[Helper, ...]:
     """List the helpers with tickets first: their KV cache is filled in this order."""
     helpers = [
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -78,12 +78,15 @@
     parts : GatewayParts
     received_s : float
         Monotonic time at which its headers were received.
+    is_memory_short : bool
+        Whether its body was dropped, since it would have exceeded the memory budget.
     """
 
     request: CallerRequest
     caller: CallerConnection
     parts: GatewayParts
     received_s: float
+    is_memory_short: bool = False
     _log: RequestLog = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -100,6 +103,8 @@
             self._log.write("caller gone", outcome=outcome)
             raise
         finally:
+            if self.caller.cut_reason is not None:
+                outcome = "cut"
             self.parts.metrics.requests.add(1, {"outcome": outcome})
 
     async def _serve(self) -> str:
@@ -113,14 +118,28 @@
         except TimeoutError:
             last = give_up(admitted.progress, "its time is over")
         if last is None:
-            return "answered"
+            return await self._finish(admitted)
         return await self._report_failure(admitted, last)
 
+    async def _finish(self, admitted: AdmittedRequest) -> str:
+        """Complete an answer that the endpoint has sent; the caller may read slowly."""
+        if not self.caller.has_drained:
+            try:
+                async with asyncio.timeout_at(admitted.deadline_s):
+                    await self.caller.drained()
+            except TimeoutError:
+                self.parts.memory.cut(self.caller, "unread at its deadline")
+                return "cut"
+        self.caller.finish()
+        return "answered"
+
     # Admission
 
     def _admit(self) -> AdmittedRequest | Refusal:
         """Check the route, the API key and suspicions; admit or refuse the request."""
         state, request = self.parts.state, self.request
+        if self.is_memory_short:
+            return self._memory_refusal()
         if not state.accepts_requests(self.received_s):
             return self._local_refusal("the gateway is stopping")
         if state.table is None:
@@ -142,6 +161,12 @@
         is_trial = blame is not None and state.try_part_trial(blame, self.received_s)
         if blame is not None and not is_trial:
             return self._part_refusal(blame)
+        deadline_s = self.received_s + min(
+            request.wait_s or route.timeout_s, route.timeout_s
+        )
+        if self.caller.account is not None:
+            self.caller.account.request_id = request.request_id
+            self.caller.account.due_s = deadline_s
         return AdmittedRequest(
             request=request,
             route=route,
@@ -149,8 +174,7 @@
             workspace=workspace,
             fingerprint=fingerprint,
             received_s=self.received_s,
-            deadline_s=self.received_s
-            + min(request.wait_s or route.timeout_s, route.timeout_s),
+            deadline_s=deadline_s,
             progress=Progress(
                 repeat=route.repeat,
                 max_endpoints=1 if is_trial else max(1, route.max_endpoints),
@@ -172,6 +196,14 @@
             422, f"{blame.deaths} endpoints died on prompts with part {blame.part}"
         )
 
+    def _memory_refusal(self) -> Refusal:
+        """Refuse a request that doesn't fit into the memory of this gateway."""
+        refusal = self._local_refusal("the gateway is short of memory")
+        if refusal.peer_contact is PeerContact.FRESH:
+            return refusal  # Another gateway can serve it at once.
+        left_s = self.parts.state.memory.retry_after_s(self.received_s)
+        return attrs.evolve(refusal, retry_after_s=left_s)
+
     def _local_refusal(self, reason: str) -> Refusal:
         """Refuse a request that other gateways may be able to serve."""
         state = self.parts.state
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -27,12 +27,15 @@
         Failed attempts, by kind.
     placement_wait : Histogram
         Duration of each placement in seconds, with the time in the queue.
+    callers_cut : Counter
+        Callers that were disconnected for what was held for them, by reason.
     first_event : Histogram
         Time from the receipt of the request headers to the first event, in seconds.
     """
 
     requests: Counter
     failures: Counter
+    callers_cut: Counter
     placement_wait: Histogram
     first_event: Histogram
 
@@ -55,7 +58,26 @@
         def paused_endpoints(options: CallbackOptions) -> list[Observation]:
             return [Observation(len(state.pauses.dump(time.monotonic())))]
 
+        def memory_budget(options: CallbackOptions) -> list[Observation]:
+            budget_bytes = state.memory.budget_bytes
+            return [] if budget_bytes is None else [Observation(budget_bytes)]
+
+        def memory_held(options: CallbackOptions) -> list[Observation]:
+            return [Observation(state.memory.held_bytes)]
+
+        def memory_pressure(options: CallbackOptions) -> list[Observation]:
+            return [Observation(int(state.memory.is_short))]
+
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
+        meter.create_observable_gauge(
+            "sorrelhoist_gateway_memory_budget_bytes", [memory_budget]
+        )
+        meter.create_observable_gauge(
+            "sorrelhoist_gateway_memory_held_bytes", [memory_held]
+        )
+        meter.create_observable_gauge(
+            "sorrelhoist_gateway_memory_pressure", [memory_pressure]
+        )
         meter.create_observable_gauge(
             "sorrelhoist_paused_endpoints", [paused_endpoints]
         )
@@ -71,6 +93,7 @@
         return cls(
             requests=meter.create_counter("sorrelhoist_gateway_requests"),
             failures=meter.create_counter("sorrelhoist_gateway_failed_attempts"),
+            callers_cut=meter.create_counter("sorrelhoist_gateway_callers_cut"),
             placement_wait=meter.create_histogram(
                 "sorrelhoist_gateway_placement_wait_seconds"
             ),
--- a/src/sorrelhoist/gateway/parts.py
+++ b/src/sorrelhoist/gateway/parts.py
@@ -3,6 +3,7 @@
 import attrs
 
 from .dispatch import Dispatcher
+from .memory import MemoryKeeper
 from .metrics import GatewayMetrics
 from .ports import Dialect
 from .reservations import Reserver
@@ -20,6 +21,7 @@
     reserver : Reserver
     dialect : Dialect
     metrics : GatewayMetrics
+    memory : MemoryKeeper
     """
 
     state: GatewayState
@@ -27,3 +29,4 @@
     reserver: Reserver
     dialect: Dialect
     metrics: GatewayMetrics
+    memory: MemoryKeeper
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +29,10 @@
 CONNECTION_BACKLOG = 1024
 """Length of the accept queue; an overflow delays callers by seconds."""
 
+SEND_BUFFER_BYTES = 256 * 1024
+"""What the kernel buffers for a caller where memory is limited; otherwise it may be
+4 MB for each. At 100 Mbit/s and a delay of 1 ms 25 kB are enough."""
+
 IDLE_TIMEOUT_FACTOR = 1.25
 """Idle connections are kept open for this multiple of the limit that callers know."""
 
@@ -62,15 +67,33 @@
     headers: HTTPHeaders = attrs.field(factory=HTTPHeaders)
     received_s: float = 0.0
     body: list[bytes] = attrs.field(factory=list)
+    body_bytes: int = 0
+    is_refused: bool = False
     work: asyncio.Task | None = None
+    caller: CallerConnection = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.caller = CallerConnection(self.connection)
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         self.start = start_line
         self.headers = headers
         self.received_s = asyncio.get_running_loop().time()
+        declared_bytes = _declared_bytes(headers)
+        self.is_refused = not self.front.parts.memory.open(self.caller, declared_bytes)
 
     def data_received(self, chunk: bytes) -> None:
+        if self.is_refused:
+            return  # Read to its end, so that the caller gets the refusal.
         self.body.append(chunk)
+        self.body_bytes += len(chunk)
+        account = self.caller.account
+        if account is not None and self.body_bytes > account.request_bytes:
+            account.hold_request(self.body_bytes)
+            if self.front.parts.state.memory.is_short:
+                self.is_refused = True
+                self.body.clear()
+                self.front.parts.memory.close(self.caller)
 
     def finish(self) -> None:
         assert self.start is not None
@@ -83,14 +106,20 @@
     def on_connection_close(self) -> None:
         if self.work is not None:
             self.work.cancel()
+        else:
+            self.front.parts.memory.close(self.caller)
 
     async def _serve(self, start: RequestStartLine) -> None:
         parts = self.front.parts
-        caller = CallerConnection(self.connection)
+        caller = self.caller
         caller.should_close = parts.state.is_stopping
+        if caller.account is not None:
+            caller.account.is_receiving = False
+        body = b"".join(self.body)
+        self.body.clear()
         try:
             request = parts.dialect.read_request(
-                start.method, start.path, self.headers, b"".join(self.body)
+                start.method, start.path, self.headers, body
             )
         except InvalidRequestError as error:
             logger.info(
@@ -103,11 +132,13 @@
             caller=caller,
             parts=parts,
             received_s=self.received_s,
+            is_memory_short=self.is_refused,
         )
         await exchange.run()
 
     def _on_done(self, work: asyncio.Task) -> None:
         self.front.running.discard(work)
+        self.front.parts.memory.close(self.caller)
         if not work.cancelled() and work.exception() is not None:
             logger.error(
                 "exchange failed",
@@ -119,6 +150,17 @@
                 stream.close()
 
 
+def _declared_bytes(headers: HTTPHeaders) -> int:
+    """Return the length of a body as its headers declare it, or 0."""
+    length = headers.get("Content-Length", "")
+    return int(length) if length.isascii() and length.isdigit() else 0
+
+
+def _limit_send_buffer(sockets: list[socket.socket]) -> None:
+    for one in sockets:
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
 @attrs.define(eq=False)
 class StatusDelegate(HTTPServerConnectionDelegate):
     """Answer GET requests with a status and a body.
@@ -170,7 +212,10 @@
 
 
 def listen(
-    delegate: HTTPServerConnectionDelegate, address: str, limits: CallerLimits
+    delegate: HTTPServerConnectionDelegate,
+    address: str,
+    limits: CallerLimits,
+    is_memory_limited: bool = False,
 ) -> HTTPServer:
     """Start an HTTP server on ``IP:PORT``."""
     host, _, port = address.rpartition(":")
@@ -181,5 +226,8 @@
         max_body_size=limits.max_body_bytes,
         max_buffer_size=limits.max_body_bytes + 2 * limits.max_header_bytes,
     )
-    server.add_sockets(bind_sockets(int(port), host, backlog=CONNECTION_BACKLOG))
+    sockets = bind_sockets(int(port), host, backlog=CONNECTION_BACKLOG)
+    if is_memory_limited:
+        _limit_send_buffer(sockets)
+    server.add_sockets(sockets)
     return server
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -10,6 +10,7 @@
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.endpoint_notices import NamedLimits
+from ..decisions.memory.budget import MemoryBudget
 from ..decisions.part_suspicion import Blame, PartSuspicions
 from ..decisions.pauses import EndpointPauses
 from ..decisions.peer_configurations import PeerConfigurations
@@ -60,6 +61,8 @@
         Retry budget of this gateway.
     rng : random.Random
     limits : ResourceLimits
+    memory : MemoryBudget
+        What is held for callers and endpoints, within these limits.
     named_limits : NamedLimits
         Limits that endpoints named for all gateways together.
     pauses : EndpointPauses
@@ -84,6 +87,11 @@
     retries: RetryBudget = attrs.field(factory=RetryBudget)
     rng: random.Random = attrs.field(factory=random.Random)
     limits: ResourceLimits = ResourceLimits()
+    memory: MemoryBudget = attrs.field(
+        default=attrs.Factory(
+            lambda self: MemoryBudget(self.limits.memory_bytes), takes_self=True
+        )
+    )
     table: RouteTable | None = None
     directory: Directory = attrs.field(factory=Directory)
     loads: LoadTracker = attrs.field(factory=LoadTracker)
@@ -151,6 +159,7 @@
         return (
             self.table is not None
             and not self.is_stopping
+            and not self.memory.is_short
             and self.contact.is_fresh(now_boot_s)
         )
 
@@ -307,6 +316,7 @@
             "loads": self.loads.dump(now_s),
             "troubles": self.troubles.dump(now_s),
             "troubles_of_peers": self.peer_failures.evidence(now_s),
+            "memory": self.memory.dump(now_s),
             "retries": self.retries.dump(),
             "pauses": self.pauses.dump(now_s),
             "permits": self.permits.dump(now_s),
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -95,14 +96,25 @@
             data = self._protocol.send(
                 h11.Request(method=method, target=path, headers=headers)
             )
-            if body:
-                data += self._protocol.send(h11.Data(body)) or b""
-            data += self._protocol.send(h11.EndOfMessage()) or b""
+            content = self._protocol.send(h11.Data(body)) or b"" if body else b""
+            end = self._protocol.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
             raise ExchangeError(NotSent(f"can't be forwarded: {error}")) from error
+        if len(content) < READ_BYTES:
+            self._write(data + content + end)
+        else:
+            # Large bodies are not copied: while the endpoint reads slowly, the stream
+            # refers to the body of the request.
+            self._write(data)
+            self._write(content)
+            if end:
+                self._write(end)
+
+    def _write(self, data: bytes) -> None:
         # Write errors are ignored: a closed connection shows when the answer is read.
-        write = self.stream.write(data)
-        write.add_done_callback(lambda done: done.exception())
+        with contextlib.suppress(StreamClosedError):
+            write = self.stream.write(data)
+            write.add_done_callback(lambda done: done.exception())
 
     async def head(self) -> AnswerHead:
         """Read the status and the headers.
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -231,6 +231,7 @@
         failure_domain=found.failure_domain,
         contact=StoreContact(found.revoke_s),
         rng=random.Random(found.node_id),
+        limits=found.limits,
     )
     fleet = None
 
