Long prompts are split wider and keep older prefills in time where updates pass

With 22 and 27 gateways a prefill was split until its first event was expected within 28% of its objective, since its parts might collide with unknown ones; it occupied few engines for seconds, and newer parts, which engines run first, delayed it. Where peers send updates the fraction is now interpolated by the number of peers that don't (0.1 as for one gateway if all do). Parts go first on engines that neither prefill nor decode. A part goes behind no prefill whose remaining time, less 30% for arrivals, is used up by all parts known behind it. Prompts whose prefill takes under 35% of their objective go beside streams first, within the limits on parts there.

A placement also computes the backlog of each endpoint once instead of up to 17 times, and considers 64 endpoints at most, idle ones first.

--- a/src/sorrelhoist/bench/experiments/placement.py
+++ b/src/sorrelhoist/bench/experiments/placement.py
@@ -8,16 +8,17 @@
 
 import click
 
+from .deployments import DEPLOYMENTS
 from .virtual_gateways import COSTS, GatewayFleet, Request
-from .virtual_prompts import KINDS, arrivals_from_log, draw_arrivals
+from .virtual_prompts import arrivals_from_log, draw_arrivals
 
 
 def table(requests: Sequence[Request]) -> Iterator[str]:
     """Yield a line of results for each kind of prompt, and the total worth."""
-    for kind in KINDS:
+    for kind in sorted(
+        {one.arrival.kind for one in requests}, key=lambda kind: kind.mean_tokens
+    ):
         own = [one for one in requests if one.arrival.kind.name == kind.name]
-        if not own:
-            continue
         waits = sorted(one.first_event_s - one.arrival.at_s for one in own)
         in_time = sum(one.earned == 1.0 for one in own)
         whole = sum(one.is_complete for one in own)
@@ -43,12 +44,41 @@
     )
 
 
+def replay_deployment(
+    name: str,
+    seed: int,
+    seconds_s: float = 36.0,
+    factor: float = 1.0,
+    has_updates: bool = True,
+    gateways: int | None = None,
+) -> list[Request]:
+    """Replay drawn arrivals of a deployment, with its or another number of gateways."""
+    deployment, rng = DEPLOYMENTS[name], random.Random(seed)
+    arrivals = deployment.draw_arrivals(rng, seconds_s, factor)
+    fleet = GatewayFleet(
+        deployment.engines,
+        gateways or deployment.gateways,
+        deployment.costs,
+        seed,
+        deployment.delay_s,
+        has_updates,
+    )
+    return fleet.replay(arrivals, rng)
+
+
 @click.command()
 @click.option("--engines", default=22, show_default=True)
 @click.option("--gateways", default=5, show_default=True)
 @click.option("--seconds", default=36.0, show_default=True)
 @click.option("--factor", default=1.0, show_default=True, help="times the usual load")
 @click.option("--burst", default=2.0, show_default=True, help="times a kind's load")
+@click.option(
+    "--deployment",
+    "name",
+    type=click.Choice(list(DEPLOYMENTS)),
+    help="its gateways, engines and phases of load; replaces the options above",
+)
+@click.option("--updates/--no-updates", default=True, show_default=True)
 @click.option("--log", type=click.File(), help="take the arrivals from this log")
 @click.option("--seed", "seeds", multiple=True, type=int, default=(1,))
 def main(
@@ -57,6 +87,8 @@
     seconds: float,
     factor: float,
     burst: float,
+    name: str | None,
+    updates: bool,
     log: Iterable[str] | None,
     seeds: tuple[int, ...],
 ) -> None:
@@ -64,9 +96,12 @@
     logged = arrivals_from_log(log) if log is not None else None
     for seed in seeds:
         rng = random.Random(seed)
-        arrivals = logged or draw_arrivals(rng, seconds, factor, burst)
-        fleet = GatewayFleet(engines, gateways, COSTS, seed)
-        requests = fleet.replay(arrivals, rng)
+        if name is not None:
+            requests = replay_deployment(name, seed, seconds, factor, updates)
+        else:
+            arrivals = logged or draw_arrivals(rng, seconds, factor, burst)
+            fleet = GatewayFleet(engines, gateways, COSTS, seed, has_updates=updates)
+            requests = fleet.replay(arrivals, rng)
         click.echo(f"seed {seed}: {len(requests)} prompts")
         for line in table(requests):
             click.echo("  " + line)
--- a/src/sorrelhoist/bench/experiments/split_prefill_engine.py
+++ b/src/sorrelhoist/bench/experiments/split_prefill_engine.py
@@ -46,10 +46,12 @@
     left_events : int
     on_event : callable
         Called at each event, with the number of events that remain.
+    context_tokens : int
     """
 
     left_events: int
     on_event: Callable[[int], None]
+    context_tokens: int = 0
 
 
 @attrs.define(eq=False)
@@ -112,7 +114,7 @@
     def _run_pass(self) -> None:
         streams = list(self.streams)
         steps = self.costs.tokens_per_event if streams else 1
-        duration_ms, completed = self._steps(steps, len(streams))
+        duration_ms, completed = self._steps(steps, streams)
         if not duration_ms:
             self._is_busy = False
             return
@@ -120,8 +122,18 @@
             duration_ms / MS_PER_S, lambda: self._finish_pass(streams, completed)
         )
 
-    def _steps(self, steps: int, streams: int) -> tuple[float, list[PrefillPart]]:
-        duration_ms = steps * self.costs.step_ms if streams else 0.0
+    def _step_ms(self, streams: list[DecodeStream]) -> float:
+        context_tokens = sum(stream.context_tokens for stream in streams)
+        return (
+            self.costs.step_ms
+            + self.costs.per_stream_ms * len(streams)
+            + self.costs.context_ms_per_thousand * context_tokens / 1000
+        )
+
+    def _steps(
+        self, steps: int, streams: list[DecodeStream]
+    ) -> tuple[float, list[PrefillPart]]:
+        duration_ms = steps * self._step_ms(streams) if streams else 0.0
         completed: list[PrefillPart] = []
         for part in [*reversed(self.peer_parts), *self.own]:
             needed = max(1, math.ceil(part.left_ms / part.chunk_ms))
--- a/src/sorrelhoist/bench/experiments/virtual_gateways.py
+++ b/src/sorrelhoist/bench/experiments/virtual_gateways.py
@@ -18,7 +18,7 @@
 from ...decisions.placement.load_tracker import TIGHT_PAUSE_S, EndpointUse, LoadTracker
 from ...decisions.placement.queue import PendingPlacement, PlacementQueue
 from ...decisions.placement.strategy import place_prompt
-from ...decisions.report_rate import report_interval_s
+from ...decisions.report_rate import UpdateRate, report_interval_s
 from ...decisions.routes import EngineCosts
 from ...gateway.dispatch import PROMPT_WAIT_SHARE, RETRY_INTERVAL_S
 from .split_prefill_engine import (
@@ -78,10 +78,32 @@
 
 
 class GatewayFleet:
-    """A set of gateways in front of shared engines, on one virtual clock."""
-
-    def __init__(self, engines: int, gateways: int, costs: EngineCosts, seed: int):
+    """A set of gateways in front of shared engines, on one virtual clock.
+
+    Parameters
+    ----------
+    engines, gateways : int
+    costs : EngineCosts
+    seed : int
+    delay_s : float
+        One-way delay between two gateways.
+    has_updates : bool
+        Whether placements of long prompts are sent to all gateways at once, where
+        reports are slower.
+    """
+
+    def __init__(
+        self,
+        engines: int,
+        gateways: int,
+        costs: EngineCosts,
+        seed: int,
+        delay_s: float = NETWORK_S,
+        has_updates: bool = False,
+    ):
         self.clock = Clock()
+        self.delay_s = delay_s
+        self.has_updates = has_updates and UpdateRate().is_useful(gateways - 1)
         self.costs = costs
         self.endpoints = [
             Endpoint(
@@ -150,10 +172,25 @@
                         str(self.number), 1, sequence, uses, other.now_s
                     )
 
-        self.fleet.clock.after(NETWORK_S, arrive)
+        self.fleet.clock.after(self.fleet.delay_s, arrive)
         interval_s = report_interval_s(len(self.fleet.gateways))
         self.fleet.clock.after(interval_s, self.report)
 
+    def _update(self, addresses: set[str]) -> None:
+        """Send the loads of some endpoints to the others before the next report."""
+        self.sequence += 1
+        uses = [u for u in self.load_tracker.own_uses() if u.address in addresses]
+        sequence = self.sequence
+
+        def arrive() -> None:
+            for other in self.fleet.gateways:
+                if other is not self:
+                    other.load_tracker.peer_updated(
+                        str(self.number), 1, sequence, uses, other.now_s
+                    )
+
+        self.fleet.clock.after(self.fleet.delay_s, arrive)
+
     def arrive(self, request: Request) -> None:
         """Queue a request and schedule its deadline."""
         kind = request.arrival.kind
@@ -207,11 +244,19 @@
         ]
         gateways = len(self.fleet.gateways)
         found = place_prompt(
-            demand, views, self.fleet.costs, gateways, self.rng, self.now_s
+            demand,
+            views,
+            self.fleet.costs,
+            gateways,
+            self.rng,
+            self.now_s,
+            gateways_without_updates=0 if self.fleet.has_updates else None,
         )
         if isinstance(found, Assignment):
             uses = request_uses(found, demand, self.fleet.costs, self.now_s)
             self.load_tracker.place(str(request.key), uses, self.now_s)
+            if found.is_long and self.fleet.has_updates:
+                self._update({use.address for use in uses})
         return found
 
     def send(self, request: Request, found: Assignment) -> None:
@@ -251,7 +296,9 @@
                 request.is_complete = True
                 self.end(request)
 
-        stream = DecodeStream(request.arrival.kind.events, received)
+        stream = DecodeStream(
+            request.arrival.kind.events, received, request.arrival.prompt_tokens
+        )
         request.items.append((engine, stream))
         # The first event contains only the first token.
         received(stream.left_events)
--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -8,7 +8,9 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
+
+import attrs
 
 from ..routes import EngineCosts
 from .demand import (
@@ -22,6 +24,7 @@
     has_free_kv_cache,
     ticket_count,
 )
+from .load_tracker import EndpointUse
 
 MAX_HELPERS = 16
 """Maximum number of helpers per request that engines support."""
@@ -52,17 +55,129 @@
 """Backlogs are compared in steps of this size; smaller differences are within the error
 of the estimates."""
 
+ARRIVALS_SHARE = 0.3
+"""Fraction of the time until a prefill is due that no known part behind it may use."""
+
+MIDDLE_SHARE = 0.35
+"""A prompt whose prefill takes less than this fraction of its objective goes on
+endpoints that decode streams, if its first event is expected within it there: endpoints
+without streams are left to long prefills."""
+
+MAX_CONSIDERED = 64
+"""Number of endpoints that a placement chooses from: enough for all helpers of a few
+prompts, and bounds the time of a placement in large fleets."""
+
 TICKET_SLACK_TOKENS = 256
 """Added to each ticket, since engines allocate KV cache in blocks."""
 
 
-def _largest_part_ms(view: EndpointView, now_s: float) -> float:
-    """Return the longest part with which pause targets and due times are still met."""
-    slack_ms = view.use.slack_ms(now_s)
-    if not view.use.streams:
+@attrs.frozen
+class FleetView:
+    """What is known of the other gateways that place prompts at the same time.
+
+    Parameters
+    ----------
+    gateways : int
+        Number of gateways, including this one.
+    without_updates : int
+        Number of the others whose placements of long prompts are known from their
+        reports only.
+    """
+
+    gateways: int
+    without_updates: int
+
+    @property
+    def has_updates(self) -> bool:
+        """Whether placements of any other gateway are known at once."""
+        return self.without_updates < self.gateways - 1
+
+
+@attrs.frozen(eq=False)
+class _Candidate:
+    """An endpoint that may prefill a part.
+
+    Parameters
+    ----------
+    view : EndpointView
+    backlog_ms : float
+    largest_part_ms : float
+        Longest part with which pause targets and due times are still met.
+    has_capacity : bool
+        Whether it may be the first endpoint.
+    """
+
+    view: EndpointView
+    backlog_ms: float
+    largest_part_ms: float
+    has_capacity: bool
+
+
+def _candidates(
+    demand: Demand,
+    views: Sequence[EndpointView],
+    costs: EngineCosts,
+    fleet: FleetView,
+    rng: random.Random,
+    now_s: float,
+) -> list[_Candidate]:
+    """Return the endpoints to choose from, those with the smallest backlog first."""
+    ordered = []
+    for view in _considered(views, rng):
+        use = view.use
+        if use.helps >= costs.max_running:
+            continue
+        backlog_ms = use.backlog_ms(now_s)
+        order = (
+            backlog_ms // BACKLOG_STEP_MS,
+            fleet.has_updates and use.streams > 0,
+            use.tight_streams,
+            rng.random(),
+        )
+        candidate = _Candidate(
+            view,
+            backlog_ms,
+            _largest_part_ms(use, backlog_ms, fleet, now_s),
+            has_capacity(view, demand, costs),
+        )
+        ordered.append((order, candidate))
+    ordered.sort(key=_order)
+    return [candidate for _, candidate in ordered]
+
+
+def _order(item: tuple[tuple[float, bool, int, float], _Candidate]) -> tuple:
+    return item[0]
+
+
+def _considered(
+    views: Sequence[EndpointView], rng: random.Random
+) -> Sequence[EndpointView]:
+    """Draw some of the endpoints of a large fleet, idle ones first."""
+    if len(views) <= MAX_CONSIDERED:
+        return views
+    idle = [view for view in views if not (view.use.streams or view.use.read_ms)]
+    if len(idle) >= MAX_CONSIDERED:
+        return rng.sample(idle, MAX_CONSIDERED)
+    return idle + rng.sample(views, MAX_CONSIDERED - len(idle))
+
+
+def _largest_part_ms(
+    use: EndpointUse, backlog_ms: float, fleet: FleetView, now_s: float
+) -> float:
+    """Return the longest part with which pause targets and due times are still met.
+
+    A part delays all older prefills on the endpoint, so they share the time until the
+    first of them is due. With updates, a part of this time is kept for what other
+    gateways may place before they know of this part.
+    """
+    left_ms = (use.due_s - now_s) * 1000
+    if fleet.has_updates:
+        left_ms *= 1 - ARRIVALS_SHARE
+    slack_ms = left_ms - backlog_ms
+    if not use.streams:
         return slack_ms
-    limit_ms = MAX_TIGHT_PART_MS if view.use.tight_streams else MAX_LOOSE_PART_MS
-    return min(slack_ms, limit_ms - view.use.backlog_ms(now_s))
+    limit_ms = MAX_TIGHT_PART_MS if use.tight_streams else MAX_LOOSE_PART_MS
+    return min(slack_ms, limit_ms - backlog_ms)
 
 
 def place_long(
@@ -70,30 +185,32 @@
     views: Sequence[EndpointView],
     read_ms: float,
     costs: EngineCosts,
-    gateways: int,
+    fleet: FleetView,
     rng: random.Random,
     now_s: float,
 ) -> Placement:
     """Split a prefill across the endpoints with the smallest prefill backlog."""
-    by_backlog = sorted(
-        views,
-        key=lambda view: (
-            view.use.backlog_ms(now_s) // BACKLOG_STEP_MS,
-            view.use.tight_streams,
-            rng.random(),
-        ),
-    )
-    share = _objective_share(gateways)
+    candidates = _candidates(demand, views, costs, fleet, rng, now_s)
     objective_ms = demand.objective_left_s * 1000
     deadline_ms = demand.deadline_left_s * 1000
-    splits = _splits(demand, by_backlog, read_ms, costs, now_s)
-    best = _fewest_parts(splits, objective_ms * share)
+    if fleet.has_updates and read_ms <= objective_ms * MIDDLE_SHARE:
+        streaming = [one for one in candidates if one.view.use.streams]
+        beside = _fewest_parts(
+            _splits(demand, streaming, read_ms, costs), objective_ms * MIDDLE_SHARE
+        )
+        if beside is not None and beside.first_event_ms <= objective_ms * MIDDLE_SHARE:
+            return beside
+    enough_ms = objective_ms * _objective_share(1 + fleet.without_updates)
+    best = _fewest_parts(_splits(demand, candidates, read_ms, costs), enough_ms)
     if best is not None and best.first_event_ms <= objective_ms:
         return best
     is_hopeless = min_first_event_ms(read_ms, costs) > objective_ms
     if not (demand.may_be_late or is_hopeless):
         return Busy()
-    late = _fewest_parts(splits, deadline_ms * DEADLINE_SHARE_IF_LATE)
+    late = _fewest_parts(
+        _splits(demand, candidates, read_ms, costs),
+        deadline_ms * DEADLINE_SHARE_IF_LATE,
+    )
     if late is None or late.first_event_ms > deadline_ms:
         return Busy()
     return late
@@ -121,22 +238,15 @@
 
 def _splits(
     demand: Demand,
-    by_backlog: Sequence[EndpointView],
+    candidates: Sequence[_Candidate],
     read_ms: float,
     costs: EngineCosts,
-    now_s: float,
-) -> list[Assignment]:
-    """Return the best split for each number of parts, fewest first."""
-    splits: list[Assignment] = []
-    for parts in range(1, min(MAX_HELPERS + 1, len(by_backlog)) + 1):
+) -> Iterator[Assignment]:
+    """Yield the best split for each number of parts, fewest first."""
+    for parts in range(1, min(MAX_HELPERS + 1, len(candidates)) + 1):
         part_ms = read_ms / parts
-        eligible = [
-            view
-            for view in by_backlog
-            if _largest_part_ms(view, now_s) >= part_ms
-            and view.use.helps < costs.max_running
-        ]
-        chosen = _choose_parts(demand, eligible, parts, costs)
+        eligible = [one for one in candidates if one.largest_part_ms >= part_ms]
+        chosen = _choose_parts(eligible, parts)
         if chosen is None:
             continue
         tickets = _choose_tickets(demand, chosen[1:], costs)
@@ -144,53 +254,54 @@
             continue
         # Only the part on the first endpoint queues: helpers run their parts before all
         # other prefills.
-        wait_ms = chosen[0].use.backlog_ms(now_s)
-        split = Assignment(
-            first=chosen[0].endpoint,
-            helpers=tuple(view.endpoint for view in chosen[1:]),
+        yield Assignment(
+            first=chosen[0].view.endpoint,
+            helpers=tuple(one.view.endpoint for one in chosen[1:]),
             tickets=tickets,
             part_ms=part_ms,
-            first_event_ms=wait_ms + part_ms + 2 * costs.pass_ms,
+            first_event_ms=chosen[0].backlog_ms + part_ms + 2 * costs.pass_ms,
             is_long=True,
         )
-        splits.append(split)
-    return splits
 
 
-def _fewest_parts(splits: Sequence[Assignment], enough_ms: float) -> Assignment | None:
+def _fewest_parts(splits: Iterable[Assignment], enough_ms: float) -> Assignment | None:
     """Choose the split with fewest parts within `enough_ms`, else the fastest."""
+    fastest: Assignment | None = None
     for split in splits:
         if split.first_event_ms <= enough_ms:
             return split
-    return min(splits, key=lambda split: split.first_event_ms, default=None)
+        if fastest is None or split.first_event_ms < fastest.first_event_ms:
+            fastest = split
+    return fastest
 
 
 def _choose_parts(
-    demand: Demand, eligible: Sequence[EndpointView], parts: int, costs: EngineCosts
-) -> list[EndpointView] | None:
+    eligible: Sequence[_Candidate], parts: int
+) -> list[_Candidate] | None:
     """Choose the first endpoint by free capacity, the helpers by backlog."""
     if len(eligible) < parts:
         return None
-    least_loaded = eligible[: max(parts, 2)]
-    firsts = [view for view in least_loaded if has_capacity(view, demand, costs)] or [
-        view for view in eligible if has_capacity(view, demand, costs)
+    firsts = [one for one in eligible[: max(parts, 2)] if one.has_capacity] or [
+        one for one in eligible if one.has_capacity
     ]
     if not firsts:
         return None
-    first = min(firsts, key=lambda view: (view.use.tight_streams, view.use.kv_tokens))
-    helpers = [view for view in eligible if view is not first][: parts - 1]
-    return [first, *helpers]
+    first = min(
+        firsts, key=lambda one: (one.view.use.tight_streams, one.view.use.kv_tokens)
+    )
+    return [first, *[one for one in eligible[:parts] if one is not first][: parts - 1]]
 
 
 def _choose_tickets(
-    demand: Demand, helpers: Sequence[EndpointView], costs: EngineCosts
+    demand: Demand, helpers: Sequence[_Candidate], costs: EngineCosts
 ) -> tuple[Ticket, ...] | None:
     """Split the KV cache of a prompt across the helpers with most of it free."""
     count = ticket_count(demand, costs)
     if not count:
         return ()
     tokens = math.ceil(demand.prompt_tokens / count) + TICKET_SLACK_TOKENS
-    eligible = [view for view in helpers if has_free_kv_cache(view, tokens, costs)]
+    views = [one.view for one in helpers]
+    eligible = [view for view in views if has_free_kv_cache(view, tokens, costs)]
     if len(eligible) < count:
         return None
     eligible.sort(key=lambda view: view.use.kv_tokens)
--- a/src/sorrelhoist/decisions/placement/strategy.py
+++ b/src/sorrelhoist/decisions/placement/strategy.py
@@ -9,7 +9,7 @@
 
 from ..routes import EngineCosts
 from .demand import Busy, Demand, EndpointView, Impossible, Placement
-from .long import MAX_TIGHT_PART_MS, min_first_event_ms, place_long
+from .long import MAX_TIGHT_PART_MS, FleetView, min_first_event_ms, place_long
 from .short import place_short
 
 
@@ -20,6 +20,7 @@
     gateways: int,
     rng: random.Random,
     now_s: float,
+    gateways_without_updates: int | None = None,
 ) -> Placement:
     """Choose the endpoints that prefill a prompt and decode its output.
 
@@ -33,6 +34,9 @@
         Number of gateways that place work concurrently, including this one.
     rng : random.Random
     now_s : float
+    gateways_without_updates : int or None
+        Number of the other gateways whose placements of long prompts are known from
+        their reports only; None if this holds for all.
 
     Returns
     -------
@@ -51,4 +55,15 @@
         return place_short(
             demand, healthy or usable, read_ms, costs, gateways, rng, now_s
         )
-    return place_long(demand, healthy or usable, read_ms, costs, gateways, rng, now_s)
+    without_updates = (
+        gateways - 1 if gateways_without_updates is None else gateways_without_updates
+    )
+    return place_long(
+        demand,
+        healthy or usable,
+        read_ms,
+        costs,
+        FleetView(gateways, min(without_updates, gateways - 1)),
+        rng,
+        now_s,
+    )
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -251,6 +251,7 @@
             self._state.gateway_count(now_s),
             self._state.rng,
             now_s,
+            gateways_without_updates=self._state.loads.peers_without_updates(now_s),
         )
         if isinstance(placement, Assignment):
             uses = request_uses(placement, demand, costs, now_s)
