--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -194,7 +194,16 @@
     objective_ms = demand.objective_left_s * 1000
     deadline_ms = demand.deadline_left_s * 1000
     if fleet.has_updates and read_ms <= objective_ms * MIDDLE_SHARE:
-        streaming = [one for one in candidates if one.view.use.streams]
+        streaming = [
+            attrs.evolve(
+                one,
+                largest_part_ms=min(
+                    one.largest_part_ms, MAX_TIGHT_PART_MS - one.backlog_ms
+                ),
+            )
+            for one in candidates
+            if one.view.use.streams
+        ]
         beside = _fewest_parts(
             _splits(demand, streaming, read_ms, costs), objective_ms * MIDDLE_SHARE
         )
