Place short prompts within pauses, and correct the costs of slow endpoints

Cause: a short prompt was placed behind any backlog of up to 75 ms, also where that together with the decode steps of streams with much context exceeds their pause, and the limits on the backlog (75, 150, 300 ms) were those of an objective of 300 ms. An endpoint that is slower than its costs got the same prefill beside its streams as any other. Change: a short prompt goes where its prefill and what waits there fit into the pause of the streams there, while enough endpoints have room in this way and can begin in time. The shortest pause of each stream of at least 8 events is compared with a pass by the costs; a factor for the endpoint (1.25 to 4, a third of its excess left after 10 s) scales its costs in placement.

--- a/src/sorrelhoist/bench/experiments/virtual_gateways.py
+++ b/src/sorrelhoist/bench/experiments/virtual_gateways.py
@@ -16,6 +16,7 @@
     request_uses,
 )
 from ...decisions.placement.load_tracker import EndpointUse, LoadTracker
+from ...decisions.placement.pause_monitor import PassCorrections, StreamPauses
 from ...decisions.placement.pauses import is_tight
 from ...decisions.placement.queue import PendingPlacement, PlacementQueue
 from ...decisions.placement.strategy import place_prompt
@@ -138,6 +139,7 @@
         self.number = number
         self.rng = rng
         self.load_tracker = LoadTracker()
+        self.pass_corrections = PassCorrections()
         self.queue = PlacementQueue()
         self.waiting: dict[PendingPlacement, Request] = {}
         self.sequence = 0
@@ -206,6 +208,7 @@
             prompt_tokens=arrival.prompt_tokens,
             output_tokens=kind.events * self.fleet.costs.tokens_per_event,
             is_tight=is_tight(kind.pause_s, self.fleet.costs),
+            objective_s=kind.objective_s,
             pause_ms=kind.pause_s * MS_PER_S,
             service_pause_ms=self.fleet.shortest_pause_ms,
             objective_left_s=arrival.at_s + kind.objective_s - self.now_s,
@@ -217,6 +220,7 @@
             EndpointView(
                 endpoint=one,
                 use=totals.get(one.address) or EndpointUse(address=one.address),
+                slowness=self.pass_corrections.slowness(one.endpoint_id, self.now_s),
             )
             for one in self.fleet.endpoints
         ]
@@ -239,7 +243,7 @@
         def on_part_prefilled() -> None:
             request.prefills_left -= 1
             if not request.prefills_left and not request.is_over:
-                self.decode(request, engines[found.first.address])
+                self.decode(request, found.first)
 
         for location in locations:
             engine = engines[location.address]
@@ -251,10 +255,13 @@
                 part
             )
 
-    def decode(self, request: Request, engine: SplitPrefillEngine) -> None:
+    def decode(self, request: Request, endpoint: Endpoint) -> None:
         """Decode the answer and record its events."""
+        engine = self.fleet.engines[endpoint.address]
+        pauses = StreamPauses(target_s=request.arrival.kind.pause_s)
 
         def received(left_events: int) -> None:
+            pauses.relayed(1, self.now_s)
             if math.isinf(request.first_event_s):
                 request.first_event_s = self.now_s
                 self.load_tracker.prefill_completed(str(request.key))
@@ -265,6 +272,10 @@
             request.last_event_s = self.now_s
             if not left_events:
                 request.is_complete = True
+                use = self.load_tracker.endpoint_use(endpoint.address, self.now_s)
+                self.pass_corrections.stream_ended(
+                    endpoint.endpoint_id, pauses, use, self.fleet.costs, self.now_s
+                )
                 self.end(request)
 
         stream = DecodeStream(
--- a/src/sorrelhoist/decisions/placement/demand.py
+++ b/src/sorrelhoist/decisions/placement/demand.py
@@ -29,6 +29,8 @@
         Whether the stream has a short target for the pause between two events.
     pause_ms : float
         This target; infinite if there is none.
+    objective_s : float or None
+        The whole objective; None if none of it has passed.
     service_pause_ms : float
         Shortest target of all streams of the service.
     objective_left_s : float
@@ -50,8 +52,16 @@
     may_be_late: bool = False
     excluded: frozenset[str] = frozenset()
     pause_ms: float = float("inf")
+    objective_s: float | None = None
     service_pause_ms: float = ASSUMED_TIGHT_PAUSE_MS
 
+    @property
+    def objective_ms(self) -> float:
+        """The whole objective for the first event, from the arrival on."""
+        if self.objective_s is None:
+            return self.objective_left_s * 1000
+        return self.objective_s * 1000
+
     @property
     def kv_tokens(self) -> int:
         """KV cache size when the output is complete."""
@@ -68,11 +78,14 @@
     use : EndpointUse
     is_avoided : bool
         Whether it failed requests recently.
+    slowness : float
+        Factor by which its passes take longer than by the cost model.
     """
 
     endpoint: Endpoint
     use: EndpointUse
     is_avoided: bool = False
+    slowness: float = 1.0
 
 
 @attrs.frozen
--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -56,10 +56,10 @@
 
 def _largest_part_ms(view: EndpointView, costs: EngineCosts, now_s: float) -> float:
     """Return the longest part with which pause targets and due times are still met."""
-    slack_ms = view.use.slack_ms(now_s)
+    slack_ms = view.use.slack_ms(now_s) / view.slowness
     if not view.use.streams:
         return slack_ms
-    limit_ms = max_prefill_ms(view.use, costs)
+    limit_ms = max_prefill_ms(view.use, costs, view.slowness)
     return min(slack_ms, limit_ms - view.use.backlog_ms(now_s))
 
 
--- a/src/sorrelhoist/decisions/placement/pause_monitor.py
+++ b/src/sorrelhoist/decisions/placement/pause_monitor.py
@@ -5,6 +5,7 @@
 falls into it.
 """
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -16,6 +17,21 @@
 
 MS_PER_S = 1000
 
+MIN_EVENTS = 8
+"""Events of a stream from which its shortest pause is taken for a pass without
+prefill."""
+
+MIN_SLOWNESS, MAX_SLOWNESS = 1.25, 4.0
+"""Factors below the first are within the error of the cost model; the second bounds
+what an error of measurement can do."""
+
+OBSERVATION_WEIGHT = 0.3
+"""Weight of one stream in the factor of an endpoint: several must agree."""
+
+DECAY_S = 10.0
+"""Time in which a factor without observations falls to a third of its excess over 1, so
+that an endpoint that has recovered is used again."""
+
 
 @attrs.define(kw_only=True)
 class StreamPauses:
@@ -38,10 +54,13 @@
     target_s: float
     events: int = 0
     last_event_s: float | None = None
+    shortest_s: float = math.inf
 
     def relayed(self, events: int, now_s: float) -> float | None:
         """Record events that arrived together; return the pause before them, in s."""
         pause_s = None if self.last_event_s is None else now_s - self.last_event_s
+        if pause_s is not None and pause_s < self.shortest_s:
+            self.shortest_s = pause_s
         self.events += events
         self.last_event_s = now_s
         return pause_s
@@ -115,3 +134,77 @@
         own_ms=own_ms,
         peer_ms=peer_ms,
     )
+
+
+@attrs.define
+class _Slowness:
+    excess: float
+    updated_s: float
+
+    def at(self, now_s: float) -> float:
+        return self.excess * math.exp(-(now_s - self.updated_s) / DECAY_S)
+
+
+class PassCorrections:
+    """Factors by which the passes of endpoints take longer than by the cost model.
+
+    The shortest pause of a stream is taken for a pass without prefill, so that prefills
+    which this gateway doesn't know of aren't taken for a slow engine.
+
+    Examples
+    --------
+    >>> corrections = PassCorrections()
+    >>> for _ in range(10):
+    ...     corrections.observe("i-1", measured_ms=100.0, expected_ms=50.0, now_s=1.0)
+    >>> round(corrections.slowness("i-1", now_s=1.0), 2)
+    1.97
+    >>> corrections.slowness("i-1", now_s=60.0), corrections.slowness("i-2", now_s=1.0)
+    (1.0, 1.0)
+    """
+
+    def __init__(self) -> None:
+        self._by_endpoint: dict[str, _Slowness] = {}
+
+    def stream_ended(
+        self,
+        endpoint_id: str,
+        pauses: StreamPauses,
+        use: EndpointUse,
+        costs: EngineCosts,
+        now_s: float,
+    ) -> None:
+        """Record the shortest pass that a stream saw, if it saw enough of them."""
+        if pauses.events < MIN_EVENTS or math.isinf(pauses.shortest_s):
+            return
+        expected_ms = decode_pass_ms(max(1, use.streams), use.kv_tokens, costs)
+        self.observe(endpoint_id, pauses.shortest_s * MS_PER_S, expected_ms, now_s)
+
+    def observe(
+        self, endpoint_id: str, measured_ms: float, expected_ms: float, now_s: float
+    ) -> None:
+        """Record a measured pass time."""
+        ratio = min(MAX_SLOWNESS, max(1.0, measured_ms / expected_ms))
+        known = self._by_endpoint.get(endpoint_id)
+        if known is None:
+            if ratio < MIN_SLOWNESS:
+                return
+            known = self._by_endpoint[endpoint_id] = _Slowness(0.0, now_s)
+        excess = known.at(now_s)
+        known.excess = excess + (ratio - 1.0 - excess) * OBSERVATION_WEIGHT
+        known.updated_s = now_s
+
+    def slowness(self, endpoint_id: str, now_s: float) -> float:
+        """Return the factor of an endpoint: 1 unless it is slow."""
+        known = self._by_endpoint.get(endpoint_id)
+        if known is None:
+            return 1.0
+        factor = 1.0 + known.at(now_s)
+        return factor if factor >= MIN_SLOWNESS else 1.0
+
+    def slow(self, now_s: float) -> dict[str, float]:
+        """Return the factors of all slow endpoints, and forget the others."""
+        factors = {key: self.slowness(key, now_s) for key in self._by_endpoint}
+        for endpoint_id, known in list(self._by_endpoint.items()):
+            if known.at(now_s) < (MIN_SLOWNESS - 1.0) * OBSERVATION_WEIGHT:
+                del self._by_endpoint[endpoint_id]
+        return {key: factor for key, factor in factors.items() if factor > 1.0}
--- a/src/sorrelhoist/decisions/placement/pauses.py
+++ b/src/sorrelhoist/decisions/placement/pauses.py
@@ -84,7 +84,7 @@
 
 
 def max_prefill_ms(
-    use: EndpointUse, costs: EngineCosts, unreported: int = UNREPORTED_PROMPTS
+    use: EndpointUse, costs: EngineCosts, slowness: float = 1.0
 ) -> float:
     """Return the longest prefill in a pass that meets all pause targets.
 
@@ -93,13 +93,14 @@
     use : EndpointUse
         Load of the endpoint.
     costs : EngineCosts
-    unreported : int
-        Short prompts of other gateways for which to leave room.
+    slowness : float
+        Factor by which the engine takes longer than its costs.
 
     Returns
     -------
     float
-        Infinite for an endpoint without streams; can be negative.
+        Prefill time by the costs; infinite for an endpoint without streams. It can be
+        negative.
 
     Examples
     --------
@@ -113,9 +114,18 @@
     """
     if not use.streams:
         return math.inf
-    return prefill_within_ms(
-        use.shortest_pause_ms, use.streams, use.kv_tokens, costs, unreported
-    )
+    pause_ms = use.shortest_pause_ms / slowness
+    return prefill_within_ms(pause_ms, use.streams, use.kv_tokens, costs)
+
+
+def breaks_pause(
+    use: EndpointUse, prefill_ms: float, costs: EngineCosts, slowness: float = 1.0
+) -> bool:
+    """Return whether a pass with some prefill exceeds a pause target of the streams."""
+    if not use.streams:
+        return False
+    decode_ms = decode_pass_ms(use.streams, use.kv_tokens, costs)
+    return (decode_ms + prefill_ms) * slowness > use.shortest_pause_ms
 
 
 def prefill_within_ms(
@@ -123,10 +133,9 @@
     streams: int,
     kv_tokens: int,
     costs: EngineCosts,
-    unreported: int = UNREPORTED_PROMPTS,
 ) -> float:
     """Return the prefill that fits into a pass within a pause target."""
-    room_ms = unreported * costs.read_ms(SHORT_PROMPT_TOKENS)
+    room_ms = UNREPORTED_PROMPTS * costs.read_ms(SHORT_PROMPT_TOKENS)
     decode_ms = decode_pass_ms(streams, kv_tokens, costs)
     return pause_ms * PAUSE_SHARE - decode_ms - room_ms
 
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -345,6 +345,7 @@
             self._restart_timer(limit, timeout_s)
             self.parts.state.loads.prefill_completed(self.admitted.request.request_id)
             await self.caller.write(b"".join(events))
+        self._record_passes(pauses)
         if splitter.has_partial_event:
             return Broken("the stream ended in the middle of an event")
         if not splitter.last_id and not head.is_framed:
@@ -387,6 +388,30 @@
             **(estimate.log_fields() if estimate else {}),
         )
 
+    def _record_passes(self, pauses: StreamPauses) -> None:
+        """Compare the pass time of the endpoint with its costs; log a slow one."""
+        state, endpoint = self.parts.state, self.assignment.first
+        costs = state.engine_costs(self.admitted.service)
+        if costs is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        known = state.pass_corrections.slowness(endpoint.endpoint_id, now_s)
+        use = state.loads.endpoint_use(endpoint.address, now_s)
+        state.pass_corrections.stream_ended(
+            endpoint.endpoint_id, pauses, use, costs, now_s
+        )
+        slowness = state.pass_corrections.slowness(endpoint.endpoint_id, now_s)
+        if (slowness > 1.0) != (known > 1.0):
+            self.log.write(
+                "endpoint slow" if slowness > 1.0 else "endpoint at its costs",
+                outcome="slow" if slowness > 1.0 else "corrected",
+                endpoint=endpoint.endpoint_id,
+                slowness=round(slowness, 2),
+                pass_ms=round(pauses.shortest_s * 1000),
+                streams=use.streams,
+                kv_tokens=use.kv_tokens,
+            )
+
     async def _begin_stream(self, head: AnswerHead) -> None:
         self.admitted.progress.has_begun = True
         waited_s = asyncio.get_running_loop().time() - self.admitted.received_s
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -245,6 +245,7 @@
             prompt_tokens=size.prompt_tokens,
             output_tokens=size.output_tokens,
             is_tight=is_tight(placement_request.route.pause_s, costs),
+            objective_s=placement_request.route.objective_s,
             pause_ms=placement_request.route.pause_s * 1000,
             service_pause_ms=self._state.shortest_pause_ms(placement_request.service),
             objective_left_s=placement_request.objective_due_s - now_s,
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -64,6 +64,12 @@
         def paused_endpoints(options: CallbackOptions) -> list[Observation]:
             return [Observation(len(state.pauses.dump(time.monotonic())))]
 
+        def slow_endpoints(options: CallbackOptions) -> list[Observation]:
+            return [Observation(len(state.pass_corrections.slow(time.monotonic())))]
+
+        meter.create_observable_gauge(
+            "sorrelhoist_gateway_slow_endpoints", [slow_endpoints]
+        )
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
         meter.create_observable_gauge(
             "sorrelhoist_paused_endpoints", [paused_endpoints]
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -22,6 +22,7 @@
     LoadTracker,
     RequestUse,
 )
+from ..decisions.placement.pause_monitor import PassCorrections
 from ..decisions.report_rate import settle_s
 from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import RetryBudget, SharedRetryBudget
@@ -69,6 +70,8 @@
         Limits that endpoints named for all gateways together.
     pauses : EndpointPauses
         Pauses that endpoints asked this gateway for.
+    pass_corrections : PassCorrections
+        Factors of endpoints that are slower than their costs.
     permits : PermitHolder
         Permits for requests to these endpoints, and to those in a cold start.
     on_permit_wanted : callable
@@ -96,6 +99,7 @@
     faults: FailureTracker = attrs.field(factory=FailureTracker)
     named_limits: NamedLimits = attrs.field(factory=NamedLimits)
     pauses: EndpointPauses = attrs.field(factory=EndpointPauses)
+    pass_corrections: PassCorrections = attrs.field(factory=PassCorrections)
     permits: PermitHolder = attrs.field(
         default=attrs.Factory(lambda self: PermitHolder(self.node_id), takes_self=True)
     )
@@ -235,6 +239,7 @@
         self._want_permits(lacking, now_s)
         totals = self.loads.totals(now_s)
         evidence = self.peer_failures.evidence(now_s)
+        slow = self.pass_corrections.slow(now_s)
         return [
             EndpointView(
                 endpoint=endpoint,
@@ -245,6 +250,7 @@
                     now_s,
                     evidence.get(endpoint.endpoint_id, 0.0),
                 ),
+                slowness=slow.get(endpoint.endpoint_id, 1.0),
             )
             for endpoint in usable
         ]
@@ -325,6 +331,7 @@
             "troubles_of_peers": self.peer_failures.evidence(now_s),
             "retries": self.retries.dump(),
             "pauses": self.pauses.dump(now_s),
+            "slow_endpoints": self.pass_corrections.slow(now_s),
             "permits": self.permits.dump(now_s),
             "named_limits": self.named_limits.dump(now_s),
             "suspicions": self.suspicions.dump(now_s),
--- a/tests/decisions/placement/test_pause_monitor.py
+++ b/tests/decisions/placement/test_pause_monitor.py
@@ -1,6 +1,7 @@
 """Explanation of pauses over the target by what was placed on the endpoint."""
 
 import attrs
+import pytest
 
 from sorrelhoist.bench.experiments.virtual_gateways import COSTS
 from sorrelhoist.decisions.placement.load_tracker import (
@@ -8,7 +9,12 @@
     LoadTracker,
     RequestUse,
 )
-from sorrelhoist.decisions.placement.pause_monitor import estimate_pass
+from sorrelhoist.decisions.placement.pause_monitor import (
+    MAX_SLOWNESS,
+    PassCorrections,
+    StreamPauses,
+    estimate_pass,
+)
 from sorrelhoist.decisions.placement.prefill_history import MAX_PREFILLS
 
 
@@ -47,3 +53,37 @@
     for number in range(3 * MAX_PREFILLS):
         tracker.place(number, (RequestUse(address="a", read_ms=1.0),), now_s=1.0)
     assert len(tracker.history.placed("a")) == MAX_PREFILLS
+
+
+# Endpoints that are slower than their costs
+
+
+def stream(pass_s, events=20, late_every=0):
+    pauses = StreamPauses(target_s=0.25)
+    now_s = 0.0
+    for number in range(events):
+        now_s += pass_s + (0.2 if late_every and number % late_every else 0.0)
+        pauses.relayed(1, now_s)
+    return pauses
+
+
+def slowness(*streams, now_s=1.0):
+    corrections = PassCorrections()
+    use = EndpointUse(address="a", streams=3)
+    for one in streams:
+        corrections.stream_ended("i-1", one, use, COSTS, now_s=1.0)
+    return corrections.slowness("i-1", now_s)
+
+
+def test_a_slow_endpoint_is_corrected_within_a_bound_and_recovers():
+    pass_s = COSTS.pass_ms / 1000
+    assert slowness(*[stream(2 * pass_s)] * 8) == pytest.approx(2.0, abs=0.1)
+    assert slowness(*[stream(50 * pass_s)] * 30) <= MAX_SLOWNESS
+    assert slowness(*[stream(2 * pass_s)] * 8, now_s=60.0) == 1.0
+
+
+def test_pauses_by_prefills_of_others_are_not_taken_for_a_slow_endpoint():
+    busy = stream(COSTS.pass_ms / 1000, late_every=4)
+    assert slowness(*[busy] * 8) == 1.0
+    # Too few events to have seen a pass without prefill.
+    assert slowness(*[stream(1.0, events=3)] * 8) == 1.0
