Put the busy endpoints first in the test of short placements

Cause: in the test the endpoints without backlog came first in the shared order for some seeds, so it passed on the old decision too. Change: the busy ones come first in that order.

--- a/tests/decisions/placement/test_short.py
+++ b/tests/decisions/placement/test_short.py
@@ -11,6 +11,7 @@
 from sorrelhoist.decisions.placement.load_tracker import EndpointUse
 from sorrelhoist.decisions.placement.pauses import breaks_pause
 from sorrelhoist.decisions.placement.strategy import place_prompt
+from sorrelhoist.decisions.rendezvous import ranked
 
 NOW_S = 100.0
 
@@ -56,8 +57,11 @@
         "read_ms": 55.0,
         "reading_s": NOW_S,
     }
-    views = [view(number, **busy) for number in range(8)]
-    views += [view(number, streams=1, pause_ms=pause_ms) for number in range(8, 12)]
+    # The busy ones come first in the shared order.
+    order = ranked("packing", [f"i-{number}" for number in range(12)])
+    numbers = [int(endpoint_id.removeprefix("i-")) for endpoint_id in order]
+    views = [view(number, **busy) for number in numbers[:8]]
+    views += [view(number, streams=1, pause_ms=pause_ms) for number in numbers[8:]]
     found = place(views, deployment, 16_000, seed)
     (chosen,) = (one for one in views if one.endpoint is found.first)
     backlog_ms = chosen.use.backlog_ms(NOW_S)
