--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -24,7 +24,6 @@
     has_free_kv_cache,
     ticket_count,
 )
-from .load_tracker import EndpointUse
 from .pauses import max_prefill_ms
 
 MAX_HELPERS = 16
@@ -135,7 +134,7 @@
         candidate = _Candidate(
             view,
             backlog_ms,
-            _largest_part_ms(use, backlog_ms, costs, fleet, now_s),
+            _largest_part_ms(view, backlog_ms, costs, fleet, now_s),
             has_capacity(view, demand, costs),
         )
         ordered.append((order, candidate))
@@ -160,7 +159,7 @@
 
 
 def _largest_part_ms(
-    use: EndpointUse,
+    view: EndpointView,
     backlog_ms: float,
     costs: EngineCosts,
     fleet: FleetView,
@@ -172,13 +171,14 @@
     first of them is due. With updates, a part of this time is kept for what other
     gateways may place before they know of this part.
     """
+    use = view.use
     left_ms = (use.due_s - now_s) * 1000
     if fleet.has_updates:
         left_ms *= 1 - ARRIVALS_SHARE
-    slack_ms = left_ms - backlog_ms
+    slack_ms = (left_ms - backlog_ms) / view.slowness
     if not use.streams:
         return slack_ms
-    return min(slack_ms, max_prefill_ms(use, costs) - backlog_ms)
+    return min(slack_ms, max_prefill_ms(use, costs, view.slowness) - backlog_ms)
 
 
 def place_long(
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -88,6 +88,12 @@
         def memory_pressure(options: CallbackOptions) -> list[Observation]:
             return [Observation(int(state.memory.is_short))]
 
+        def slow_endpoints(options: CallbackOptions) -> list[Observation]:
+            return [Observation(len(state.pass_corrections.slow(time.monotonic())))]
+
+        meter.create_observable_gauge(
+            "sorrelhoist_gateway_slow_endpoints", [slow_endpoints]
+        )
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
         meter.create_observable_gauge(
             "sorrelhoist_gateway_memory_budget_bytes", [memory_budget]
