--- a/src/sorrelhoist/gateway/caller.py
+++ b/src/sorrelhoist/gateway/caller.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections import deque
 
 from tornado.http1connection import HTTP1Connection
@@ -11,6 +13,10 @@
 from ..decisions.memory.account import MemoryAccount
 from .upstream import AnswerHead
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Makes the next close a reset. A caller that takes the end of the connection for the
+end of the answer would otherwise take a truncated answer for a complete one."""
+
 PIECE_BYTES = 64
 """Counted for each piece of data that is held, besides its content."""
 
@@ -34,6 +40,9 @@
     Parameters
     ----------
     connection : tornado.http1connection.HTTP1Connection
+    is_chunked : bool
+        Whether the caller's protocol marks the end of a body of unknown length; if it
+        doesn't, the end of the connection is the end of the body.
     account : MemoryAccount or None
     cut_reason : str or None
         Why the gateway disconnected the caller, if it did.
@@ -43,6 +52,7 @@
         self._connection = connection
         self.has_begun = False
         self.should_close = False
+        self.is_chunked = True
         self.account: MemoryAccount | None = None
         self.cut_reason: str | None = None
         self._being_written = 0
@@ -127,8 +137,13 @@
     def abort(self) -> None:
         """Close the connection, so that a truncated answer doesn't look complete."""
         stream = self._connection.stream
-        if stream is not None:
-            stream.close()
+        if stream is None or stream.closed():
+            return
+        if not self.is_chunked:
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        stream.close()
 
     def cut(self, reason: str) -> None:
         """Close the connection and drop what is held for it."""
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -113,6 +113,7 @@
         parts = self.front.parts
         caller = self.caller
         caller.should_close = parts.state.is_stopping
+        caller.is_chunked = start.version != "HTTP/1.0"
         if caller.account is not None:
             caller.account.is_receiving = False
         body = b"".join(self.body)
@@ -145,9 +146,7 @@
                 exc_info=work.exception(),
                 extra={"event": "internal_error"},
             )
-            stream = getattr(self.connection, "stream", None)
-            if stream is not None:
-                stream.close()
+            self.caller.abort()
 
 
 def _declared_bytes(headers: HTTPHeaders) -> int:
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -162,7 +162,7 @@
         return (await read_answer(reader, writer)).status == 200
 
 
-async def read_answer(reader, writer, first_only=False):
+async def read_answer(reader, writer, first_only=False, keep_open=False):
     """Read one answer; it is incomplete if the connection ends early."""
     protocol = h11.Connection(h11.CLIENT)
     protocol.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
@@ -190,7 +190,7 @@
     except (h11.RemoteProtocolError, ConnectionError):
         pass
     answer.took_s = time.monotonic() - started_s
-    if not first_only:
+    if not first_only and not keep_open:
         writer.close()
     return answer
 
