A gateway that starts holds requests until it can serve them

Cause: processes that start within a second adopt their configuration 0.1 to 0.2 s later, and refused what came in between. When all of a fleet start, each also took the reports of the others, which had no contact yet either, for an outage.

Change: decisions/startup decides whether the gateway will most likely be able to serve soon: within 2 s of its start until it first can, for 0.5 s after it was suspended, or after a peer regained the store. Then a request is held, within 64 of them, 16 MiB and 5% of the memory, until a quarter of its objective or 0.5 s, and a third of its time at most. Held requests are admitted four per 10 ms by due time. A failed second read, or peers that have lost the store, end the hold at once. Before its first prompt above the short size a started gateway waits two report intervals, 0.15 s at most, for the loads of its peers.

--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -144,6 +144,11 @@
             self._hold_until_s = now_s + REMOVAL_HOLD_S
         self._read_s = now_s
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the directory has been read completely."""
+        return self._read_s > float("-inf")
+
     def put(self, endpoint: Endpoint, now_s: float) -> bool:
         """Store a registration; return whether anything but its age changed."""
         known = self._entries.get(endpoint.endpoint_id)
--- a/src/sorrelhoist/decisions/peer_configurations.py
+++ b/src/sorrelhoist/decisions/peer_configurations.py
@@ -15,6 +15,10 @@
 PEER_TTL_S = 2.0
 """Age at which what a peer reported is ignored: several report intervals."""
 
+NEVER_AGE_S = 1_000_000.0
+"""Age from which a peer has had no contact since its start: it reports the largest age
+that its message can carry."""
+
 
 class PeerContact(enum.Enum):
     """Whether other gateways are in contact with the store."""
@@ -90,6 +94,19 @@
             return PeerContact.FRESH
         return PeerContact.LOST
 
+    def outage(self, max_age_s: float, now_s: float) -> PeerContact:
+        """Return `contact`, but unknown if no peer has had any contact since its start.
+
+        When all gateways start at once, each has reports of others that are still to
+        read the store: that is no outage.
+        """
+        found = self.contact(max_age_s, now_s)
+        if found is PeerContact.LOST and all(
+            now_s - peer.confirmed_s > NEVER_AGE_S for peer in self._live(now_s)
+        ):
+            return PeerContact.UNKNOWN
+        return found
+
     def newest(self, now_s: float) -> int | None:
         """Return the newest version of a live peer; None if none is known."""
         live = self._live(now_s)
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -118,6 +118,7 @@
             dialect=self.dialect,
             metrics=metrics,
         )
+        self.state.startup.begin(loop.time(), self.state.limits.memory_bytes)
         front = CallerDelegate(parts)
         exchange = PeerExchange(self.state, self.boot_ms)
         exchange.permits.on_granted = parts.dispatcher.retry_queued
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -30,6 +30,7 @@
 from ..decisions.peer_configurations import PeerContact
 from ..decisions.placement.demand import Assignment, Busy, Impossible, Placement
 from ..decisions.retry_after import local_refusal_retry_after_s
+from ..decisions.startup import hold_until_s
 from .attempt import AdmittedRequest, Attempt
 from .caller import CallerConnection
 from .dispatch import PlacementRequest
@@ -59,12 +60,18 @@
     retry_after_s : float or None
     peer_contact : PeerContact or None
         What decided the Retry-After of a refusal that is local to this gateway.
+    may_pass : bool
+        Whether the reason passes once the store is read: the request may be held.
+    objective_s : float or None
+        Objective of its route, if that is known.
     """
 
     status: int
     reason: str
     retry_after_s: float | None = None
     peer_contact: PeerContact | None = None
+    may_pass: bool = False
+    objective_s: float | None = None
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -104,6 +111,8 @@
 
     async def _serve(self) -> str:
         admitted = self._admit()
+        if isinstance(admitted, Refusal) and admitted.may_pass:
+            admitted = await self._hold(admitted)
         if isinstance(admitted, Refusal):
             return await self._refuse(admitted)
         self.parts.state.retries.record_first_attempt(self.received_s)
@@ -124,17 +133,22 @@
         if not state.accepts_requests(self.received_s):
             return self._local_refusal("the gateway is stopping")
         if state.table is None:
-            return self._local_refusal("no configuration yet")
+            return self._local_refusal("no configuration yet", may_pass=True)
         route = state.table.match(request.host, request.path)
         if route is None:
             return Refusal(404, "no such route")
         workspace = None
         if state.table.workspaces is not None and not route.is_public:
             if not state.contact.may_use_keys(boot_time_s()):
-                return self._local_refusal("keys can't be checked now")
+                return self._local_refusal(
+                    "keys can't be checked now", True, route.objective_s
+                )
             workspace = state.table.workspaces.get(request.key or "")
             if workspace is None:
                 return Refusal(401, "unknown key")
+        is_starting = state.startup.is_starting(self.received_s)
+        if is_starting and not state.directory.is_read:
+            return self._local_refusal("no endpoints yet", True, route.objective_s)
         fingerprint = _fingerprint(request)
         if state.suspicions.is_condemned(fingerprint, self.received_s):
             return Refusal(422, "endpoints died each time they ran this request")
@@ -172,14 +186,39 @@
             422, f"{blame.deaths} endpoints died on prompts with part {blame.part}"
         )
 
-    def _local_refusal(self, reason: str) -> Refusal:
+    def _local_refusal(
+        self, reason: str, may_pass: bool = False, objective_s: float | None = None
+    ) -> Refusal:
         """Refuse a request that other gateways may be able to serve."""
         state = self.parts.state
-        others = state.peer_configurations.contact(
-            state.contact.max_key_age_s, boot_time_s()
-        )
+        others = state.contact_of_peers()
         retry_after_s = local_refusal_retry_after_s(others, state.rng)
-        return Refusal(503, reason, retry_after_s, others)
+        return Refusal(503, reason, retry_after_s, others, may_pass, objective_s)
+
+    async def _hold(self, refused: Refusal) -> AdmittedRequest | Refusal:
+        """Hold a request while the gateway will most likely be able to serve it."""
+        loop, state = asyncio.get_running_loop(), self.parts.state
+        now_s = loop.time()
+        if not state.startup.is_ready_soon(state.outage_of_peers(), now_s):
+            return refused
+        until_s = hold_until_s(
+            self.received_s, refused.objective_s, self.request.wait_s, now_s
+        )
+        due_s = self.received_s + (refused.objective_s or until_s - self.received_s)
+        if not await self.parts.hold.wait(due_s, until_s, len(self.request.body)):
+            return refused
+        admitted = self._admit()
+        outcome = "refused" if isinstance(admitted, Refusal) else "admitted"
+        self.parts.metrics.hold.record(loop.time() - now_s, {"outcome": outcome})
+        self._log.write(
+            "request held",
+            outcome=outcome,
+            reason=refused.reason,
+            held_s=round(loop.time() - now_s, 3),
+            held_until_s=round(until_s - now_s, 3),
+            held_beside=state.startup.held_count,
+        )
+        return admitted
 
     # Forwarding
 
@@ -224,6 +263,7 @@
     async def _place(self, admitted: AdmittedRequest) -> Placement:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        await self._wait_for_loads(admitted.service)
         placement_request = PlacementRequest(
             request=self.request,
             route=admitted.route,
@@ -237,6 +277,23 @@
         self.parts.metrics.placement_wait.record(loop.time() - started_s)
         return placement
 
+    async def _wait_for_loads(self, service: str) -> None:
+        """Wait for the loads of the peers if the gateway has just started."""
+        state, size = self.parts.state, self.request.size
+        config = state.table.services.get(service) if state.table else None
+        now_s = asyncio.get_running_loop().time()
+        if size is None or config is None or config.engine is None:
+            return
+        wait_s = state.startup.loads_wait_s(
+            config.engine.read_ms(size.prompt_tokens),
+            state.contact_of_peers(),
+            state.gateway_count(now_s),
+            now_s,
+        )
+        if wait_s:
+            self._log.write("loads awaited", outcome="waits", wait_s=round(wait_s, 3))
+            await asyncio.sleep(wait_s)
+
     async def _attempt(
         self, admitted: AdmittedRequest, assignment: Assignment
     ) -> Failure | None:
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -29,12 +29,15 @@
         Duration of each placement in seconds, with the time in the queue.
     first_event : Histogram
         Time from the receipt of the request headers to the first event, in seconds.
+    hold : Histogram
+        Time for which requests were held before their admission, by outcome.
     """
 
     requests: Counter
     failures: Counter
     placement_wait: Histogram
     first_event: Histogram
+    hold: Histogram
 
     @classmethod
     def create(cls, meter: Meter, state: GatewayState) -> "GatewayMetrics":
@@ -55,7 +58,13 @@
         def paused_endpoints(options: CallbackOptions) -> list[Observation]:
             return [Observation(len(state.pauses.dump(time.monotonic())))]
 
+        def held_requests(options: CallbackOptions) -> list[Observation]:
+            return [Observation(state.startup.held_count)]
+
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
+        meter.create_observable_gauge(
+            "sorrelhoist_gateway_held_requests", [held_requests]
+        )
         meter.create_observable_gauge(
             "sorrelhoist_paused_endpoints", [paused_endpoints]
         )
@@ -77,6 +86,7 @@
             first_event=meter.create_histogram(
                 "sorrelhoist_gateway_first_event_seconds"
             ),
+            hold=meter.create_histogram("sorrelhoist_gateway_hold_seconds"),
         )
 
 
--- a/src/sorrelhoist/gateway/parts.py
+++ b/src/sorrelhoist/gateway/parts.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from .admission_hold import AdmissionHold
 from .dispatch import Dispatcher
 from .metrics import GatewayMetrics
 from .ports import Dialect
@@ -20,6 +21,7 @@
     reserver : Reserver
     dialect : Dialect
     metrics : GatewayMetrics
+    hold : AdmissionHold
     """
 
     state: GatewayState
@@ -27,3 +29,6 @@
     reserver: Reserver
     dialect: Dialect
     metrics: GatewayMetrics
+    hold: AdmissionHold = attrs.field(
+        default=attrs.Factory(lambda self: AdmissionHold(self.state), takes_self=True)
+    )
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -12,7 +12,7 @@
 from ..decisions.endpoint_notices import NamedLimits
 from ..decisions.part_suspicion import Blame, PartSuspicions
 from ..decisions.pauses import EndpointPauses
-from ..decisions.peer_configurations import PeerConfigurations
+from ..decisions.peer_configurations import PeerConfigurations, PeerContact
 from ..decisions.peer_failures import PeerFailures
 from ..decisions.permits import PermitHolder
 from ..decisions.placement.demand import EndpointView
@@ -21,6 +21,7 @@
 from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import RetryBudget, SharedRetryBudget
 from ..decisions.routes import RouteTable, Workspace
+from ..decisions.startup import Startup
 from ..decisions.store_contact import StoreContact
 from ..decisions.suspicion import SuspicionTable
 
@@ -73,6 +74,8 @@
         lack of capacity isn't, since each gateway knows the load of all.
     peer_configurations : PeerConfigurations
         Its times are measured with `boot_time_s`.
+    startup : Startup
+        Requests held until the first configuration or a renewal of the store contact.
     store_restorations : int
         How often the store was seen to come back from an older copy.
     """
@@ -107,6 +110,7 @@
         )
     )
     peer_configurations: PeerConfigurations = attrs.field(factory=PeerConfigurations)
+    startup: Startup = attrs.field(factory=Startup)
     store_restorations: int = 0
     stopping_s: float | None = None
 
@@ -154,6 +158,26 @@
             and self.contact.is_fresh(now_boot_s)
         )
 
+    def can_admit(self, now_boot_s: float) -> bool:
+        """Return whether all that a request needs for its admission is known."""
+        return (
+            self.table is not None
+            and self.directory.is_read
+            and (self.table.workspaces is None or self.contact.may_use_keys(now_boot_s))
+        )
+
+    def contact_of_peers(self) -> PeerContact:
+        """Return whether other gateways could use keys by their contact."""
+        return self.peer_configurations.contact(
+            self.contact.max_key_age_s, boot_time_s()
+        )
+
+    def outage_of_peers(self) -> PeerContact:
+        """Return `contact_of_peers`, without peers that have only just started."""
+        return self.peer_configurations.outage(
+            self.contact.max_key_age_s, boot_time_s()
+        )
+
     def is_key_valid(
         self, key: str | None, workspace: Workspace | None, now_boot_s: float
     ) -> bool:
@@ -303,6 +327,7 @@
             "store_restorations": self.store_restorations,
             "is_stopping": self.is_stopping,
             "contact_age_s": self.contact.age_s(boot_time_s()),
+            "startup": self.startup.dump(now_s),
             "directory": self.directory.dump(now_s),
             "loads": self.loads.dump(now_s),
             "troubles": self.troubles.dump(now_s),
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -57,6 +57,10 @@
 """Shortest backoff of reads of other topics while the configuration can't be read
 either: the next read of the configuration that succeeds ends it."""
 
+PAUSE_GAP_S = 1.0
+"""Gap between two checks of the store contact from which the process counts as having
+been suspended: many check intervals."""
+
 START_CHECK_TIMEOUT_S = 1.0
 """Longest time for which a starting gateway waits for the list of its peers and for
 their versions of the configuration."""
@@ -94,7 +98,7 @@
             self._replace_operator,
             self._operator_read_completed,
             is_confirmed=self._operator_confirmed,
-            backoff_s=self._backoff_s,
+            backoff_s=self._operator_backoff_s,
             is_urgent=self._has_unchecked_version,
             wait_s=OPERATOR_LONG_POLL_S,
         )
@@ -155,6 +159,10 @@
             self._state.rng,
         )
 
+    def _operator_backoff_s(self, failures: int) -> float:
+        self._state.startup.failed_reads = failures
+        return self._backoff_s(failures)
+
     def _follower_backoff_s(self, failures: int) -> float:
         """Leave probing to the reads of the configuration if both topics are lost."""
         backoff_s = self._backoff_s(failures)
@@ -175,9 +183,14 @@
         its backoff was that of the others.
         """
         was_lost = was_reader = False
+        checked_s = boot_time_s()
         while True:
             await asyncio.sleep(OUTAGE_CHECK_INTERVAL_S)
-            is_reader = self._freshness.is_reader(asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            if boot_time_s() - checked_s > PAUSE_GAP_S:
+                self._state.startup.renewal_expected(now_s)
+            checked_s = boot_time_s()
+            is_reader = self._freshness.is_reader(now_s)
             if is_reader and not was_reader and self._operator.is_lost:
                 self._operator.read_soon()
             was_reader = is_reader
@@ -186,6 +199,7 @@
                     was_lost = True
                 case PeerContact.FRESH if was_lost:
                     was_lost = False
+                    self._state.startup.renewal_expected(now_s)
                     self._operator.read_soon()
                     self._endpoints.read_soon()
 
@@ -258,6 +272,7 @@
         keys that it has may have been revoked.
         """
         own = self._state.version
+        self._state.startup.failed_reads = 0
         if not self._are_peers_asked or own is None:
             return
         now_s = boot_time_s()
@@ -265,10 +280,15 @@
         if not versions.is_newer_known(own, now_s):
             self._set_outdated(False)
             self._state.contact.read_completed(known_s)
+            self._check_startup()
         elif is_read and versions.is_outdated(own, known_s, now_s):
             self._set_outdated(True)
             self._state.contact.discard()
 
+    def _check_startup(self) -> None:
+        if self._state.can_admit(boot_time_s()):
+            self._state.startup.is_complete = True
+
     def _set_outdated(self, is_outdated: bool) -> None:
         if is_outdated == self._is_outdated:
             return
@@ -367,6 +387,7 @@
         self._freshness.own.directory_era = position.era if position else None
         self._freshness.own.directory_read_s = sent_s
         self._state.directory.read_succeeded(asyncio.get_running_loop().time())
+        self._check_startup()
 
     def _endpoints_confirmed(self) -> bool:
         now_s = asyncio.get_running_loop().time()
--- a/tests/decisions/test_peer_configurations.py
+++ b/tests/decisions/test_peer_configurations.py
@@ -46,3 +46,13 @@
     peers.heard("gateway-3", 7, confirmed_s=4.0, now_s=5.0)
     assert peers.contact(max_age_s=4.2, now_s=5.0) is PeerContact.FRESH
     assert peers.contact(max_age_s=4.2, now_s=5.0 + PEER_TTL_S) is PeerContact.UNKNOWN
+
+
+def test_peers_that_have_only_just_started_are_no_outage():
+    # In a power fault each gateway refused by the reports of others that were starting.
+    peers = PeerConfigurations()
+    peers.heard("gateway-2", 7, confirmed_s=1.0 - 2**31 / 1000, now_s=1.0)
+    assert peers.contact(4.2, 1.1) is PeerContact.LOST
+    assert peers.outage(4.2, 1.1) is PeerContact.UNKNOWN
+    peers.heard("gateway-3", 7, confirmed_s=-9.0, now_s=1.0)
+    assert peers.outage(4.2, 1.1) is PeerContact.LOST
