Gateways that poll the store pass changes of the directory on

Cause: a change of the directory ended the confirmation of all other gateways, so that each of them read the store: one call per gateway and change.

Change: a reader sends what a read has changed in a DirectoryUpdate to the others, up to four datagrams for each. They apply it if they are in the same era and state and come to the stated result, and it brings back no endpoint that they know to have left; otherwise they read as before. The confirmation keeps its time, since an update may have been long on its way. A read that was under way while an update was applied is discarded, and the next one is of the newest records: the position of the last read is older than the update.

--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -1,6 +1,6 @@
 """Service discovery: endpoints eligible for new work, despite lag and outages."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 import xxhash
@@ -334,6 +334,51 @@
                 value ^= _digest_of(entry.endpoint)
         return value
 
+    def contribution(self, endpoint_id: str) -> int:
+        """Return what an endpoint contributes to the digest; 0 if it isn't known."""
+        entry = self._entries.get(endpoint_id)
+        if entry is None or entry.removed_s is not None:
+            return 0
+        return _digest_of(entry.endpoint)
+
+    def update(
+        self,
+        changed: Mapping[str, Endpoint | None],
+        digest_before: int,
+        digest_after: int,
+        now_s: float,
+    ) -> bool:
+        """Apply changes that another gateway read; return whether they fit.
+
+        They don't if this directory isn't in the state that they start from, if the
+        result isn't the stated one, or if they bring back an endpoint that is known to
+        have left: an update may be late.
+
+        Parameters
+        ----------
+        changed : mapping of str to Endpoint or None
+            Registrations by id; None for those that were removed.
+        digest_before, digest_after : int
+        now_s : float
+        """
+        if self.digest != digest_before:
+            return False
+        result = digest_before
+        for endpoint_id, endpoint in changed.items():
+            result ^= self.contribution(endpoint_id)
+            if endpoint is not None:
+                result ^= _digest_of(endpoint)
+                if endpoint_id in self._departed:
+                    return False
+        if result != digest_after:
+            return False
+        for endpoint_id, endpoint in changed.items():
+            if endpoint is None:
+                self.remove(endpoint_id, now_s)
+            else:
+                self.put(endpoint, now_s)
+        return True
+
     def dump(self, now_s: float) -> dict:
         """Return the state as plain data."""
         return {
--- a/src/sorrelhoist/decisions/store_readers.py
+++ b/src/sorrelhoist/decisions/store_readers.py
@@ -113,6 +113,14 @@
         """Replace the last answer by a newer one."""
         self._last = confirmation
 
+    def directory_updated(self, digest_before: int, digest_after: int) -> None:
+        """Carry a confirmation over an update of the directory.
+
+        The time of the confirmation stays: an update may have been long on its way.
+        """
+        if self._last is not None and self._last.directory_digest == digest_before:
+            self._last = attrs.evolve(self._last, directory_digest=digest_after)
+
     def configuration_s(self, own: StorePosition, now_s: float) -> float | None:
         """Return the confirmed time of the local configuration, None if unconfirmed."""
         last = self._usable(now_s)
--- a/src/sorrelhoist/gateway/freshness.py
+++ b/src/sorrelhoist/gateway/freshness.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from ..decisions.directory_updates import ChainedUpdate
 from ..decisions.store_readers import (
     Confirmation,
     Confirmations,
@@ -83,6 +84,9 @@
         self._ids = itertools.count(1)
         self._pending: dict[int, float] = {}
         self._answers = 0
+        self.on_directory_update: Callable[[ttypes.DirectoryUpdate], bool] = (
+            lambda update: False
+        )
 
     def is_reader(self, now_s: float) -> bool:
         """Return whether this process is one of the gateways that poll the store."""
@@ -127,6 +131,23 @@
             if others and not self.is_reader(loop.time()):
                 self._send_query(self._state.rng.choice(others))
 
+    def send_update(self, update: ChainedUpdate, node_ids: Sequence[str]) -> None:
+        """Pass a change of the directory on to other gateways."""
+        age_s = boot_time_s() - self.own.directory_read_s
+        body = ttypes.DirectoryUpdate(
+            node_id=self._state.node_id,
+            era=self.own.directory_era,
+            digest_before=update.digest_before,
+            digest_after=update.digest_after,
+            records=[
+                ttypes.DirectoryRecord(change.endpoint_id, change.value)
+                for change in update.changes
+            ],
+            age_ms=age_ms(age_s),
+        )
+        for node_id in node_ids:
+            self._send(node_id, body)
+
     async def ask_versions(self, node_ids: Sequence[str]) -> None:
         """Ask some peers which configuration they have, and wait for a few answers."""
         chosen = self._state.rng.sample(node_ids, min(START_QUERIES, len(node_ids)))
@@ -143,6 +164,11 @@
         match body:
             case ttypes.FreshnessAsk(node_id=node_id, ask_id=ask_id):
                 self._send(node_id, self._answer(ask_id))
+            case ttypes.DirectoryUpdate():
+                if self.on_directory_update(body):
+                    self._confirmations.directory_updated(
+                        body.digest_before, body.digest_after
+                    )
             case ttypes.FreshnessAnswer():
                 self._answer_received(body)
 
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -61,6 +61,15 @@
         def held_requests(options: CallbackOptions) -> list[Observation]:
             return [Observation(state.startup.held_count)]
 
+        def directory_updates(options: CallbackOptions) -> list[Observation]:
+            return [
+                Observation(count, {"outcome": outcome})
+                for outcome, count in state.directory_updates.items()
+            ]
+
+        meter.create_observable_counter(
+            "sorrelhoist_gateway_directory_updates", [directory_updates]
+        )
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
         meter.create_observable_gauge(
             "sorrelhoist_gateway_held_requests", [held_requests]
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -78,6 +79,8 @@
         Requests held until the first configuration or a renewal of the store contact.
     store_restorations : int
         How often the store was seen to come back from an older copy.
+    directory_updates : Counter
+        Changes of the directory passed on between gateways, by outcome.
     """
 
     node_id: str
@@ -112,6 +115,7 @@
     peer_configurations: PeerConfigurations = attrs.field(factory=PeerConfigurations)
     startup: Startup = attrs.field(factory=Startup)
     store_restorations: int = 0
+    directory_updates: Counter[str] = attrs.field(factory=Counter)
     stopping_s: float | None = None
 
     def adopt(self, table: RouteTable) -> bool:
@@ -328,6 +332,7 @@
             "is_stopping": self.is_stopping,
             "contact_age_s": self.contact.age_s(boot_time_s()),
             "startup": self.startup.dump(now_s),
+            "directory_updates": dict(self.directory_updates),
             "directory": self.directory.dump(now_s),
             "loads": self.loads.dump(now_s),
             "troubles": self.troubles.dump(now_s),
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -6,11 +6,13 @@
 import logging
 
 from ..decisions.directory import Endpoint
+from ..decisions.directory_updates import DirectoryChange, chained_updates
 from ..decisions.peer_configurations import PeerContact
 from ..decisions.store_backoff import ALONE_BACKOFF_S, store_backoff_s
 from ..exceptions import PlatformError
 from ..gateway.peer_exchange import PeerAddress, PeerExchange
 from ..gateway.state import GatewayState, boot_time_s
+from ..messages.gen import ttypes
 from .settings import PlatformSettings
 from .store import KeyedRecord, Records, StoreClient
 from .topic_poller import TopicPoller
@@ -89,6 +91,8 @@
         self._are_peers_asked = False
         self._is_outdated = False
         self._operator_read_s: float | None = None
+        self._changes: list[DirectoryChange] = []
+        self._freshness.on_directory_update = self._directory_updated
         self._peers_read = asyncio.Event()
         self._own_entry_due = asyncio.Event()
         self._operator = TopicPoller(
@@ -339,6 +343,81 @@
     # Endpoints
 
     def _apply_endpoint(self, record: KeyedRecord) -> None:
+        directory = self._state.directory
+        before = directory.contribution(record.key)
+        self._apply_registration(record)
+        change = before ^ directory.contribution(record.key)
+        if change:
+            self._changes.append(DirectoryChange(record.key, record.value, change))
+
+    def _pass_changes_on(self) -> None:
+        """Tell the other gateways what this read of the store has changed."""
+        changes, self._changes = self._changes, []
+        now_s = asyncio.get_running_loop().time()
+        if not changes or not self._freshness.is_reader(now_s):
+            return
+        peers = self._exchange.peer_ids
+        updates = chained_updates(changes, self._state.directory.digest, len(peers))
+        for update in updates:
+            self._freshness.send_update(update, peers)
+        outcome = "sent" if updates else "too many"
+        self._state.directory_updates[outcome] += 1
+        logger.info(
+            "directory changes passed on",
+            extra={
+                "event": "directory_update",
+                "outcome": outcome,
+                "changes": len(changes),
+                "updates": len(updates),
+                "gateways": len(peers),
+            },
+        )
+
+    def _directory_updated(self, update: ttypes.DirectoryUpdate) -> bool:
+        """Apply changes that another gateway has read; return whether they fit."""
+        outcome = self._apply_update(update)
+        self._state.directory_updates[outcome] += 1
+        logger.info(
+            "directory changes received",
+            extra={
+                "event": "directory_update",
+                "outcome": outcome,
+                "heard_from": update.node_id,
+                "changes": len(update.records or ()),
+                "age_ms": update.age_ms,
+            },
+        )
+        return outcome == "applied"
+
+    def _apply_update(self, update: ttypes.DirectoryUpdate) -> str:
+        era = self._freshness.own.directory_era
+        if era is None or update.era != era:
+            return "other era"
+        directory = self._state.directory
+        if directory.digest == update.digest_after:
+            return "known"
+        now_s = asyncio.get_running_loop().time()
+        changed: dict[str, Endpoint | None] = {}
+        try:
+            for record in update.records or ():
+                changed[record.endpoint_id] = (
+                    decode_endpoint(record.endpoint_id, record.value, now_s)
+                    if record.value
+                    else None
+                )
+        except MalformedRecordError as error:
+            self._log_malformed(error)
+            return "malformed"
+        before, after = update.digest_before, update.digest_after
+        if not directory.update(changed, before, after, now_s):
+            return "other state"
+        self._endpoints.records_applied()
+        for endpoint_id, endpoint in changed.items():
+            outcome = "leaving" if endpoint and endpoint.is_leaving else "ready"
+            self._endpoint_changed(endpoint_id, outcome if endpoint else "removed")
+        return "applied"
+
+    def _apply_registration(self, record: KeyedRecord) -> None:
         now_s = asyncio.get_running_loop().time()
         directory = self._state.directory
         if record.value is None:
@@ -363,6 +442,8 @@
         self._state.directory.keep_only(keys, now_s)
         for record in batch.records:
             self._apply_endpoint(record)
+        if self._endpoints.position is None:
+            self._changes.clear()  # the others read for themselves when they start
 
     def _restore_endpoints(self, batch: Records, now_s: float) -> None:
         copy: list[Endpoint] = []
@@ -386,6 +467,7 @@
         position = self._endpoints.position
         self._freshness.own.directory_era = position.era if position else None
         self._freshness.own.directory_read_s = sent_s
+        self._pass_changes_on()
         self._state.directory.read_succeeded(asyncio.get_running_loop().time())
         self._check_startup()
 
--- a/src/sorrelhoist/platform/topic_poller.py
+++ b/src/sorrelhoist/platform/topic_poller.py
@@ -68,6 +68,7 @@
     _read_era: int | None = None
     _failures: int = 0
     _was_confirmed: bool = False
+    _is_ahead: bool = False
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
@@ -75,6 +76,14 @@
         """Whether the last attempt to read failed."""
         return self._failures > 0
 
+    def records_applied(self) -> None:
+        """Record that newer records than those at the position were applied.
+
+        The next read is of the newest record of each key: a read from the position
+        would apply older ones again.
+        """
+        self._is_ahead = True
+
     def read_soon(self) -> None:
         """End the pause between two reads or attempts."""
         self._wake.set()
@@ -89,7 +98,7 @@
             self._wake.clear()
             sent_s = boot_time_s()
             try:
-                await self._read()
+                is_current = await self._read()
             except (RecordsExpiredError, StoreRestoredError) as error:
                 self._log(error.kind.replace("_", " "), str(error))
                 self.position = None
@@ -99,6 +108,8 @@
                 await self._back_off()
                 continue
             self._report_recovery()
+            if not is_current:
+                continue
             self.completed(sent_s)
             if self.interval_s:
                 await self._pause(self.interval_s)
@@ -117,9 +128,16 @@
             async with asyncio.timeout(duration_s):
                 await self._wake.wait()
 
-    async def _read(self) -> None:
-        if self.position is None:
+    async def _read(self) -> bool:
+        """Read and apply; return False if other records were applied meanwhile.
+
+        What was read may then be older than those.
+        """
+        if self.position is None or self._is_ahead:
+            self._is_ahead = False
             batch = await self.store.newest(self.topic)
+            if self._is_ahead:
+                return False
             is_restored = self._read_era not in (None, batch.end.era)
             self.replace(batch, is_restored)
         else:
@@ -128,11 +146,14 @@
             is_urgent = self.is_lost or self._was_confirmed or self.is_urgent()
             wait_s = 0.0 if is_urgent else self.wait_s
             batch = await self.store.read(self.topic, self.position, wait_s)
+            if self._is_ahead:
+                return False
             for record in batch.records:
                 self.apply(record)
         self.position = batch.end
         self._read_era = batch.end.era
         self._was_confirmed = False
+        return True
 
     def _report_failure(self, error: PlatformError) -> None:
         self._failures += 1
