--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -121,6 +121,7 @@
             metrics=metrics,
             memory=MemoryKeeper(self.state.memory, metrics),
         )
+        self.state.startup.begin(loop.time(), self.state.limits.memory_bytes)
         front = CallerDelegate(parts)
         exchange = PeerExchange(self.state, self.boot_ms)
         exchange.permits.on_granted = parts.dispatcher.retry_queued
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a gateway: OpenTelemetry counters, latency histograms and a gauge."""
 
 import time
+from collections.abc import Callable, Mapping
 
 import attrs
 from opentelemetry.metrics import (
@@ -38,6 +39,8 @@
         Time between two relayed events of a stream in seconds, by route.
     pauses_over_target : Counter
         Pauses of streams that exceed the target of their route, by route.
+    hold : Histogram
+        Time for which requests were held before their admission, by outcome.
     """
 
     requests: Counter
@@ -47,75 +50,13 @@
     first_event: Histogram
     stream_pause: Histogram
     pauses_over_target: Counter
+    hold: Histogram
 
     @classmethod
     def create(cls, meter: Meter, state: GatewayState) -> "GatewayMetrics":
         """Register the instruments, with gauges of the state."""
 
-        def contact_age(options: CallbackOptions) -> list[Observation]:
-            return [Observation(state.contact.age_s(boot_time_s()))]
-
-        def restorations(options: CallbackOptions) -> list[Observation]:
-            return [Observation(state.store_restorations)]
-
-        def limited_endpoints(options: CallbackOptions) -> list[Observation]:
-            return [Observation(len(state.named_limits.limited()))]
-
-        def leaving_endpoints(options: CallbackOptions) -> list[Observation]:
-            return [Observation(len(state.directory.leaving_ids))]
-
-        def paused_endpoints(options: CallbackOptions) -> list[Observation]:
-            return [Observation(len(state.pauses.dump(time.monotonic())))]
-
-        def load_updates(options: CallbackOptions) -> list[Observation]:
-            rate = state.update_rate
-            return [
-                Observation(rate.sent, {"outcome": "sent"}),
-                Observation(rate.held_back, {"outcome": "held_back"}),
-            ]
-
-        meter.create_observable_counter(
-            "sorrelhoist_gateway_load_updates", [load_updates]
-        )
-
-        def memory_budget(options: CallbackOptions) -> list[Observation]:
-            budget_bytes = state.memory.budget_bytes
-            return [] if budget_bytes is None else [Observation(budget_bytes)]
-
-        def memory_held(options: CallbackOptions) -> list[Observation]:
-            return [Observation(state.memory.held_bytes)]
-
-        def memory_pressure(options: CallbackOptions) -> list[Observation]:
-            return [Observation(int(state.memory.is_short))]
-
-        def slow_endpoints(options: CallbackOptions) -> list[Observation]:
-            return [Observation(len(state.pass_corrections.slow(time.monotonic())))]
-
-        meter.create_observable_gauge(
-            "sorrelhoist_gateway_slow_endpoints", [slow_endpoints]
-        )
-        meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
-        meter.create_observable_gauge(
-            "sorrelhoist_gateway_memory_budget_bytes", [memory_budget]
-        )
-        meter.create_observable_gauge(
-            "sorrelhoist_gateway_memory_held_bytes", [memory_held]
-        )
-        meter.create_observable_gauge(
-            "sorrelhoist_gateway_memory_pressure", [memory_pressure]
-        )
-        meter.create_observable_gauge(
-            "sorrelhoist_paused_endpoints", [paused_endpoints]
-        )
-        meter.create_observable_gauge(
-            "sorrelhoist_leaving_endpoints", [leaving_endpoints]
-        )
-        meter.create_observable_gauge(
-            "sorrelhoist_limited_endpoints", [limited_endpoints]
-        )
-        meter.create_observable_counter(
-            "sorrelhoist_store_restorations", [restorations]
-        )
+        _observe_state(meter, state)
         return cls(
             requests=meter.create_counter("sorrelhoist_gateway_requests"),
             failures=meter.create_counter("sorrelhoist_gateway_failed_attempts"),
@@ -136,9 +77,67 @@
             pauses_over_target=meter.create_counter(
                 "sorrelhoist_gateway_pauses_over_target"
             ),
+            hold=meter.create_histogram("sorrelhoist_gateway_hold_seconds"),
         )
 
 
+_Value = Callable[[GatewayState], float | None]
+
+_GAUGES: dict[str, _Value] = {
+    "sorrelhoist_contact_age": lambda state: state.contact.age_s(boot_time_s()),
+    "sorrelhoist_paused_endpoints": lambda state: len(
+        state.pauses.dump(time.monotonic())
+    ),
+    "sorrelhoist_leaving_endpoints": lambda state: len(state.directory.leaving_ids),
+    "sorrelhoist_limited_endpoints": lambda state: len(state.named_limits.limited()),
+    "sorrelhoist_gateway_slow_endpoints": lambda state: len(
+        state.pass_corrections.slow(time.monotonic())
+    ),
+    "sorrelhoist_gateway_held_requests": lambda state: state.startup.held_count,
+    "sorrelhoist_gateway_memory_budget_bytes": lambda state: state.memory.budget_bytes,
+    "sorrelhoist_gateway_memory_held_bytes": lambda state: state.memory.held_bytes,
+    "sorrelhoist_gateway_memory_pressure": lambda state: int(state.memory.is_short),
+}
+"""Gauges of the state, by name; one without a value is left out."""
+
+_COUNTERS: dict[str, Callable[[GatewayState], Mapping[str, int]]] = {
+    "sorrelhoist_gateway_directory_updates": lambda state: state.directory_updates,
+    "sorrelhoist_gateway_load_updates": lambda state: {
+        "sent": state.update_rate.sent,
+        "held_back": state.update_rate.held_back,
+    },
+}
+"""Counters of the state, by name; their values by outcome."""
+
+
+def _observe_state(meter: Meter, state: GatewayState) -> None:
+    """Register instruments whose values are read from the state."""
+
+    def gauge(value: _Value) -> Callable[[CallbackOptions], list[Observation]]:
+        def observe(options: CallbackOptions) -> list[Observation]:
+            found = value(state)
+            return [] if found is None else [Observation(found)]
+
+        return observe
+
+    def counter(
+        counts: Callable[[GatewayState], Mapping[str, int]],
+    ) -> Callable[[CallbackOptions], list[Observation]]:
+        return lambda options: [
+            Observation(count, {"outcome": outcome})
+            for outcome, count in counts(state).items()
+        ]
+
+    for name, value in _GAUGES.items():
+        meter.create_observable_gauge(name, [gauge(value)])
+    for name, counts in _COUNTERS.items():
+        meter.create_observable_counter(name, [counter(counts)])
+    meter.create_observable_counter(
+        "sorrelhoist_store_restorations",
+        [lambda options: [Observation(state.store_restorations)]],
+    )
+
+
 def create_metrics(state: GatewayState) -> tuple[ProcessMetrics, GatewayMetrics]:
     """Create the metrics of the process and of the gateway."""
     process = ProcessMetrics(state.node_id, "gateway")
--- a/src/sorrelhoist/gateway/parts.py
+++ b/src/sorrelhoist/gateway/parts.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from .admission_hold import AdmissionHold
 from .dispatch import Dispatcher
 from .memory import MemoryKeeper
 from .metrics import GatewayMetrics
@@ -22,6 +23,7 @@
     dialect : Dialect
     metrics : GatewayMetrics
     memory : MemoryKeeper
+    hold : AdmissionHold
     """
 
     state: GatewayState
@@ -30,3 +32,6 @@
     dialect: Dialect
     metrics: GatewayMetrics
     memory: MemoryKeeper
+    hold: AdmissionHold = attrs.field(
+        default=attrs.Factory(lambda self: AdmissionHold(self.state), takes_self=True)
+    )
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -6,11 +6,13 @@
 import logging
 
 from ..decisions.directory import Endpoint
+from ..decisions.directory_updates import DirectoryChange, chained_updates
 from ..decisions.peer_configurations import PeerContact
 from ..decisions.store_backoff import ALONE_BACKOFF_S, store_backoff_s
 from ..exceptions import PlatformError
 from ..gateway.peer_exchange import PeerAddress, PeerExchange
 from ..gateway.state import GatewayState, boot_time_s
+from ..messages.gen import ttypes
 from .settings import PlatformSettings
 from .store import KeyedRecord, Records, StoreClient
 from .topic_poller import TopicPoller
@@ -57,6 +59,10 @@
 """Shortest backoff of reads of other topics while the configuration can't be read
 either: the next read of the configuration that succeeds ends it."""
 
+PAUSE_GAP_S = 1.0
+"""Gap between two checks of the store contact from which the process counts as having
+been suspended: many check intervals."""
+
 START_CHECK_TIMEOUT_S = 1.0
 """Longest time for which a starting gateway waits for the list of its peers and for
 their versions of the configuration."""
@@ -85,6 +91,8 @@
         self._are_peers_asked = False
         self._is_outdated = False
         self._operator_read_s: float | None = None
+        self._changes: list[DirectoryChange] = []
+        self._freshness.on_directory_update = self._directory_updated
         self._peers_read = asyncio.Event()
         self._own_entry_due = asyncio.Event()
         self._operator = TopicPoller(
@@ -94,7 +102,7 @@
             self._replace_operator,
             self._operator_read_completed,
             is_confirmed=self._operator_confirmed,
-            backoff_s=self._backoff_s,
+            backoff_s=self._operator_backoff_s,
             is_urgent=self._has_unchecked_version,
             wait_s=OPERATOR_LONG_POLL_S,
         )
@@ -155,6 +163,10 @@
             self._state.rng,
         )
 
+    def _operator_backoff_s(self, failures: int) -> float:
+        self._state.startup.failed_reads = failures
+        return self._backoff_s(failures)
+
     def _follower_backoff_s(self, failures: int) -> float:
         """Leave probing to the reads of the configuration if both topics are lost."""
         backoff_s = self._backoff_s(failures)
@@ -175,9 +187,14 @@
         its backoff was that of the others.
         """
         was_lost = was_reader = False
+        checked_s = boot_time_s()
         while True:
             await asyncio.sleep(OUTAGE_CHECK_INTERVAL_S)
-            is_reader = self._freshness.is_reader(asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            if boot_time_s() - checked_s > PAUSE_GAP_S:
+                self._state.startup.renewal_expected(now_s)
+            checked_s = boot_time_s()
+            is_reader = self._freshness.is_reader(now_s)
             if is_reader and not was_reader and self._operator.is_lost:
                 self._operator.read_soon()
             was_reader = is_reader
@@ -186,6 +203,7 @@
                     was_lost = True
                 case PeerContact.FRESH if was_lost:
                     was_lost = False
+                    self._state.startup.renewal_expected(now_s)
                     self._operator.read_soon()
                     self._endpoints.read_soon()
 
@@ -258,6 +276,7 @@
         keys that it has may have been revoked.
         """
         own = self._state.version
+        self._state.startup.failed_reads = 0
         if not self._are_peers_asked or own is None:
             return
         now_s = boot_time_s()
@@ -265,10 +284,15 @@
         if not versions.is_newer_known(own, now_s):
             self._set_outdated(False)
             self._state.contact.read_completed(known_s)
+            self._check_startup()
         elif is_read and versions.is_outdated(own, known_s, now_s):
             self._set_outdated(True)
             self._state.contact.discard()
 
+    def _check_startup(self) -> None:
+        if self._state.can_admit(boot_time_s()):
+            self._state.startup.is_complete = True
+
     def _set_outdated(self, is_outdated: bool) -> None:
         if is_outdated == self._is_outdated:
             return
@@ -319,6 +343,81 @@
     # Endpoints
 
     def _apply_endpoint(self, record: KeyedRecord) -> None:
+        directory = self._state.directory
+        before = directory.contribution(record.key)
+        self._apply_registration(record)
+        change = before ^ directory.contribution(record.key)
+        if change:
+            self._changes.append(DirectoryChange(record.key, record.value, change))
+
+    def _pass_changes_on(self) -> None:
+        """Tell the other gateways what this read of the store has changed."""
+        changes, self._changes = self._changes, []
+        now_s = asyncio.get_running_loop().time()
+        if not changes or not self._freshness.is_reader(now_s):
+            return
+        peers = self._exchange.peer_ids
+        updates = chained_updates(changes, self._state.directory.digest, len(peers))
+        for update in updates:
+            self._freshness.send_update(update, peers)
+        outcome = "sent" if updates else "too many"
+        self._state.directory_updates[outcome] += 1
+        logger.info(
+            "directory changes passed on",
+            extra={
+                "event": "directory_update",
+                "outcome": outcome,
+                "changes": len(changes),
+                "updates": len(updates),
+                "gateways": len(peers),
+            },
+        )
+
+    def _directory_updated(self, update: ttypes.DirectoryUpdate) -> bool:
+        """Apply changes that another gateway has read; return whether they fit."""
+        outcome = self._apply_update(update)
+        self._state.directory_updates[outcome] += 1
+        logger.info(
+            "directory changes received",
+            extra={
+                "event": "directory_update",
+                "outcome": outcome,
+                "heard_from": update.node_id,
+                "changes": len(update.records or ()),
+                "age_ms": update.age_ms,
+            },
+        )
+        return outcome == "applied"
+
+    def _apply_update(self, update: ttypes.DirectoryUpdate) -> str:
+        era = self._freshness.own.directory_era
+        if era is None or update.era != era:
+            return "other era"
+        directory = self._state.directory
+        if directory.digest == update.digest_after:
+            return "known"
+        now_s = asyncio.get_running_loop().time()
+        changed: dict[str, Endpoint | None] = {}
+        try:
+            for record in update.records or ():
+                changed[record.endpoint_id] = (
+                    decode_endpoint(record.endpoint_id, record.value, now_s)
+                    if record.value
+                    else None
+                )
+        except MalformedRecordError as error:
+            self._log_malformed(error)
+            return "malformed"
+        before, after = update.digest_before, update.digest_after
+        if not directory.update(changed, before, after, now_s):
+            return "other state"
+        self._endpoints.records_applied()
+        for endpoint_id, endpoint in changed.items():
+            outcome = "leaving" if endpoint and endpoint.is_leaving else "ready"
+            self._endpoint_changed(endpoint_id, outcome if endpoint else "removed")
+        return "applied"
+
+    def _apply_registration(self, record: KeyedRecord) -> None:
         now_s = asyncio.get_running_loop().time()
         directory = self._state.directory
         if record.value is None:
@@ -343,6 +442,8 @@
         self._state.directory.keep_only(keys, now_s)
         for record in batch.records:
             self._apply_endpoint(record)
+        if self._endpoints.position is None:
+            self._changes.clear()  # the others read for themselves when they start
 
     def _restore_endpoints(self, batch: Records, now_s: float) -> None:
         copy: list[Endpoint] = []
@@ -366,7 +467,9 @@
         position = self._endpoints.position
         self._freshness.own.directory_era = position.era if position else None
         self._freshness.own.directory_read_s = sent_s
+        self._pass_changes_on()
         self._state.directory.read_succeeded(asyncio.get_running_loop().time())
+        self._check_startup()
 
     def _endpoints_confirmed(self) -> bool:
         now_s = asyncio.get_running_loop().time()
