--- a/src/sorrelhoist/decisions/placement/demand.py
+++ b/src/sorrelhoist/decisions/placement/demand.py
@@ -132,6 +132,8 @@
 class Busy:
     """No endpoint has capacity now."""
 
+    reason: str = "no endpoint has room"
+
 
 @attrs.frozen
 class Impossible:
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -55,7 +55,6 @@
     @classmethod
     def create(cls, meter: Meter, state: GatewayState) -> "GatewayMetrics":
         """Register the instruments, with gauges of the state."""
-
         _observe_state(meter, state)
         return cls(
             requests=meter.create_counter("sorrelhoist_gateway_requests"),
@@ -109,6 +108,12 @@
 }
 """Counters of the state, by name; their values by outcome."""
 
+_TOTALS: dict[str, _Value] = {
+    "sorrelhoist_store_restorations": lambda state: state.store_restorations,
+    "sorrelhoist_gateway_early_refusals": lambda state: state.early_refusals,
+}
+"""Counters of the state without a distinction of outcomes."""
+
 
 def _observe_state(meter: Meter, state: GatewayState) -> None:
     """Register instruments whose values are read from the state."""
@@ -128,14 +133,25 @@
             for outcome, count in counts(state).items()
         ]
 
+    def waiting(options: CallbackOptions) -> list[Observation]:
+        services = state.table.services if state.table else {}
+        now_s = time.monotonic()
+        return [
+            Observation(count, {"service": service, "gateways": gateways})
+            for service in services
+            for gateways, count in (
+                ("own", len(state.own_work.waiting(service))),
+                ("others", state.fleet_demand.others(service, now_s).waiting),
+            )
+        ]
+
+    meter.create_observable_gauge("sorrelhoist_gateway_waiting_requests", [waiting])
     for name, value in _GAUGES.items():
         meter.create_observable_gauge(name, [gauge(value)])
     for name, counts in _COUNTERS.items():
         meter.create_observable_counter(name, [counter(counts)])
-    meter.create_observable_counter(
-        "sorrelhoist_store_restorations",
-        [lambda options: [Observation(state.store_restorations)]],
-    )
+    for name, total in _TOTALS.items():
+        meter.create_observable_counter(name, [gauge(total)])
 
 
 def create_metrics(state: GatewayState) -> tuple[ProcessMetrics, GatewayMetrics]:
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -12,6 +12,8 @@
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.endpoint_notices import NamedLimits
 from ..decisions.memory.budget import MemoryBudget
+from ..decisions.overload.fleet_demand import FleetDemand
+from ..decisions.overload.own_work import OwnWork
 from ..decisions.part_suspicion import Blame, PartSuspicions
 from ..decisions.pauses import EndpointPauses
 from ..decisions.peer_configurations import PeerConfigurations, PeerContact
@@ -95,6 +97,12 @@
         How often the store was seen to come back from an older copy.
     directory_updates : Counter
         Changes of the directory passed on between gateways, by outcome.
+    own_work : OwnWork
+        Requests that wait here, and prompts that are being prefilled.
+    fleet_demand : FleetDemand
+        The same of the other gateways.
+    early_refusals : int
+        Requests refused at once, since they couldn't have started in time.
     """
 
     node_id: str
@@ -140,6 +148,9 @@
     startup: Startup = attrs.field(factory=Startup)
     store_restorations: int = 0
     directory_updates: Counter[str] = attrs.field(factory=Counter)
+    own_work: OwnWork = attrs.field(factory=OwnWork)
+    fleet_demand: FleetDemand = attrs.field(factory=FleetDemand)
+    early_refusals: int = 0
     stopping_s: float | None = None
     _shortest_pauses_ms: dict[str, float] = attrs.field(factory=dict, init=False)
 
@@ -281,6 +292,12 @@
                 endpoint
             )
         self._want_permits(lacking, now_s)
+        return self.load_views(usable, now_s)
+
+    def load_views(
+        self, endpoints: Iterable[Endpoint], now_s: float
+    ) -> list[EndpointView]:
+        """Return endpoints with their load, whether or not they may be used now."""
         totals = self.loads.totals(now_s)
         evidence = self.peer_failures.evidence(now_s)
         slow = self.pass_corrections.slow(now_s)
@@ -296,7 +313,7 @@
                 ),
                 slowness=slow.get(endpoint.endpoint_id, 1.0),
             )
-            for endpoint in usable
+            for endpoint in endpoints
         ]
 
     def _limit_per_s(self, endpoint: Endpoint, now_s: float) -> float | None:
@@ -358,6 +375,7 @@
     def release(self, request_id: str) -> None:
         """Record the end of a placement, whether or not its request was sent."""
         self.loads.release(request_id)
+        self.own_work.ended(request_id)
         self.permits.release(request_id)
 
     def dump(self, now_s: float) -> dict:
@@ -384,4 +402,6 @@
             "named_limits": self.named_limits.dump(now_s),
             "suspicions": self.suspicions.dump(now_s),
             "part_suspicions": self.part_suspicions.dump(now_s),
+            "fleet_demand": self.fleet_demand.dump(now_s),
+            "early_refusals": self.early_refusals,
         }
