A long prompt whose wait newer parts explain is not cut; lateness is measured

A watch now adds what all gateways have placed on the prefill's endpoints since. A wait that passes without explanation is moved, once, if the new place is expected sooner than the wait has been overdue and before the deadline; otherwise it is checked again every 0.5 s. Short prompts keep their timers, and an unexplained wait of a long one is noticed as soon as before.

The first event of each long prompt is compared with the expectation: a histogram by age of the view, a counter of overdue prefills by outcome, log lines 'prefill late' and 'prefill overdue' with what was placed on its endpoints, and the watches in the dump.

The burst test of load updates releases its prompts, since wider splits fill its 20 endpoints before the rate limit is reached.

--- a/src/sorrelhoist/decisions/placement/load_tracker.py
+++ b/src/sorrelhoist/decisions/placement/load_tracker.py
@@ -4,7 +4,8 @@
 all of them, with stale views, would place a burst on the endpoint last seen idle.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 
 import attrs
 
@@ -186,6 +187,7 @@
         self._placements: dict[str, _Placement] = {}
         self._peers: dict[str, _PeerReport] = {}
         self._remaining: dict[str, _RemainingPrefill] = {}
+        self._placed_by_all_ms: dict[str, float] = {}
         self._placed_ms: dict[str, float] = {}
         self.version = 0
 
@@ -202,6 +204,16 @@
 
     def _add_remaining(self, address: str, read_ms: float, now_s: float) -> None:
         self._remaining.setdefault(address, _RemainingPrefill()).add(read_ms, now_s)
+        if read_ms:
+            placed_ms = self._placed_by_all_ms.get(address, 0.0) + read_ms
+            self._placed_by_all_ms[address] = placed_ms
+
+    def placed_ms(self, address: str) -> float:
+        """Return the prefill time that all gateways were seen to place on an endpoint.
+
+        It counts from the start of this process and only grows.
+        """
+        return self._placed_by_all_ms.get(address, 0.0)
 
     def prefill_completed(self, request_id: str) -> None:
         """Record that the prefill of a request completed, which frees its helpers."""
@@ -213,6 +225,18 @@
             )
             self.version += 1
 
+    @contextmanager
+    def without(self, request_id: str) -> Iterator[None]:
+        """Leave one request out of the loads while the context lasts."""
+        placement = self._placements.pop(request_id, None)
+        remaining = {key: attrs.evolve(one) for key, one in self._remaining.items()}
+        try:
+            yield
+        finally:
+            self._remaining = remaining
+            if placement is not None:
+                self._placements[request_id] = placement
+
     def release(self, request_id: str) -> None:
         """Record the end of a request."""
         if self._placements.pop(request_id, None) is not None:
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -9,8 +9,16 @@
 from ..decisions.forwarding import Broken, Failed, Failure, Progress
 from ..decisions.placement.demand import Assignment
 from ..decisions.placement.load_tracker import TIGHT_PAUSE_S
+from ..decisions.placement.prefill_watch import (
+    LATE_S,
+    RECHECK_S,
+    Move,
+    PrefillWatch,
+    Wait,
+)
 from ..decisions.routes import Route, Workspace
 from .caller import CallerConnection
+from .dispatch import PlacementRequest
 from .parts import GatewayParts
 from .ports import CallerRequest, Helper, SendOptions
 from .request_log import RequestLog
@@ -62,6 +70,8 @@
         Ids of endpoints that already failed this request.
     is_trial : bool
         Whether it is sent although a part of its prompt is blamed for deaths.
+    is_moved : bool
+        Whether it was moved once because its first event was overdue.
     """
 
     request: CallerRequest
@@ -75,6 +85,7 @@
     splitter: EventSplitter
     excluded: set[str] = attrs.field(factory=set)
     is_trial: bool = False
+    is_moved: bool = False
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -97,6 +108,7 @@
     assignment: Assignment
     _event_timer: asyncio.TimerHandle | None = attrs.field(init=False, default=None)
     _read_timeout: asyncio.Timeout | None = attrs.field(init=False, default=None)
+    _watch: PrefillWatch | None = attrs.field(init=False, default=None)
     _is_endpoint_lost: bool = attrs.field(init=False, default=False)
 
     async def run(self) -> Failure | None:
@@ -195,9 +207,15 @@
             slack_s = min(
                 MAX_FIRST_EVENT_SLACK_S, FIRST_EVENT_SLACK_OBJECTIVES * objective_s
             )
-            timeout_s = self.assignment.first_event_ms / 1000 + max(
-                MIN_FIRST_EVENT_SLACK_S, slack_s
-            )
+            slack_s = max(MIN_FIRST_EVENT_SLACK_S, slack_s)
+            timeout_s = self.assignment.first_event_ms / 1000 + slack_s
+            if self.assignment.is_long:
+                now_s = asyncio.get_running_loop().time()
+                self._watch = PrefillWatch.start(
+                    self.assignment, self.parts.state.loads, slack_s, now_s
+                )
+                watches = self.parts.state.prefill_watches
+                watches[self.admitted.request.request_id] = self._watch
         try:
             async with asyncio.timeout(None) as limit:
                 self._read_timeout = limit
@@ -221,6 +239,7 @@
         finally:
             self._read_timeout = None
             self._restart_timer(None, None)
+            self._end_watch()
 
     def _restart_timer(
         self, limit: asyncio.Timeout | None, timeout_s: float | None
@@ -238,10 +257,82 @@
     def _on_event_timeout(self, limit: asyncio.Timeout) -> None:
         """End an attempt without events if it can fail over; otherwise keep waiting."""
         now_s = asyncio.get_running_loop().time()
+        if self._watch is not None and not self._may_move(self._watch, limit, now_s):
+            return
         if self._can_fail_over(
             now_s, boot_time_s()
         ) and self.parts.state.retries.try_retry(now_s):
+            if self._watch is not None:
+                self.admitted.is_moved = True
             limit.reschedule(now_s)
+        elif self._watch is not None:
+            self._restart_timer(limit, RECHECK_S)
+
+    def _may_move(
+        self, watch: PrefillWatch, limit: asyncio.Timeout, now_s: float
+    ) -> bool:
+        """Return whether an overdue prefill goes elsewhere; else check it again."""
+        if self.admitted.is_moved:
+            return False
+        decision = watch.check(
+            self.parts.state.loads,
+            lambda: self.parts.dispatcher.preview(self._request_elsewhere(), now_s),
+            self.admitted.deadline_s,
+            now_s,
+        )
+        fields = {
+            "endpoint": self.assignment.first.endpoint_id,
+            "expected_ms": round(watch.expected_ms),
+            "waited_ms": round((now_s - watch.sent_s) * 1000),
+            "placed_since_ms": _rounded(watch, self.parts),
+        }
+        match decision:
+            case Wait(until_s=until_s, reason=reason):
+                self.parts.metrics.overdue_prefills.add(1, {"outcome": "left"})
+                self.log.write(
+                    "prefill overdue", outcome="left", reason=reason, **fields
+                )
+                self._restart_timer(limit, until_s - now_s)
+                return False
+            case Move(expected_ms=expected_ms):
+                self.parts.metrics.overdue_prefills.add(1, {"outcome": "moved"})
+                self.log.write(
+                    "prefill overdue", outcome="moved", new_ms=expected_ms, **fields
+                )
+                return True
+
+    def _end_watch(self) -> None:
+        self._watch = None
+        self.parts.state.prefill_watches.pop(self.admitted.request.request_id, None)
+
+    def _record_lateness(self, watch: PrefillWatch) -> None:
+        """Compare the first event of a long prompt with its expectation."""
+        now_s = asyncio.get_running_loop().time()
+        lateness_s = watch.lateness_s(now_s)
+        self.parts.metrics.prefill_lateness.record(
+            lateness_s, {"view_age": watch.view_age()}
+        )
+        if lateness_s > LATE_S:
+            self.log.write(
+                "prefill late",
+                outcome="late",
+                endpoint=self.assignment.first.endpoint_id,
+                expected_ms=round(watch.expected_ms),
+                measured_ms=round((now_s - watch.sent_s) * 1000),
+                load_age_ms=round(watch.view_age_s * 1000),
+                placed_since_ms=_rounded(watch, self.parts),
+            )
+
+    def _request_elsewhere(self) -> PlacementRequest:
+        admitted = self.admitted
+        return PlacementRequest(
+            request=admitted.request,
+            route=admitted.route,
+            service=admitted.service,
+            objective_due_s=admitted.received_s + admitted.route.objective_s,
+            deadline_s=admitted.deadline_s,
+            excluded=frozenset({*admitted.excluded, self.assignment.first.endpoint_id}),
+        )
 
     def _on_endpoint_lost(self) -> None:
         """End the attempt at a lost endpoint at once if the request can fail over."""
@@ -336,6 +427,9 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
+            if self._watch is not None:
+                self._record_lateness(self._watch)
+                self._end_watch()
             if not self.caller.has_begun:
                 await self._begin_stream(head)
             self._restart_timer(limit, timeout_s)
@@ -365,6 +459,12 @@
         return self.parts.dialect.caller_headers(head.headers)
 
 
+def _rounded(watch: PrefillWatch, parts: GatewayParts) -> dict[str, int]:
+    """Return what was placed on the endpoints of a prefill since, for the log."""
+    placed_ms = watch.placed_since_ms(parts.state.loads)
+    return {address: round(ms) for address, ms in placed_ms.items()}
+
+
 def _helpers(assignment: Assignment, ticket_ids: dict[str, str]) -> tuple[Helper, ...]:
     """List the helpers with tickets first: their KV cache is filled in this order."""
     helpers = [
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -227,13 +227,22 @@
             return self._place_call(placement_request, now_s)
         return self._place_prompt(placement_request, service.engine, may_be_late, now_s)
 
-    def _place_prompt(
+    def preview(self, placement_request: PlacementRequest, now_s: float) -> Placement:
+        """Return where a prompt would go if it left its place, without moving it."""
+        table = self._state.table
+        service = table.services.get(placement_request.service) if table else None
+        if service is None or service.engine is None:
+            return Busy()
+        with self._state.loads.without(placement_request.request.request_id):
+            return self._choose(placement_request, service.engine, True, now_s)[1]
+
+    def _choose(
         self,
         placement_request: PlacementRequest,
         costs: EngineCosts,
         may_be_late: bool,
         now_s: float,
-    ) -> Placement:
+    ) -> tuple[Demand, Placement]:
         size = placement_request.request.size or DEFAULT_PROMPT_SIZE
         demand = Demand(
             prompt_tokens=size.prompt_tokens,
@@ -253,6 +262,16 @@
             now_s,
             gateways_without_updates=self._state.loads.peers_without_updates(now_s),
         )
+        return demand, placement
+
+    def _place_prompt(
+        self,
+        placement_request: PlacementRequest,
+        costs: EngineCosts,
+        may_be_late: bool,
+        now_s: float,
+    ) -> Placement:
+        demand, placement = self._choose(placement_request, costs, may_be_late, now_s)
         if isinstance(placement, Assignment):
             uses = request_uses(placement, demand, costs, now_s)
             self._state.place(
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -29,12 +29,19 @@
         Duration of each placement in seconds, with the time in the queue.
     first_event : Histogram
         Time from the receipt of the request headers to the first event, in seconds.
+    prefill_lateness : Histogram
+        Time by which the first event of a long prompt came later than expected when it
+        was sent, by the age of the load that was known then.
+    overdue_prefills : Counter
+        Checks of long prompts whose first event was overdue, by outcome.
     """
 
     requests: Counter
     failures: Counter
     placement_wait: Histogram
     first_event: Histogram
+    prefill_lateness: Histogram
+    overdue_prefills: Counter
 
     @classmethod
     def create(cls, meter: Meter, state: GatewayState) -> "GatewayMetrics":
@@ -87,6 +94,12 @@
             first_event=meter.create_histogram(
                 "sorrelhoist_gateway_first_event_seconds"
             ),
+            prefill_lateness=meter.create_histogram(
+                "sorrelhoist_gateway_prefill_lateness_seconds"
+            ),
+            overdue_prefills=meter.create_counter(
+                "sorrelhoist_gateway_overdue_prefills"
+            ),
         )
 
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -17,6 +17,7 @@
 from ..decisions.permits import PermitHolder
 from ..decisions.placement.demand import EndpointView
 from ..decisions.placement.load_tracker import EndpointUse, LoadTracker, RequestUse
+from ..decisions.placement.prefill_watch import PrefillWatch
 from ..decisions.report_rate import UpdateRate, settle_s
 from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import RetryBudget, SharedRetryBudget
@@ -71,6 +72,8 @@
     update_rate : UpdateRate
     on_long_placed : callable
         Called with the addresses and the present time when a long prompt was placed.
+    prefill_watches : dict
+        Long prompts that were sent and have no first event yet, by request id.
     troubles, faults : FailureTracker
         All failures of endpoints, and those that are reported to other gateways: a
         lack of capacity isn't, since each gateway knows the load of all.
@@ -102,6 +105,7 @@
     on_long_placed: Callable[[Iterable[str], float], None] = lambda addresses, now_s: (
         None
     )
+    prefill_watches: dict[str, PrefillWatch] = attrs.field(factory=dict)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
     part_suspicions: PartSuspicions = attrs.field(
         default=attrs.Factory(
@@ -312,6 +316,10 @@
             "contact_age_s": self.contact.age_s(boot_time_s()),
             "directory": self.directory.dump(now_s),
             "loads": self.loads.dump(now_s),
+            "prefills": {
+                request_id: watch.dump(self.loads, now_s)
+                for request_id, watch in self.prefill_watches.items()
+            },
             "load_updates": attrs.asdict(self.update_rate),
             "troubles": self.troubles.dump(now_s),
             "troubles_of_peers": self.peer_failures.evidence(now_s),
--- a/tests/gateway/test_load_updates_fleet.py
+++ b/tests/gateway/test_load_updates_fleet.py
@@ -118,6 +118,7 @@
             gateway = fleet.gateways[0]
             for number in range(10):
                 await place(gateway, str(number))
+                gateway.state.release(str(number))
             rate = gateway.state.update_rate
             assert (rate.sent, rate.held_back) == (2, 9)  # one was the announcement
 
