--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -14,13 +14,14 @@
 
 from ..routes import EngineCosts
 from .demand import (
+    MAX_KV_UTILISATION,
     Assignment,
     Busy,
     Demand,
     EndpointView,
     Placement,
     Ticket,
-    has_capacity,
+    first_kv_tokens,
     has_free_kv_cache,
     ticket_count,
 )
@@ -122,6 +123,11 @@
     now_s: float,
 ) -> list[_Candidate]:
     """Return the endpoints to choose from, those with the smallest backlog first."""
+    largest_kv_tokens = costs.kv_capacity_tokens * MAX_KV_UTILISATION - first_kv_tokens(
+        demand, costs
+    )
+    has_updates = fleet.has_updates
+    usable_share = 1 - ARRIVALS_SHARE if has_updates else 1.0
     ordered = []
     for view in _considered(views, rng):
         use = view.use
@@ -130,15 +136,15 @@
         backlog_ms = use.backlog_ms(now_s)
         order = (
             backlog_ms // BACKLOG_STEP_MS,
-            fleet.has_updates and use.streams > 0,
+            has_updates and use.streams > 0,
             use.tight_streams,
             rng.random(),
         )
         candidate = _Candidate(
             view,
             backlog_ms,
-            _largest_part_ms(use, backlog_ms, fleet, now_s),
-            has_capacity(view, demand, costs),
+            _largest_part_ms(use, backlog_ms, usable_share, now_s),
+            use.streams < costs.max_running and use.kv_tokens <= largest_kv_tokens,
         )
         ordered.append((order, candidate))
     ordered.sort(key=_order)
@@ -162,7 +168,7 @@
 
 
 def _largest_part_ms(
-    use: EndpointUse, backlog_ms: float, fleet: FleetView, now_s: float
+    use: EndpointUse, backlog_ms: float, usable_share: float, now_s: float
 ) -> float:
     """Return the longest part with which pause targets and due times are still met.
 
@@ -170,10 +176,7 @@
     first of them is due. With updates, a part of this time is kept for what other
     gateways may place before they know of this part.
     """
-    left_ms = (use.due_s - now_s) * 1000
-    if fleet.has_updates:
-        left_ms *= 1 - ARRIVALS_SHARE
-    slack_ms = left_ms - backlog_ms
+    slack_ms = (use.due_s - now_s) * 1000 * usable_share - backlog_ms
     if not use.streams:
         return slack_ms
     limit_ms = MAX_TIGHT_PART_MS if use.tight_streams else MAX_LOOSE_PART_MS
@@ -205,20 +208,20 @@
             if one.view.use.streams
         ]
         beside = _fewest_parts(
-            _splits(demand, streaming, read_ms, costs), objective_ms * MIDDLE_SHARE
+            demand, streaming, read_ms, costs, objective_ms * MIDDLE_SHARE
         )
         if beside is not None and beside.first_event_ms <= objective_ms * MIDDLE_SHARE:
             return beside
-    enough_ms = objective_ms * _objective_share(1 + fleet.without_updates)
-    best = _fewest_parts(_splits(demand, candidates, read_ms, costs), enough_ms)
-    if best is not None and best.first_event_ms <= objective_ms:
-        return best
     is_hopeless = min_first_event_ms(read_ms, costs) > objective_ms
-    if not (demand.may_be_late or is_hopeless):
-        return Busy()
+    if not is_hopeless:
+        enough_ms = objective_ms * _objective_share(1 + fleet.without_updates)
+        best = _fewest_parts(demand, candidates, read_ms, costs, enough_ms)
+        if best is not None and best.first_event_ms <= objective_ms:
+            return best
+        if not demand.may_be_late:
+            return Busy()
     late = _fewest_parts(
-        _splits(demand, candidates, read_ms, costs),
-        deadline_ms * DEADLINE_SHARE_IF_LATE,
+        demand, candidates, read_ms, costs, deadline_ms * DEADLINE_SHARE_IF_LATE
     )
     if late is None or late.first_event_ms > deadline_ms:
         return Busy()
@@ -250,9 +253,10 @@
     candidates: Sequence[_Candidate],
     read_ms: float,
     costs: EngineCosts,
+    counts: Iterable[int],
 ) -> Iterator[Assignment]:
-    """Yield the best split for each number of parts, fewest first."""
-    for parts in range(1, min(MAX_HELPERS + 1, len(candidates)) + 1):
+    """Yield the best split for each of these numbers of parts."""
+    for parts in counts:
         part_ms = read_ms / parts
         eligible = [one for one in candidates if one.largest_part_ms >= part_ms]
         chosen = _choose_parts(eligible, parts)
@@ -273,15 +277,33 @@
         )
 
 
-def _fewest_parts(splits: Iterable[Assignment], enough_ms: float) -> Assignment | None:
+def _fewest_parts(
+    demand: Demand,
+    candidates: Sequence[_Candidate],
+    read_ms: float,
+    costs: EngineCosts,
+    enough_ms: float,
+) -> Assignment | None:
     """Choose the split with fewest parts within `enough_ms`, else the fastest."""
+    most = min(MAX_HELPERS + 1, len(candidates))
+    prefill_ms = enough_ms - 2 * costs.pass_ms
+    # With fewer parts it takes longer than this even on idle endpoints.
+    fewest = math.ceil(read_ms / prefill_ms) if prefill_ms > 0 else most + 1
     fastest: Assignment | None = None
-    for split in splits:
+    for split in _splits(demand, candidates, read_ms, costs, range(fewest, most + 1)):
         if split.first_event_ms <= enough_ms:
             return split
         if fastest is None or split.first_event_ms < fastest.first_event_ms:
             fastest = split
-    return fastest
+    fewer = range(1, min(fewest - 1, most) + 1)
+    return min(
+        [
+            *_splits(demand, candidates, read_ms, costs, fewer),
+            *([fastest] if fastest else []),
+        ],
+        key=lambda split: split.first_event_ms,
+        default=None,
+    )
 
 
 def _choose_parts(
