What was withdrawn stays out of use after a gateway restarts

Cause, two ways. An endpoint's word that it is leaving was reported only by the gateway that heard it: when that one ended, a gateway that started used the endpoint until its record followed. And a gateway that started on an older copy of the store refused the keys of its configuration only while peers with a newer version lived: 2 s after their end it used them.

Change: when a new process of a peer first reports, gateways list all endpoints that are known to be leaving for 2 s, whoever heard it. The newest version that a peer had since the start counts after the peer has gone, until the store has it. A gateway that is alone with an older copy then refuses keys until the configuration is written again; it did so before only while others lived.

--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -26,6 +26,10 @@
 LEAVING_REPORT_S = 10.0
 """Time for which peers are told of such an endpoint; its record follows soon."""
 
+RETELL_S = 2.0
+"""Time for which peers are told of all such endpoints after one of them has started: it
+has read the directory by then."""
+
 MAX_REPORTED_LEAVING = 32
 """Largest number of such endpoints in one report, the newest."""
 
@@ -135,6 +139,7 @@
         self._hold_until_s = float("-inf")
         self._departed: dict[str, float] = {}
         self._leaving: dict[str, Leaving] = {}
+        self._retell_until_s = float("-inf")
         self.leaving_version = 0
         """Number of endpoints that told this gateway that they are leaving."""
 
@@ -207,14 +212,27 @@
         self.leaving_version += is_own
         return known is None
 
+    def peer_started(self, now_s: float) -> None:
+        """Tell the peers again of all endpoints that said that they are leaving.
+
+        A gateway that has just started knows the store's record only, and the one that
+        heard it may be the one that ended.
+        """
+        self._retell_until_s = now_s + RETELL_S
+        self.leaving_version += bool(self._leaving)
+
     def leaving_to_report(self, now_s: float) -> dict[str, Leaving]:
-        """Return the endpoints that told this gateway lately that they are leaving."""
-        own = [
+        """Return the endpoints that told this gateway lately that they are leaving.
+
+        After a peer has started, all that are known to be leaving.
+        """
+        is_retold = now_s < self._retell_until_s
+        reported = [
             (endpoint_id, said)
             for endpoint_id, said in self._leaving.items()
-            if said.is_own and now_s - said.said_s < LEAVING_REPORT_S
+            if is_retold or (said.is_own and now_s - said.said_s < LEAVING_REPORT_S)
         ]
-        return dict(own[-MAX_REPORTED_LEAVING:])
+        return dict(reported[-MAX_REPORTED_LEAVING:])
 
     @property
     def leaving_ids(self) -> set[str]:
--- a/src/sorrelhoist/decisions/placement/load_tracker.py
+++ b/src/sorrelhoist/decisions/placement/load_tracker.py
@@ -222,6 +222,11 @@
         self._peers[node_id] = _PeerReport(by_address, sequence, boot_ms, now_s)
         return True
 
+    def is_known(self, node_id: str, boot_ms: int) -> bool:
+        """Return whether a process of a peer has reported before."""
+        known = self._peers.get(node_id)
+        return known is not None and known.boot_ms == boot_ms
+
     def peers(self, now_s: float) -> list[str]:
         """Return the ids of the peers with a report that has not expired."""
         return [
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -118,6 +118,8 @@
 
     def _report_received(self, body: ttypes.LoadReport) -> None:
         now_s = asyncio.get_running_loop().time()
+        if not self._state.loads.is_known(body.node_id, body.boot_ms):
+            self._state.directory.peer_started(now_s)
         self._state.loads.peer_reported(
             body.node_id,
             body.boot_ms,
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -90,6 +90,7 @@
         self._evacuated: set[str] = set()
         self._are_peers_asked = False
         self._is_outdated = False
+        self._newest_of_peers = 0
         self._operator_read_s: float | None = None
         self._changes: list[DirectoryChange] = []
         self._freshness.on_directory_update = self._directory_updated
@@ -281,11 +282,17 @@
             return
         now_s = boot_time_s()
         versions = self._state.peer_configurations
-        if not versions.is_newer_known(own, now_s):
+        # A peer's version counts also after the peer has gone: keys that the store's
+        # older copy has may have been revoked.
+        self._newest_of_peers = max(self._newest_of_peers, versions.newest(now_s) or 0)
+        is_newer_known = versions.is_newer_known(own, now_s)
+        if not is_newer_known and own >= self._newest_of_peers:
             self._set_outdated(False)
             self._state.contact.read_completed(known_s)
             self._check_startup()
-        elif is_read and versions.is_outdated(own, known_s, now_s):
+        elif is_read and (
+            not is_newer_known or versions.is_outdated(own, known_s, now_s)
+        ):
             self._set_outdated(True)
             self._state.contact.discard()
 
--- a/tests/decisions/test_directory.py
+++ b/tests/decisions/test_directory.py
@@ -8,6 +8,7 @@
     LEAVING_REPORT_S,
     OUTAGE_GAP_S,
     REMOVAL_HOLD_S,
+    RETELL_S,
     Directory,
     Endpoint,
 )
@@ -219,3 +220,16 @@
     assert directory.said_leaving("i-2", 1000, 10.2, is_own=False)
     assert list(directory.leaving_to_report(10.3)) == ["i-1"]
     assert directory.leaving_to_report(10.1 + LEAVING_REPORT_S) == {}
+
+
+def test_a_peer_that_starts_is_told_of_all_endpoints_that_are_leaving():
+    # The gateway that heard it ended; the one that started in its place used it again.
+    directory = known()
+    directory.put(BORN, 10.0)
+    directory.said_leaving("i-1", 1000, 10.2, is_own=False)
+    now_s = 10.2 + 2 * LEAVING_REPORT_S
+    version = directory.leaving_version
+    directory.peer_started(now_s)
+    assert list(directory.leaving_to_report(now_s + RETELL_S / 2)) == ["i-1"]
+    assert directory.leaving_version > version
+    assert directory.leaving_to_report(now_s + RETELL_S) == {}
