Free memory is returned only where there is enough of it

malloc_trim took 5 to 8 ms for a heap of 100 MB and ran each 0.25 s as long as the process was above 70% of its limit. A test for a call whose answer stays unread.

--- a/src/sorrelhoist/decisions/memory/budget.py
+++ b/src/sorrelhoist/decisions/memory/budget.py
@@ -73,6 +73,11 @@
         if self.limit_bytes is not None:
             self._base = ProgramBase(limit_bytes=self.limit_bytes)
 
+    @property
+    def base_bytes(self) -> float | None:
+        """What the program needs for itself; None without a limit."""
+        return None if self._base is None else self._base.base_bytes
+
     @property
     def budget_bytes(self) -> float | None:
         """What may be held; None without a limit."""
@@ -188,7 +193,7 @@
         return {
             "limit_bytes": self.limit_bytes,
             "resident_bytes": self.resident_bytes,
-            "base_bytes": self._base.base_bytes if self._base else None,
+            "base_bytes": self.base_bytes,
             "budget_bytes": self.budget_bytes,
             "share_bytes": self.share_bytes,
             "held_bytes": self.held_bytes,
--- a/src/sorrelhoist/gateway/memory.py
+++ b/src/sorrelhoist/gateway/memory.py
@@ -23,6 +23,10 @@
 """Fraction of the limit above which free memory is returned to the system: the
 allocator keeps it otherwise, and takes more for pieces of another size."""
 
+MIN_TRIM_SHARE = 0.05
+"""Fraction of the limit that must be free inside the process for this: it takes
+milliseconds."""
+
 STATM = Path("/proc/self/statm")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -83,14 +87,22 @@
         """Measure the process until cancelled."""
         while True:
             now_s = asyncio.get_running_loop().time()
-            limit_bytes, size_bytes = self.budget.limit_bytes, resident_bytes()
-            if limit_bytes is not None and size_bytes > limit_bytes * TRIM_SHARE:
+            size_bytes = resident_bytes()
+            if self._is_worth_trimming(size_bytes):
                 return_free_memory()
                 size_bytes = resident_bytes()
             self.budget.measure(size_bytes, now_s)
             self._log_pressure(now_s)
             await asyncio.sleep(MEASURE_INTERVAL_S)
 
+    def _is_worth_trimming(self, size_bytes: int) -> bool:
+        limit_bytes, base_bytes = self.budget.limit_bytes, self.budget.base_bytes
+        if limit_bytes is None or base_bytes is None:
+            return False
+        free_bytes = size_bytes - self.budget.held_bytes - base_bytes
+        is_large = size_bytes > limit_bytes * TRIM_SHARE
+        return is_large and free_bytes > limit_bytes * MIN_TRIM_SHARE
+
     def _cut(self) -> None:
         """Disconnect callers that hold more than their share."""
         now_s = asyncio.get_running_loop().time()
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -99,6 +99,22 @@
     run_with_fleet(main, limits=LIMITS)
 
 
+def test_a_call_whose_answer_stays_unread_is_not_run_again():
+    async def main(fleet):
+        for _ in range(2):
+            await fleet.add(whole(body=b"x" * 15_000_000), service="app")
+        reader, writer = await fleet.send("/once/1", "POST", b"deposit", wait_ms=1500)
+        writer.transport.pause_reading()
+        await asyncio.sleep(2.0)
+        assert sum(len(one.requests) for one in fleet.endpoints) == 1
+        assert fleet.state.memory.held_bytes == 0
+        writer.transport.resume_reading()
+        answer = await read_answer(reader, writer)
+        assert answer.status == 200 and not answer.is_complete
+
+    run_with_fleet(main, limits=LIMITS)
+
+
 def test_the_caller_that_holds_most_is_cut_at_the_bound_and_others_notice_nothing():
     async def main(fleet):
         await fleet.add(large_events(10_000, pause_s=0.0), capacity=8)
