Gateways that are short of processor, link or memory withdraw

Cause: the load balancer sends each gateway the same, whatever its cores, link and memory. A gateway that falls behind delays all requests it gets while others have capacity.

--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -18,6 +18,7 @@
 from .peer_exchange import PeerExchange, running
 from .ports import Dialect
 from .reservations import Reserver
+from .resource_watch import watch_resources
 from .server import CallerDelegate, StatusDelegate, listen, readiness
 from .state import GatewayState
 
@@ -98,6 +99,7 @@
                 running(exchange.run()),
                 running(exchange.freshness.run()),
                 running(exchange.permits.run()),
+                running(watch_resources(self.state, lambda: front.connections)),
             ):
                 stopped = asyncio.ensure_future(stop.wait())
                 await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -123,6 +123,8 @@
         state, request = self.parts.state, self.request
         if not state.accepts_requests(self.received_s):
             return self._local_refusal("the gateway is stopping")
+        if state.is_withdrawn:
+            return self._local_refusal("the gateway is short of resources")
         if state.table is None:
             return self._local_refusal("no configuration yet")
         route = state.table.match(request.host, request.path)
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -70,6 +70,14 @@
                 )
             ]
 
+        def headroom(options: CallbackOptions) -> list[Observation]:
+            return [Observation(state.health.headroom)]
+
+        def withdrawn(options: CallbackOptions) -> list[Observation]:
+            return [Observation(int(state.is_withdrawn))]
+
+        meter.create_observable_gauge("sorrelhoist_gateway_headroom", [headroom])
+        meter.create_observable_gauge("sorrelhoist_gateway_withdrawn", [withdrawn])
         meter.create_observable_counter(
             "sorrelhoist_gateway_early_refusals", [early_refusals]
         )
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -17,6 +17,7 @@
     WorkspaceLoad,
     services_to_report,
 )
+from ..decisions.overload.gateway_health import PERCENT
 from ..decisions.peer_failures import MAX_REPORTED
 from ..decisions.placement.load_tracker import EndpointUse
 from ..decisions.report_rate import report_interval_s
@@ -41,8 +42,6 @@
 """Largest number of suspicions of parts in one report: a death has one for each part of
 each request that broke off."""
 
-PERCENT = 100
-
 
 @attrs.frozen(order=True)
 class PeerAddress:
@@ -135,6 +134,9 @@
             self._state.fleet_demand.peer_reported(
                 body.node_id, _demands_from_wire(body.demands), now_s
             )
+            self._state.fleet_headroom.peer_reported(
+                body.node_id, body.headroom_percent, now_s
+            )
         self._state.suspicions.merge(body.suspicions or (), now_s)
         self._state.part_suspicions.merge(body.part_suspicions or (), now_s)
         self._state.peer_failures.heard(
@@ -236,6 +238,7 @@
                     now_s
                 ).items()
             ],
+            headroom_percent=round(self._state.health.headroom * PERCENT),
             demands=_demands_to_wire(self._state.own_work.loads(loads.is_prefilling)),
         )
         data = encode(Message(0, report))
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -45,12 +45,15 @@
         Requests whose head was read and whose body was not.
     received_s : float
         Time at which the head of the last request was read.
+    connections : set
+        Connections of the requests that are served.
     """
 
     parts: GatewayParts
     running: set[asyncio.Task] = attrs.field(factory=set)
     reading: set[HTTPMessageDelegate] = attrs.field(factory=set)
     received_s: float = float("-inf")
+    connections: set[Any] = attrs.field(factory=set)
 
     @property
     def is_idle(self) -> bool:
@@ -94,6 +97,7 @@
         self.connection.set_close_callback(self.on_connection_close)
         self.work = asyncio.ensure_future(self._serve(self.start))
         self.front.running.add(self.work)
+        self.front.connections.add(self.connection)
         self.work.add_done_callback(self._on_done)
 
     def on_connection_close(self) -> None:
@@ -125,6 +129,7 @@
 
     def _on_done(self, work: asyncio.Task) -> None:
         self.front.running.discard(work)
+        self.front.connections.discard(self.connection)
         if not work.cancelled() and work.exception() is not None:
             logger.error(
                 "exchange failed",
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -11,6 +11,7 @@
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.endpoint_notices import NamedLimits
 from ..decisions.overload.fleet_demand import FleetDemand
+from ..decisions.overload.gateway_health import FleetHeadroom, GatewayHealth
 from ..decisions.overload.own_work import OwnWork
 from ..decisions.part_suspicion import Blame, PartSuspicions
 from ..decisions.pauses import EndpointPauses
@@ -83,6 +84,14 @@
         The same of the other gateways.
     early_refusals : int
         Requests refused at once, since they couldn't have started in time.
+    health : GatewayHealth
+        Shortage of processor, link or memory here.
+    fleet_headroom : FleetHeadroom
+        What the other gateways have left.
+    memory_headroom : float or None
+        Unused share of the memory budget, as last measured.
+    is_withdrawn : bool
+        Whether this gateway is not ready, since it is short of resources.
     """
 
     node_id: str
@@ -119,6 +128,10 @@
     own_work: OwnWork = attrs.field(factory=OwnWork)
     fleet_demand: FleetDemand = attrs.field(factory=FleetDemand)
     early_refusals: int = 0
+    health: GatewayHealth = attrs.field(factory=GatewayHealth)
+    fleet_headroom: FleetHeadroom = attrs.field(factory=FleetHeadroom)
+    memory_headroom: float | None = None
+    is_withdrawn: bool = False
     stopping_s: float | None = None
 
     def adopt(self, table: RouteTable) -> bool:
@@ -162,6 +175,7 @@
         return (
             self.table is not None
             and not self.is_stopping
+            and not self.is_withdrawn
             and self.contact.is_fresh(now_boot_s)
         )
 
@@ -333,4 +347,6 @@
             "part_suspicions": self.part_suspicions.dump(now_s),
             "fleet_demand": self.fleet_demand.dump(now_s),
             "early_refusals": self.early_refusals,
+            "is_withdrawn": self.is_withdrawn,
+            "health": attrs.asdict(self.health),
         }
