--- a/src/sorrelhoist/decisions/overload/fleet_demand.py
+++ b/src/sorrelhoist/decisions/overload/fleet_demand.py
@@ -134,6 +134,13 @@
         """Record a report; `services` is None in that of a former build."""
         self._reports[node_id] = _Report(services, now_s)
 
+    def is_waiting(self, service: str, now_s: float) -> bool:
+        """Return whether requests of a service wait at another gateway."""
+        return any(
+            services is not None and service in services and services[service].waiting
+            for services in self._live(now_s)
+        )
+
     def others(self, service: str, now_s: float) -> ServiceLoad:
         """Return the sum of the other gateways' loads of a service."""
         live = self._live(now_s)
--- a/src/sorrelhoist/gateway/overload.py
+++ b/src/sorrelhoist/gateway/overload.py
@@ -36,6 +36,20 @@
 
 Rank = tuple[bool, bool, int]
 
+VIEW_TTL_S = 0.01
+"""Time for which the load of a service is not summed up again: less than the interval
+between two reports. Under overload many requests are refused in it."""
+
+
+@attrs.frozen
+class _ServiceView:
+    """Capacity of a service and the shares of its workspaces at one time."""
+
+    capacity: ServiceCapacity
+    shares: FairShares
+    others: ServiceLoad
+    taken_s: float
+
 
 @attrs.frozen(kw_only=True)
 class RankedRequest:
@@ -65,18 +79,31 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self.kinds = KindShares()
+        self._views: dict[str, _ServiceView] = {}
 
     def shares(self, service: str, now_s: float) -> FairShares:
         """Return the shares of the workspaces; unlimited while everything fits."""
-        capacity = self._capacity(service, 0.0, now_s)
+        view = self._view(service, now_s)
+        return view.shares if view else FairShares()
+
+    def _view(self, service: str, now_s: float) -> _ServiceView | None:
+        view = self._views.get(service)
+        if view is not None and 0.0 <= now_s - view.taken_s < VIEW_TTL_S:
+            return view
+        capacity = self._capacity(service, now_s)
         if capacity is None:
-            return FairShares()
-        return fair_shares(self._total(service, now_s), capacity.prefill_per_s)
+            return None
+        own = self._state.own_work.loads(self._state.loads.is_prefilling)
+        others = self._state.fleet_demand.others(service, now_s)
+        total = own.get(service, ServiceLoad()) + others
+        shares = fair_shares(total, capacity.prefill_per_s)
+        self._views[service] = _ServiceView(capacity, shares, others, now_s)
+        return self._views[service]
 
     def shares_if_waiting(self, service: str, now_s: float) -> FairShares:
         """Return the shares, without computing them if nothing waits anywhere."""
         if self._state.own_work.waiting(service) or (
-            self._state.fleet_demand.others(service, now_s).waiting
+            self._state.fleet_demand.is_waiting(service, now_s)
         ):
             return self.shares(service, now_s)
         return FairShares()
@@ -94,11 +121,6 @@
             ranked.priority,
         )
 
-    def _total(self, service: str, now_s: float) -> ServiceLoad:
-        own = self._state.own_work.loads(self._state.loads.is_prefilling)
-        others = self._state.fleet_demand.others(service, now_s)
-        return own.get(service, ServiceLoad()) + others
-
     def estimate(
         self, item: WorkItem, slot_interval_s: float, now_s: float
     ) -> StartEstimate | None:
@@ -109,12 +131,13 @@
         StartEstimate or None
             None if the configuration doesn't allow an estimate.
         """
-        capacity = self._capacity(item.service, slot_interval_s, now_s)
-        if capacity is None:
+        view = self._view(item.service, now_s)
+        if view is None:
             return None
+        capacity = attrs.evolve(view.capacity, slot_interval_s=slot_interval_s)
+        shares = view.shares
         gateways = self._state.gateway_count(now_s)
-        others = self._state.fleet_demand.others(item.service, now_s)
-        shares = fair_shares(self._total(item.service, now_s), capacity.prefill_per_s)
+        others = view.others
         waiting = self._state.own_work.waiting(item.service)
         elsewhere = Ahead(requests=others.waiting, read_ms=others.waiting_read_ms)
         if not shares.is_over(item.workspace):
@@ -205,9 +228,7 @@
         config = table.services.get(service) if table else None
         return config.engine if config else None
 
-    def _capacity(
-        self, service: str, slot_interval_s: float, now_s: float
-    ) -> ServiceCapacity | None:
+    def _capacity(self, service: str, now_s: float) -> ServiceCapacity | None:
         costs = self._costs(service)
         share = prefill_share(costs) if costs else None
         if costs is None or share is None:
@@ -220,5 +241,4 @@
             prefill_share=share,
             placed_ms=sum(view.use.backlog_ms(now_s) for view in views),
             free_slots=sum(max(0, free_slots(view, costs)) for view in views),
-            slot_interval_s=slot_interval_s,
         )
