--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -151,6 +151,8 @@
             return self._memory_refusal()
         if not state.accepts_requests(self.received_s):
             return self._local_refusal("the gateway is stopping")
+        if state.is_withdrawn:
+            return self._local_refusal("the gateway is short of resources")
         if state.table is None:
             return self._local_refusal("no configuration yet", may_pass=True)
         route = state.table.match(request.host, request.path)
