--- a/src/sorrelhoist/decisions/memory/budget.py
+++ b/src/sorrelhoist/decisions/memory/budget.py
@@ -86,6 +86,13 @@
         limit_bytes = self._base.limit_bytes
         return limit_bytes * (1.0 - RESERVE_SHARE) - self._base.base_bytes
 
+    @property
+    def headroom(self) -> float | None:
+        """Unused fraction of the budget; None without a limit."""
+        if self.budget_bytes is None:
+            return None
+        return max(0.0, 1.0 - self.held_bytes / self.budget_bytes)
+
     @property
     def share_bytes(self) -> float | None:
         """What each request may hold without being cut; None without a limit."""
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -149,10 +149,10 @@
         state, request = self.parts.state, self.request
         if self.is_memory_short:
             return self._memory_refusal()
-        if not state.accepts_requests(self.received_s):
-            return self._local_refusal("the gateway is stopping")
-        if state.is_withdrawn:
-            return self._local_refusal("the gateway is short of resources")
+        if not state.accepts_requests(self.received_s) or state.is_withdrawn:
+            is_stopping = not state.is_withdrawn
+            cause = "stopping" if is_stopping else "short of resources"
+            return self._local_refusal(f"the gateway is {cause}")
         if state.table is None:
             return self._local_refusal("no configuration yet", may_pass=True)
         route = state.table.match(request.host, request.path)
--- a/src/sorrelhoist/gateway/resource_watch.py
+++ b/src/sorrelhoist/gateway/resource_watch.py
@@ -72,6 +72,6 @@
             loop_delay_s=max(0.0, now_s - due_s),
             unsent_bytes=unsent_bytes(connections()),
             link_bytes_per_s=state.limits.link_bytes_per_s,
-            memory_headroom=state.memory_headroom,
+            memory_headroom=state.memory.headroom,
         )
         update_health(state, sample, now_s)
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -111,8 +111,6 @@
         Shortage of processor, link or memory here.
     fleet_headroom : FleetHeadroom
         What the other gateways have left.
-    memory_headroom : float or None
-        Unused share of the memory budget, as last measured.
     is_withdrawn : bool
         Whether this gateway is not ready, since it is short of resources.
     """
@@ -166,7 +164,6 @@
     early_refusals: int = 0
     health: GatewayHealth = attrs.field(factory=GatewayHealth)
     fleet_headroom: FleetHeadroom = attrs.field(factory=FleetHeadroom)
-    memory_headroom: float | None = None
     is_withdrawn: bool = False
     stopping_s: float | None = None
     _shortest_pauses_ms: dict[str, float] = attrs.field(factory=dict, init=False)
