The platform's adapter no longer imports messages

ARCHITECTURE.md lets platform import decisions, gateway and exceptions only; the import was for a type annotation. tests/gateway/test_directory_updates.py passes.

--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import logging
+from typing import Any
 
 from ..decisions.directory import Endpoint
 from ..decisions.directory_updates import DirectoryChange, chained_updates
@@ -12,7 +13,6 @@
 from ..exceptions import PlatformError
 from ..gateway.peer_exchange import PeerAddress, PeerExchange
 from ..gateway.state import GatewayState, boot_time_s
-from ..messages.gen import ttypes
 from .settings import PlatformSettings
 from .store import KeyedRecord, Records, StoreClient
 from .topic_poller import TopicPoller
@@ -380,7 +380,7 @@
             },
         )
 
-    def _directory_updated(self, update: ttypes.DirectoryUpdate) -> bool:
+    def _directory_updated(self, update: Any) -> bool:
         """Apply changes that another gateway has read; return whether they fit."""
         outcome = self._apply_update(update)
         self._state.directory_updates[outcome] += 1
@@ -396,7 +396,7 @@
         )
         return outcome == "applied"
 
-    def _apply_update(self, update: ttypes.DirectoryUpdate) -> str:
+    def _apply_update(self, update: Any) -> str:
         era = self._freshness.own.directory_era
         if era is None or update.era != era:
             return "other era"
