Placement regards failure domains where delays between them are configured

Cause: placement chose among all endpoints of the fleet, so that with three failure domains two thirds of all requests left the domain of their gateway.

Change: decisions/placement/locality.py decides for each request from the loads that all gateways know. Without configured delays placement is as before.

--- a/src/sorrelhoist/decisions/placement/demand.py
+++ b/src/sorrelhoist/decisions/placement/demand.py
@@ -96,6 +96,8 @@
         Expected time to the first event.
     choices : int
         Number of endpoints among which the first one was drawn.
+    locality : str or None
+        Why it is inside or outside of the failure domain; None if that wasn't decided.
     """
 
     first: Endpoint
@@ -104,6 +106,7 @@
     part_ms: float = 0.0
     first_event_ms: float = 0.0
     choices: int = 1
+    locality: str | None = None
 
 
 @attrs.frozen
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -165,6 +165,8 @@
             prompt_tokens=size.prompt_tokens if size else None,
             parts=self.admitted.request.shared_parts,
             choices=self.assignment.choices,
+            domain=self.assignment.first.failure_domain,
+            locality=self.assignment.locality,
             running=loads.endpoint_use(self.assignment.first.address, now_s).streams,
             peers=len(loads.peers(now_s)),
             limit_per_s=self.parts.state.named_limits.requests_per_s(
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 
 import attrs
 
@@ -10,11 +11,19 @@
     Assignment,
     Busy,
     Demand,
+    EndpointView,
     Impossible,
     Placement,
     request_uses,
 )
 from ..decisions.placement.load_tracker import TIGHT_PAUSE_S, RequestUse
+from ..decisions.placement.locality import (
+    EVENT_BYTES,
+    SHORT_READ_MS,
+    LocatedRequest,
+    Placer,
+    RequestKind,
+)
 from ..decisions.placement.queue import PendingPlacement, PlacementQueue
 from ..decisions.placement.strategy import place_prompt
 from ..decisions.retry_after import Backlog, BacklogBased, retry_after_s
@@ -244,13 +253,19 @@
             may_be_late=may_be_late,
             excluded=placement_request.excluded,
         )
-        placement = place_prompt(
-            demand,
-            self._state.views(placement_request.service, now_s),
-            costs,
-            self._state.gateway_count(now_s),
-            self._state.rng,
-            now_s,
+
+        def place(
+            views: Sequence[EndpointView], gateways: int, lost_s: float
+        ) -> Placement:
+            left_s = demand.objective_left_s - lost_s
+            located = attrs.evolve(demand, objective_left_s=left_s)
+            return place_prompt(located, views, costs, gateways, self._state.rng, now_s)
+
+        is_short = costs.read_ms(size.prompt_tokens) <= SHORT_READ_MS
+        kind = RequestKind.SHORT if is_short else RequestKind.LONG
+        events = size.output_tokens // costs.tokens_per_event + 1
+        placement = self._place_by_domain(
+            placement_request, kind, events * EVENT_BYTES, costs, place, now_s
         )
         if isinstance(placement, Assignment):
             uses = request_uses(placement, demand, costs, now_s)
@@ -263,9 +278,28 @@
         self, placement_request: PlacementRequest, now_s: float
     ) -> Placement:
         """Choose the least utilised endpoint of a service without a model engine."""
+
+        def place(
+            views: Sequence[EndpointView], gateways: int, lost_s: float
+        ) -> Placement:
+            return self._least_utilised(placement_request, views)
+
+        placement = self._place_by_domain(
+            placement_request, RequestKind.CALL, 0, None, place, now_s
+        )
+        if isinstance(placement, Assignment):
+            use = RequestUse(address=placement.first.address)
+            self._state.place(
+                placement_request.request.request_id, placement.first, (use,), now_s
+            )
+        return placement
+
+    def _least_utilised(
+        self, placement_request: PlacementRequest, views: Sequence[EndpointView]
+    ) -> Placement:
         views = [
             view
-            for view in self._state.views(placement_request.service, now_s)
+            for view in views
             if view.endpoint.endpoint_id not in placement_request.excluded
         ]
         views = [view for view in views if not view.is_avoided] or views
@@ -274,8 +308,29 @@
             return Busy()
         self._state.rng.shuffle(free)
         best = min(free, key=lambda view: view.use.streams / view.endpoint.capacity)
-        use = RequestUse(address=best.endpoint.address)
-        self._state.place(
-            placement_request.request.request_id, best.endpoint, (use,), now_s
-        )
         return Assignment(first=best.endpoint)
+
+    def _place_by_domain(
+        self,
+        placement_request: PlacementRequest,
+        kind: RequestKind,
+        answer_bytes: int,
+        costs: EngineCosts | None,
+        place: Placer,
+        now_s: float,
+    ) -> Placement:
+        """Place a request; regards failure domains where delays are configured."""
+        state, service = self._state, placement_request.service
+        views = state.views(service, now_s)
+        locality = state.localities.of(service, state.table)
+        if locality is None:
+            return place(views, state.gateway_count(now_s), 0.0)
+        located = LocatedRequest(
+            kind=kind,
+            objective_left_s=placement_request.objective_due_s - now_s,
+            request_bytes=len(placement_request.request.body),
+            answer_bytes=answer_bytes,
+            excluded=placement_request.excluded,
+        )
+        gateways = state.localities.gateways(state.loads.peers(now_s))
+        return locality.place(located, views, gateways, costs, place, state.rng, now_s)
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -55,6 +55,25 @@
         def paused_endpoints(options: CallbackOptions) -> list[Observation]:
             return [Observation(len(state.pauses.dump(time.monotonic())))]
 
+        def located(options: CallbackOptions) -> list[Observation]:
+            names = ("service", "kind", "where", "reason")
+            return [
+                Observation(count, dict(zip(names, key, strict=True)))
+                for key, count in state.localities.counts().items()
+            ]
+
+        def outside_bytes(options: CallbackOptions) -> list[Observation]:
+            return [
+                Observation(count, {"service": service})
+                for service, count in state.localities.outside_bytes().items()
+            ]
+
+        meter.create_observable_counter(
+            "sorrelhoist_gateway_located_requests", [located]
+        )
+        meter.create_observable_counter(
+            "sorrelhoist_gateway_outside_bytes", [outside_bytes]
+        )
         meter.create_observable_gauge("sorrelhoist_contact_age", [contact_age])
         meter.create_observable_gauge(
             "sorrelhoist_paused_endpoints", [paused_endpoints]
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -125,6 +125,7 @@
             (_from_wire(load, now_s) for load in body.loads or ()),
             now_s,
         )
+        self._state.localities.heard(body.node_id, body.failure_domain or "")
         self._state.suspicions.merge(body.suspicions or (), now_s)
         self._state.part_suspicions.merge(body.part_suspicions or (), now_s)
         self._state.peer_failures.heard(
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -17,6 +17,7 @@
 from ..decisions.permits import PermitHolder
 from ..decisions.placement.demand import EndpointView
 from ..decisions.placement.load_tracker import EndpointUse, LoadTracker, RequestUse
+from ..decisions.placement.locality import Localities
 from ..decisions.report_rate import settle_s
 from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import RetryBudget, SharedRetryBudget
@@ -106,6 +107,11 @@
             lambda self: PeerFailures(self.failure_domain), takes_self=True
         )
     )
+    localities: Localities = attrs.field(
+        default=attrs.Factory(
+            lambda self: Localities(self.failure_domain), takes_self=True
+        )
+    )
     peer_configurations: PeerConfigurations = attrs.field(factory=PeerConfigurations)
     store_restorations: int = 0
     stopping_s: float | None = None
@@ -309,6 +315,7 @@
             "troubles_of_peers": self.peer_failures.evidence(now_s),
             "retries": self.retries.dump(),
             "pauses": self.pauses.dump(now_s),
+            "localities": self.localities.dump(),
             "permits": self.permits.dump(now_s),
             "named_limits": self.named_limits.dump(now_s),
             "suspicions": self.suspicions.dump(now_s),
