--- a/src/sorrelhoist/decisions/placement/demand.py
+++ b/src/sorrelhoist/decisions/placement/demand.py
@@ -117,6 +117,8 @@
         Number of endpoints among which the first one was drawn.
     is_long : bool
         Whether the prompt was too long to be placed as a short one.
+    locality : str or None
+        Why it is inside or outside of the failure domain; None if that wasn't decided.
     """
 
     first: Endpoint
@@ -126,6 +128,7 @@
     first_event_ms: float = 0.0
     choices: int = 1
     is_long: bool = False
+    locality: str | None = None
 
 
 @attrs.frozen
