--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -160,7 +160,24 @@
             )
         ]
 
+    def located(options: CallbackOptions) -> list[Observation]:
+        names = ("service", "kind", "where", "reason")
+        return [
+            Observation(count, dict(zip(names, key, strict=True)))
+            for key, count in state.localities.counts().items()
+        ]
+
+    def outside_bytes(options: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(count, {"service": service})
+            for service, count in state.localities.outside_bytes().items()
+        ]
+
     meter.create_observable_gauge("sorrelhoist_gateway_waiting_requests", [waiting])
+    meter.create_observable_counter("sorrelhoist_gateway_located_requests", [located])
+    meter.create_observable_counter(
+        "sorrelhoist_gateway_outside_bytes", [outside_bytes]
+    )
     for name, value in _GAUGES.items():
         meter.create_observable_gauge(name, [gauge(value)])
     for name, counts in _COUNTERS.items():
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -142,6 +142,7 @@
             self._state.fleet_headroom.peer_reported(
                 body.node_id, body.headroom_percent, now_s
             )
+        self._state.localities.heard(body.node_id, body.failure_domain or "")
         self._state.suspicions.merge(body.suspicions or (), now_s)
         self._state.part_suspicions.merge(body.part_suspicions or (), now_s)
         self._state.peer_failures.heard(
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -27,6 +27,7 @@
     LoadTracker,
     RequestUse,
 )
+from ..decisions.placement.locality import Localities
 from ..decisions.placement.pause_monitor import PassCorrections
 from ..decisions.placement.prefill_watch import PrefillWatch
 from ..decisions.report_rate import UpdateRate, settle_s
@@ -155,6 +156,11 @@
             lambda self: PeerFailures(self.failure_domain), takes_self=True
         )
     )
+    localities: Localities = attrs.field(
+        default=attrs.Factory(
+            lambda self: Localities(self.failure_domain), takes_self=True
+        )
+    )
     peer_configurations: PeerConfigurations = attrs.field(factory=PeerConfigurations)
     startup: Startup = attrs.field(factory=Startup)
     store_restorations: int = 0
@@ -417,6 +423,7 @@
             "retries": self.retries.dump(),
             "pauses": self.pauses.dump(now_s),
             "slow_endpoints": self.pass_corrections.slow(now_s),
+            "localities": self.localities.dump(),
             "permits": self.permits.dump(now_s),
             "named_limits": self.named_limits.dump(now_s),
             "suspicions": self.suspicions.dump(now_s),
