--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -158,10 +158,14 @@
     """Draw some of the endpoints of a large fleet, idle ones first."""
     if len(views) <= MAX_CONSIDERED:
         return views
-    idle = [view for view in views if not (view.use.streams or view.use.read_ms)]
+    idle: list[EndpointView] = []
+    busy: list[EndpointView] = []
+    for view in views:
+        is_busy = view.use.streams or view.use.read_ms
+        (busy if is_busy else idle).append(view)
     if len(idle) >= MAX_CONSIDERED:
         return rng.sample(idle, MAX_CONSIDERED)
-    return idle + rng.sample(views, MAX_CONSIDERED - len(idle))
+    return idle + rng.sample(busy, MAX_CONSIDERED - len(idle))
 
 
 def _largest_part_ms(
--- a/tests/decisions/placement/test_long_updates.py
+++ b/tests/decisions/placement/test_long_updates.py
@@ -97,6 +97,20 @@
     assert parts_ms == sorted(set(parts_ms))
 
 
+@pytest.mark.parametrize("endpoints", [65, 77, 300])
+def test_no_endpoint_gets_two_parts_of_a_prompt(endpoints):
+    # Of more endpoints than are considered, idle ones were drawn twice; engines decline
+    # a request that names a helper twice.
+    uses = [None if number % 8 else streams() for number in range(endpoints)]
+    for seed in range(10):
+        found = place_prompt(
+            demand(900_000), views(*uses), COSTS, 30, random.Random(seed), NOW_S, 0
+        )
+        assert isinstance(found, Assignment)
+        parts = [one.endpoint_id for one in (found.first, *found.helpers)]
+        assert len(set(parts)) == len(parts)
+
+
 def test_parts_go_first_on_endpoints_that_neither_prefill_nor_decode():
     reading = EndpointUse(address="", read_ms=500.0, reading_s=NOW_S)
     uses = [streams(), reading, None] * 17
