Locality of prompts only in failure domains of 17 engines or more

Change: where no domain has as many engines as a prompt is split over at most, placement is as without delays. Plain calls are not concerned.

--- a/src/sorrelhoist/decisions/placement/locality.py
+++ b/src/sorrelhoist/decisions/placement/locality.py
@@ -11,6 +11,7 @@
 each other a share at the same time.
 """
 
+import collections
 import enum
 import math
 import random
@@ -21,6 +22,7 @@
 from ..report_rate import report_interval_s
 from ..routes import EngineCosts, RouteTable
 from .demand import Assignment, Busy, EndpointView, Impossible, Placement
+from .long import MAX_HELPERS
 
 OVERFLOW_START, OVERFLOW_FULL = 0.5, 0.85
 """Loads of the own domain at which the first requests leave it, and at which all that
@@ -54,6 +56,10 @@
 FULL_BACKLOG_MS = 75.0
 """Prefill backlog from which an endpoint counts as full for short prompts."""
 
+MIN_DOMAIN_ENGINES = MAX_HELPERS + 1
+"""Engines that the largest failure domain of a service must have: as many as a prompt
+is split over at most. In smaller domains a preference for the own narrows the splits."""
+
 SPARE_SLOTS = 1
 """Batch slots of an endpoint that don't count as room for short prompts."""
 
@@ -201,6 +207,22 @@
     return domains
 
 
+def regards_domains(views: Iterable[EndpointView], costs: EngineCosts | None) -> bool:
+    """Return whether requests for a service prefer the endpoints of the own domain.
+
+    Parameters
+    ----------
+    views : iterable of EndpointView
+        All usable endpoints of the service.
+    costs : EngineCosts or None
+        None for a service without a model engine, which prefers them always.
+    """
+    if costs is None:
+        return True
+    sizes = collections.Counter(view.endpoint.failure_domain for view in views)
+    return max(sizes.values(), default=0) >= MIN_DOMAIN_ENGINES
+
+
 class Locality:
     """Decides which requests for one service leave the failure domain.
 
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -26,6 +26,7 @@
     LocatedRequest,
     Placer,
     RequestKind,
+    regards_domains,
 )
 from ..decisions.placement.pauses import is_tight
 from ..decisions.placement.queue import PendingPlacement, PlacementQueue
@@ -472,7 +473,7 @@
         state, service = self._state, placement_request.service
         views = state.views(service, now_s)
         locality = state.localities.of(service, state.table)
-        if locality is None:
+        if locality is None or not regards_domains(views, costs):
             return place(views, state.gateway_count(now_s), 0.0)
         located = LocatedRequest(
             kind=kind,
--- a/tests/decisions/placement/test_locality.py
+++ b/tests/decisions/placement/test_locality.py
@@ -24,6 +24,7 @@
     LocatedRequest,
     RequestKind,
     crossing_s,
+    regards_domains,
 )
 from sorrelhoist.decisions.placement.strategy import place_prompt
 from sorrelhoist.decisions.report_rate import report_interval_s
@@ -332,3 +333,26 @@
     assert Localities("").of("s", table(DELAYS_S)) is None
     assert Localities("a").of("s", None) is None
     assert Localities("a").of("s", table(DELAYS_S)) is not None
+
+
+@pytest.mark.parametrize(
+    "engines, costs, expected", [(16, COSTS, False), (17, COSTS, True), (1, None, True)]
+)
+def test_small_domains_of_engines_are_not_regarded(engines, costs, expected):
+    # With 8 engines in each of three domains, splits became narrower and long prompts
+    # were late.
+    views = [
+        EndpointView(
+            endpoint=Endpoint(
+                endpoint_id=f"{domain}-{number}",
+                service="s",
+                address=f"{domain}{number}",
+                failure_domain=domain,
+                capacity=6,
+            ),
+            use=EndpointUse(address=f"{domain}{number}"),
+        )
+        for domain in "abc"
+        for number in range(engines)
+    ]
+    assert regards_domains(views, costs) is expected
