--- a/src/sorrelhoist/decisions/placement/locality.py
+++ b/src/sorrelhoist/decisions/placement/locality.py
@@ -58,7 +58,7 @@
 
 MIN_DOMAIN_ENGINES = MAX_HELPERS + 1
 """Engines that the largest failure domain of a service must have: as many as a prompt
-is split over at most. In smaller domains a preference for the own narrows the splits."""
+is split over at most. In smaller domains, preferring the own narrows the splits."""
 
 SPARE_SLOTS = 1
 """Batch slots of an endpoint that don't count as room for short prompts."""
