Log lines about pauses are limited to 20 a second for each process

Cause: each pause over the target wrote a line with a sum of all loads. Ruled out: memory pressure and withdrawal (no line of either). Change: a token bucket; skipped pauses are counted in the next line, and the metrics count all. The log's bound has a test.

--- a/src/sorrelhoist/decisions/placement/pause_monitor.py
+++ b/src/sorrelhoist/decisions/placement/pause_monitor.py
@@ -32,6 +32,49 @@
 """Time in which a factor without observations falls to a third of its excess over 1, so
 that an endpoint that has recovered is used again."""
 
+MAX_LOGGED_PER_S = 20.0
+"""Log lines about pauses that one process writes: each takes a sum of all loads, and a
+slow endpoint makes every event of all its streams late."""
+
+
+@attrs.define
+class PauseLogRate:
+    """Limits the log lines about pauses over their target.
+
+    Parameters
+    ----------
+    skipped : int
+        Pauses without a line since the last line.
+
+    Examples
+    --------
+    >>> rate = PauseLogRate()
+    >>> sum(rate.try_log(now_s=0.0) for _ in range(100)), rate.skipped
+    (20, 80)
+    >>> rate.take_skipped(), rate.skipped, rate.try_log(now_s=1.0)
+    (80, 0, True)
+    """
+
+    skipped: int = 0
+    _lines: float = MAX_LOGGED_PER_S
+    _updated_s: float = 0.0
+
+    def try_log(self, now_s: float) -> bool:
+        """Return whether a line may be written now, and count it."""
+        refilled = (now_s - self._updated_s) * MAX_LOGGED_PER_S
+        self._lines = min(MAX_LOGGED_PER_S, self._lines + refilled)
+        self._updated_s = now_s
+        if self._lines < 1.0:
+            self.skipped += 1
+            return False
+        self._lines -= 1.0
+        return True
+
+    def take_skipped(self) -> int:
+        """Return the number of skipped pauses, and start a new count."""
+        skipped, self.skipped = self.skipped, 0
+        return skipped
+
 
 @attrs.define(kw_only=True)
 class StreamPauses:
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -483,6 +483,8 @@
             return
         self.parts.metrics.pauses_over_target.add(1, route)
         state, endpoint = self.parts.state, self.assignment.first
+        if not state.pause_log_rate.try_log(now_s):
+            return
         use = state.loads.endpoint_use(endpoint.address, now_s)
         costs = state.engine_costs(self.admitted.service)
         estimate = costs and estimate_pass(
@@ -498,6 +500,7 @@
             streams=use.streams,
             kv_tokens=use.kv_tokens,
             load_age_ms=round(state.loads.oldest_report_s(now_s) * 1000),
+            skipped=state.pause_log_rate.take_skipped(),
             **(estimate.log_fields() if estimate else {}),
         )
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -28,7 +28,7 @@
     RequestUse,
 )
 from ..decisions.placement.locality import Localities
-from ..decisions.placement.pause_monitor import PassCorrections
+from ..decisions.placement.pause_monitor import PassCorrections, PauseLogRate
 from ..decisions.placement.prefill_watch import PrefillWatch
 from ..decisions.report_rate import UpdateRate, settle_s
 from ..decisions.resource_limits import ResourceLimits
@@ -80,6 +80,7 @@
         Limits that endpoints named for all gateways together.
     pauses : EndpointPauses
         Pauses that endpoints asked this gateway for.
+    pause_log_rate : PauseLogRate
     pass_corrections : PassCorrections
         Factors of endpoints that are slower than their costs.
     permits : PermitHolder
@@ -135,6 +136,7 @@
     faults: FailureTracker = attrs.field(factory=FailureTracker)
     named_limits: NamedLimits = attrs.field(factory=NamedLimits)
     pauses: EndpointPauses = attrs.field(factory=EndpointPauses)
+    pause_log_rate: PauseLogRate = attrs.field(factory=PauseLogRate)
     pass_corrections: PassCorrections = attrs.field(factory=PassCorrections)
     permits: PermitHolder = attrs.field(
         default=attrs.Factory(lambda self: PermitHolder(self.node_id), takes_self=True)
--- a/tests/decisions/placement/test_pause_monitor.py
+++ b/tests/decisions/placement/test_pause_monitor.py
@@ -10,8 +10,10 @@
     RequestUse,
 )
 from sorrelhoist.decisions.placement.pause_monitor import (
+    MAX_LOGGED_PER_S,
     MAX_SLOWNESS,
     PassCorrections,
+    PauseLogRate,
     StreamPauses,
     estimate_pass,
 )
@@ -87,3 +89,15 @@
     assert slowness(*[busy] * 8) == 1.0
     # Too few events to have seen a pass without prefill.
     assert slowness(*[stream(1.0, events=3)] * 8) == 1.0
+
+
+def test_streams_of_slow_endpoints_don_t_take_the_processor_with_log_lines():
+    # 200 streams with an event every 0.4 s logged 500 lines a second, each with a sum
+    # of all loads: the gateway lost the store and refused keys.
+    rate = PauseLogRate()
+    seconds = 4
+    lines = sum(
+        rate.try_log(now_s=100.0 + number / 500) for number in range(500 * seconds)
+    )
+    assert lines <= MAX_LOGGED_PER_S * (seconds + 1)
+    assert lines + rate.skipped == 500 * seconds
