--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -132,7 +132,7 @@
             body.node_id,
             body.boot_ms,
             body.sequence,
-            (_from_wire(load, now_s) for load in body.loads or ()),
+            (self._peer_use(load, now_s) for load in body.loads or ()),
             now_s,
         )
         if is_newest:
@@ -177,6 +177,17 @@
                 now_boot_s,
             )
 
+    def _peer_use(self, load: ttypes.EndpointLoad, now_s: float) -> EndpointUse:
+        """Decode the load of an endpoint in a report.
+
+        The cumulative prefill time counts only where reports are slow. Where they go
+        out each 25 ms, they show the unfinished prefill in time.
+        """
+        use = _from_wire(load, now_s)
+        if not self._state.update_rate.is_useful(len(self._peers)):
+            use.placed_ms = 0.0
+        return use
+
     def _update_received(self, body: ttypes.LoadUpdate) -> None:
         now_s = asyncio.get_running_loop().time()
         self._state.loads.peer_updated(
