--- a/src/sorrelhoist/decisions/directory.py
+++ b/src/sorrelhoist/decisions/directory.py
@@ -26,7 +26,7 @@
 LEAVING_REPORT_S = 10.0
 """Time for which peers are told of such an endpoint; its record follows soon."""
 
-RETELL_S = 2.0
+STARTED_PEER_REPORT_S = 2.0
 """Time for which peers are told of all such endpoints after one of them has started: it
 has read the directory by then."""
 
@@ -139,7 +139,7 @@
         self._hold_until_s = float("-inf")
         self._departed: dict[str, float] = {}
         self._leaving: dict[str, Leaving] = {}
-        self._retell_until_s = float("-inf")
+        self._report_all_until_s = float("-inf")
         self.leaving_version = 0
         """Number of endpoints that told this gateway that they are leaving."""
 
@@ -218,7 +218,7 @@
         A gateway that has just started knows the store's record only, and the one that
         heard it may be the one that ended.
         """
-        self._retell_until_s = now_s + RETELL_S
+        self._report_all_until_s = now_s + STARTED_PEER_REPORT_S
         self.leaving_version += bool(self._leaving)
 
     def leaving_to_report(self, now_s: float) -> dict[str, Leaving]:
@@ -226,7 +226,7 @@
 
         After a peer has started, all that are known to be leaving.
         """
-        is_retold = now_s < self._retell_until_s
+        is_retold = now_s < self._report_all_until_s
         reported = [
             (endpoint_id, said)
             for endpoint_id, said in self._leaving.items()
--- a/tests/decisions/test_directory.py
+++ b/tests/decisions/test_directory.py
@@ -8,7 +8,7 @@
     LEAVING_REPORT_S,
     OUTAGE_GAP_S,
     REMOVAL_HOLD_S,
-    RETELL_S,
+    STARTED_PEER_REPORT_S,
     Directory,
     Endpoint,
 )
@@ -230,6 +230,8 @@
     now_s = 10.2 + 2 * LEAVING_REPORT_S
     version = directory.leaving_version
     directory.peer_started(now_s)
-    assert list(directory.leaving_to_report(now_s + RETELL_S / 2)) == ["i-1"]
+    assert list(directory.leaving_to_report(now_s + STARTED_PEER_REPORT_S / 2)) == [
+        "i-1"
+    ]
     assert directory.leaving_version > version
-    assert directory.leaving_to_report(now_s + RETELL_S) == {}
+    assert directory.leaving_to_report(now_s + STARTED_PEER_REPORT_S) == {}
