Callers can connect as soon as a gateway's process runs

Change: the sockets for callers and probes are open before the settings are checked and the rest is imported; what connects waits in the accept queue.

--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import signal
+import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any
@@ -20,7 +21,14 @@
 from .ports import Dialect
 from .reservations import Reserver
 from .resource_watch import watch_resources
-from .server import CallerDelegate, StatusDelegate, listen, readiness
+from .server import (
+    CallerDelegate,
+    StatusDelegate,
+    limit_send_buffer,
+    readiness,
+    serve,
+)
+from .sockets import Sockets, open_socket
 from .state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -77,6 +85,8 @@
         Keeps the state up to date until cancelled.
     reload : callable
         Reloads the settings.
+    sockets : mapping of str to socket
+        Listening sockets that are open already; the others are opened.
     """
 
     state: GatewayState
@@ -86,6 +96,7 @@
     boot_ms: int
     follow: Callable[[PeerExchange], Coroutine[Any, Any, None]]
     reload: Callable[[], None]
+    sockets: Sockets = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain the running requests."""
@@ -156,13 +167,19 @@
         addresses, limits = self.addresses, CallerLimits()
         operator_pages = StatusDelegate(_operator_answers(front.parts, metrics_text))
         metrics_address = f"{addresses.host}:{addresses.metrics_port}"
-        is_limited = self.state.limits.memory_bytes is not None
+        front_socket = self._socket(addresses.front)
+        if self.state.limits.memory_bytes is not None:
+            limit_send_buffer(front_socket)
+        ready = StatusDelegate(readiness(self.state))
         return [
-            listen(front, addresses.front, limits, is_limited),
-            listen(StatusDelegate(readiness(self.state)), addresses.ready, limits),
-            listen(operator_pages, metrics_address, limits),
+            serve(front, front_socket, limits),
+            serve(ready, self._socket(addresses.ready), limits),
+            serve(operator_pages, self._socket(metrics_address), limits),
         ]
 
+    def _socket(self, address: str) -> socket.socket:
+        return self.sockets.get(address) or open_socket(address)
+
 
 async def _drain(
     front: CallerDelegate, servers: list[HTTPServer], stop_at_s: float
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -15,7 +15,6 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.netutil import bind_sockets
 
 from ..decisions.routes import CallerLimits
 from ..exceptions import InvalidRequestError
@@ -26,9 +25,6 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECTION_BACKLOG = 1024
-"""Length of the accept queue; an overflow delays callers by seconds."""
-
 SEND_BUFFER_BYTES = 256 * 1024
 """What the kernel buffers for a caller where memory is limited; otherwise it may be
 4 MB for each. At 100 Mbit/s and a delay of 1 ms 25 kB are enough."""
@@ -177,9 +173,9 @@
     return int(length) if length.isascii() and length.isdigit() else 0
 
 
-def _limit_send_buffer(sockets: list[socket.socket]) -> None:
-    for one in sockets:
-        one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+def limit_send_buffer(listener: socket.socket) -> None:
+    """Limit what the kernel buffers for each connection that is accepted later."""
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
 
 @attrs.define(eq=False, repr=False)
@@ -232,14 +228,12 @@
     return answer
 
 
-def listen(
+def serve(
     delegate: HTTPServerConnectionDelegate,
-    address: str,
+    listener: socket.socket,
     limits: CallerLimits,
-    is_memory_limited: bool = False,
 ) -> HTTPServer:
-    """Start an HTTP server on ``IP:PORT``."""
-    host, _, port = address.rpartition(":")
+    """Start an HTTP server on a listening socket."""
     server = HTTPServer(
         delegate,
         idle_connection_timeout=limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR,
@@ -247,8 +241,5 @@
         max_body_size=limits.max_body_bytes,
         max_buffer_size=limits.max_body_bytes + 2 * limits.max_header_bytes,
     )
-    sockets = bind_sockets(int(port), host, backlog=CONNECTION_BACKLOG)
-    if is_memory_limited:
-        _limit_send_buffer(sockets)
-    server.add_sockets(sockets)
+    server.add_sockets([listener])
     return server
--- a/src/sorrelhoist/platform/main.py
+++ b/src/sorrelhoist/platform/main.py
@@ -1,81 +1,16 @@
-"""Start a gateway on the users' platform."""
+"""Command that starts a gateway on the users' platform."""
 
-import asyncio
-import logging
-import random
-import time
 from pathlib import Path
 
-import attrs
 import click
 
-from ..decisions.retries import SharedRetryBudget
-from ..decisions.store_contact import StoreContact
-from ..decisions.suspicion import SuspicionTable
-from ..decisions.suspicion_evidence import SuspicionOptions
 from ..exceptions import SettingsError
-from ..gateway.app import Addresses, Gateway
-from ..gateway.peer_exchange import PeerExchange
-from ..gateway.state import GatewayState
-from ..node.logs import configure_logging
-from .dialect import PlatformDialect
-from .settings import PlatformSettings, load_settings
-from .source import PlatformSource
+from ..gateway.sockets import Sockets
+from .settings import load_settings
 
-logger = logging.getLogger(__name__)
-
-DEATHS_TO_CONDEMN = 3
-"""Number of endpoints that a request may have crashed before it is refused."""
-
-SETTINGS_POLL_S = 2.0
-"""Interval between two checks of the settings file, which may change without a
-signal."""
-
-MS_PER_S = 1000
 EXIT_BAD_SETTINGS = 2
 
 
-@attrs.define(eq=False, repr=False)
-class SettingsWatcher:
-    """Reloads the settings file when it changes.
-
-    Only `PlatformSettings.revoke_s` takes effect in the running process; other changes
-    are logged and need a restart.
-
-    Parameters
-    ----------
-    settings : PlatformSettings
-        Settings as last loaded.
-    state : GatewayState
-    """
-
-    settings: PlatformSettings
-    state: GatewayState
-
-    def reload(self) -> None:
-        """Reload the file; if it is invalid, log that and keep the settings."""
-        try:
-            loaded = load_settings()
-        except SettingsError as error:
-            logger.error(
-                "settings refused", extra={"event": "reload", "reason": str(error)}
-            )
-            return
-        if loaded == self.settings:
-            return
-        before, after = attrs.asdict(self.settings), attrs.asdict(loaded)
-        changed = sorted(name for name in after if after[name] != before[name])
-        logger.info("settings changed", extra={"event": "reload", "fields": changed})
-        self.settings = loaded
-        self.state.contact.revoke_s = loaded.revoke_s
-
-    async def run(self) -> None:
-        """Poll the file until cancelled."""
-        while True:
-            await asyncio.sleep(SETTINGS_POLL_S)
-            self.reload()
-
-
 @click.command()
 @click.option(
     "--settings",
@@ -84,7 +19,8 @@
     help="Settings file of the platform; else SORRELHOIST_SETTINGS names it.",
 )
 @click.option("--check", is_flag=True, help="Check the settings and end.")
-def gateway(path: Path | None, check: bool) -> None:
+@click.pass_obj
+def gateway(sockets: Sockets | None, path: Path | None, check: bool) -> None:
     """Forward callers' requests on the users' platform."""
     try:
         settings = load_settings(path)
@@ -94,48 +30,6 @@
     if check:
         click.echo("the settings can be used")
         return
-    run(settings)
-
-
-def run(settings: PlatformSettings) -> None:
-    """Run the gateway until it receives a stop signal."""
-    configure_logging("INFO", settings.node_id, "gateway")
-    state = GatewayState(
-        node_id=settings.node_id,
-        failure_domain=settings.failure_domain,
-        contact=StoreContact(settings.revoke_s),
-        shared_retries=SharedRetryBudget(
-            ratio=settings.retry_ratio,
-            slack=settings.retry_slack,
-            window_s=settings.retry_window_s,
-        ),
-        rng=random.Random(f"{settings.node_id} {time.time_ns()}"),
-        limits=settings.limits,
-        suspicions=SuspicionTable(
-            SuspicionOptions(deaths_to_condemn=DEATHS_TO_CONDEMN)
-        ),
-    )
-    watch = SettingsWatcher(settings, state)
-
-    async def follow(exchange: PeerExchange) -> None:
-        async with asyncio.TaskGroup() as group:
-            group.create_task(PlatformSource(settings, state, exchange).run())
-            group.create_task(watch.run())
+    from .process import run  # Takes long, and nothing above needs it.
 
-    addresses = Addresses(
-        host=settings.address,
-        front=settings.front_address,
-        ready=settings.ready_address,
-        peer_port=settings.peer_port,
-        metrics_port=settings.metrics_port,
-    )
-    process = Gateway(
-        state=state,
-        dialect=PlatformDialect(),
-        addresses=addresses,
-        grace_s=settings.grace_s,
-        boot_ms=int(time.time() * MS_PER_S),
-        follow=follow,
-        reload=watch.reload,
-    )
-    asyncio.run(process.run())
+    run(settings, sockets or {})
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -8,8 +8,8 @@
 
 from ..decisions.resource_limits import ResourceLimits
 from ..exceptions import SettingsError
+from .listen import PATH_VARIABLE, decode_addresses
 
-PATH_VARIABLE = "SORRELHOIST_SETTINGS"
 METRICS_PORT = 9464
 """Also stated in ``deploy/system.toml``; the default port of OpenTelemetry's
 Prometheus exporter."""
@@ -77,14 +77,14 @@
 
 def _decode(fields: dict) -> PlatformSettings:
     bounds = fields["bounds"]
-    listen = fields.get("listen", {})
+    front_address, ready_address = decode_addresses(fields)
     return PlatformSettings(
         node_id=fields["node"],
         role=fields["role"],
         failure_domain=fields["zone"],
         address=fields["ip"],
-        front_address=listen.get("front", ""),
-        ready_address=listen.get("ready", ""),
+        front_address=front_address,
+        ready_address=ready_address,
         peer_port=int(fields["port_range"][0]),
         metrics_port=METRICS_PORT,
         store_address=fields["provider"]["addr"],
--- a/tests/gateway/test_app.py
+++ b/tests/gateway/test_app.py
@@ -57,7 +57,7 @@
 
 def test_a_start_loads_nothing_that_only_exports_metrics():
     script = (
-        "import sys, sorrelhoist.platform.main;"
+        "import sys, sorrelhoist.platform.process;"
         "print(*{name.partition('.')[0] for name in sys.modules})"
     )
     path = os.pathsep.join(filter(None, sys.path))
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,32 +1,54 @@
-"""Reload of settings while a gateway runs."""
+"""Start of a gateway: its sockets accept connections before all is imported."""
 
-from sorrelhoist.decisions.store_contact import StoreContact
-from sorrelhoist.gateway.state import GatewayState
-from sorrelhoist.platform.main import SettingsWatcher
-from sorrelhoist.platform.settings import load_settings
+import socket
+
+from click.testing import CliRunner
+
+from sorrelhoist.platform.listen import listening_early
+from sorrelhoist.platform.main import gateway
+from tests.platform.fleet import free_port
+from tests.platform.standins import HOST
 from tests.platform.test_settings import TEXT
 
 
-def make_watcher(tmp_path, monkeypatch):
+def write_settings(tmp_path, monkeypatch, text):
     path = tmp_path / "boot.toml"
-    path.write_text(TEXT)
+    path.write_text(text)
     monkeypatch.setenv("SORRELHOIST_SETTINGS", str(path))
-    settings = load_settings()
-    state = GatewayState(
-        node_id="edge-1", failure_domain="a", contact=StoreContact(settings.revoke_s)
-    )
-    return path, SettingsWatcher(settings, state)
 
 
-def test_a_changed_revocation_limit_takes_effect_on_reload(tmp_path, monkeypatch):
-    path, watcher = make_watcher(tmp_path, monkeypatch)
-    path.write_text(TEXT.replace("revoke_ms = 5000", "revoke_ms = 3000"))
-    watcher.reload()
-    assert watcher.state.contact.revoke_s == 3.0
+def test_callers_can_connect_before_the_settings_are_checked(tmp_path, monkeypatch):
+    front, ready = f"{HOST}:{free_port()}", f"{HOST}:{free_port()}"
+    text = f'[listen]\nfront = "{front}"\nready = "{ready}"'
+    write_settings(tmp_path, monkeypatch, text)
+    with listening_early() as sockets:
+        assert set(sockets) == {front, ready}
+        for address in (front, ready):
+            host, _, port = address.partition(":")
+            socket.create_connection((host, int(port)), timeout=1.0).close()
+
+
+def test_nothing_is_opened_without_usable_settings(tmp_path, monkeypatch):
+    taken = socket.create_server((HOST, 0))
+    address = f"{HOST}:{taken.getsockname()[1]}"
+    for text in ("[listen", "listen = 1", f'[listen]\nfront = "{address}"', ""):
+        write_settings(tmp_path, monkeypatch, text)
+        with listening_early() as sockets:
+            assert not sockets
+    monkeypatch.delenv("SORRELHOIST_SETTINGS")
+    with listening_early() as sockets:
+        assert not sockets
+    taken.close()
+
+
+def test_a_check_of_the_settings_opens_nothing(tmp_path, monkeypatch):
+    write_settings(tmp_path, monkeypatch, TEXT)
+    result = CliRunner().invoke(gateway, ["--check"])
+    assert (result.exit_code, result.output) == (0, "the settings can be used\n")
 
 
-def test_reloading_an_invalid_file_changes_nothing(tmp_path, monkeypatch):
-    path, watcher = make_watcher(tmp_path, monkeypatch)
-    path.write_text("broken")
-    watcher.reload()
-    assert watcher.state.contact.revoke_s == 5.0
+def test_bad_settings_end_the_command_with_an_error(tmp_path, monkeypatch):
+    write_settings(tmp_path, monkeypatch, "node = 1")
+    result = CliRunner().invoke(gateway, [])
+    assert result.exit_code == 2
+    assert "error:" in result.output
