Overload control has a setting of its own

Cause: early refusal, shares of workspaces and kinds, and the withdrawal of gateways ran only where the platform's settings list the contract of slow readers. Nothing about memory used that flag.

Change: `SORRELHOIST_OVERLOAD` names the parts in use; an unknown name ends the start with the known ones.

--- a/src/sorrelhoist/decisions/resource_limits.py
+++ b/src/sorrelhoist/decisions/resource_limits.py
@@ -15,12 +15,8 @@
         Processor time per second.
     link_bytes_per_s : float or None
         Bandwidth of the host, in each direction.
-    counts_buffers : bool
-        Whether callers and endpoints that read slowly are to be expected, so that what
-        is held for them must be limited.
     """
 
     memory_bytes: int | None = None
     processor_cores: float | None = None
     link_bytes_per_s: float | None = None
-    counts_buffers: bool = False
--- a/src/sorrelhoist/gateway/overload.py
+++ b/src/sorrelhoist/gateway/overload.py
@@ -8,6 +8,7 @@
 from ..decisions.overload.fleet_demand import ServiceLoad
 from ..decisions.overload.kind_shares import KindClass, KindShares
 from ..decisions.overload.own_work import WorkItem
+from ..decisions.overload.parts import OverloadPart
 from ..decisions.overload.refusal import (
     TimeLimits,
     is_hopeless,
@@ -115,9 +116,11 @@
         """
         if shares.level_ms == float("inf"):
             return UNRANKED
+        parts = self._state.overload_parts
         return (
-            shares.is_over(ranked.item.workspace),
-            not self.kinds.is_starved(ranked.kind_class, now_s),
+            OverloadPart.WORKSPACES in parts and shares.is_over(ranked.item.workspace),
+            OverloadPart.KINDS in parts
+            and not self.kinds.is_starved(ranked.kind_class, now_s),
             ranked.priority,
         )
 
@@ -140,7 +143,9 @@
         others = view.others
         waiting = self._state.own_work.waiting(item.service)
         elsewhere = Ahead(requests=others.waiting, read_ms=others.waiting_read_ms)
-        if not shares.is_over(item.workspace):
+        if OverloadPart.WORKSPACES in self._state.overload_parts and (
+            not shares.is_over(item.workspace)
+        ):
             # It goes before the workspaces that are over their share.
             waiting = [one for one in waiting if not shares.is_over(one.workspace)]
             below = [
@@ -175,6 +180,8 @@
         now_s: float,
     ) -> bool:
         """Return whether a request that finds no capacity is to be refused at once."""
+        if OverloadPart.REFUSAL not in self._state.overload_parts:
+            return False
         costs = self._costs(item.service)
         estimate = self.estimate(item, slot_interval_s, now_s)
         if costs is None or estimate is None:
@@ -215,6 +222,8 @@
 
         A caller that returns is behind all that waits now.
         """
+        if OverloadPart.REFUSAL not in self._state.overload_parts:
+            return False, None
         last = WorkItem(service=service, workspace=workspace, due_s=float("inf"))
         estimate = self.estimate(last, slot_interval_s, now_s)
         if estimate is None:
@@ -224,8 +233,8 @@
         )
 
     def _costs(self, service: str) -> EngineCosts | None:
-        """Return the costs of an engine if the settings ask for overload control."""
-        if not self._state.limits.counts_buffers:
+        """Return the costs of an engine; None if unknown, or needed by no part."""
+        if self._state.overload_parts <= {OverloadPart.WITHDRAWAL}:
             return None
         table = self._state.table
         config = table.services.get(service) if table else None
--- a/src/sorrelhoist/gateway/resource_watch.py
+++ b/src/sorrelhoist/gateway/resource_watch.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from ..decisions.overload.gateway_health import PERCENT, ResourceSample
+from ..decisions.overload.parts import OverloadPart
 from .state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -60,13 +61,13 @@
 async def watch_resources(
     state: GatewayState, connections: Callable[[], Iterable[Any]]
 ) -> None:
-    """Sample until cancelled, where callers may be slow by the settings."""
+    """Sample until cancelled, where gateways may withdraw."""
+    if OverloadPart.WITHDRAWAL not in state.overload_parts:
+        return
     loop = asyncio.get_running_loop()
     while True:
         due_s = loop.time() + SAMPLE_INTERVAL_S
         await asyncio.sleep(SAMPLE_INTERVAL_S)
-        if not state.limits.counts_buffers:
-            continue
         now_s = loop.time()
         sample = ResourceSample(
             loop_delay_s=max(0.0, now_s - due_s),
--- a/src/sorrelhoist/platform/process.py
+++ b/src/sorrelhoist/platform/process.py
@@ -95,6 +95,7 @@
         ),
         rng=random.Random(f"{settings.node_id} {time.time_ns()}"),
         limits=settings.limits,
+        overload_parts=settings.overload_parts,
         suspicions=SuspicionTable(
             SuspicionOptions(deaths_to_condemn=DEATHS_TO_CONDEMN)
         ),
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..decisions.overload.parts import ALL_PARTS, OverloadParts, parse_parts
 from ..decisions.resource_limits import ResourceLimits
 from ..exceptions import SettingsError
 from .listen import PATH_VARIABLE, decode_addresses
@@ -17,8 +18,9 @@
 BYTES_PER_MB = 1_000_000
 BYTES_PER_S_PER_MBPS = 125_000
 
-SLOW_READERS_CONTRACT = "pressure"
-"""Entry of `contracts` in deployments whose callers and endpoints may read slowly."""
+OVERLOAD_VARIABLE = "SORRELHOIST_OVERLOAD"
+"""Environment variable with the parts of overload control in use, separated by commas.
+All are, if it isn't set."""
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +42,7 @@
     retry_ratio, retry_slack, retry_window_s : float
         Retry budget shared by all processes.
     limits : ResourceLimits
+    overload_parts : frozenset of OverloadPart
     """
 
     node_id: str
@@ -57,6 +60,7 @@
     retry_slack: float
     retry_window_s: float
     limits: ResourceLimits = ResourceLimits()
+    overload_parts: OverloadParts = ALL_PARTS
 
 
 def load_settings(path: Path | None = None) -> PlatformSettings:
@@ -94,9 +98,16 @@
         retry_slack=float(bounds["retry_slack"]),
         retry_window_s=float(bounds["retry_window_s"]),
         limits=_decode_limits(fields),
+        overload_parts=_decode_overload(os.environ.get(OVERLOAD_VARIABLE)),
     )
 
 
+def _decode_overload(names: str | None) -> OverloadParts:
+    if names is None:
+        return ALL_PARTS
+    return parse_parts(name.strip() for name in names.split(",") if name.strip())
+
+
 def _decode_limits(fields: dict) -> ResourceLimits:
     limits = fields.get("limits", {})
     share, cores = limits.get("cpu_share"), limits.get("cpu_cores", 1)
@@ -105,5 +116,4 @@
         memory_bytes=int(memory_mb * BYTES_PER_MB) if memory_mb else None,
         processor_cores=share * cores if share else None,
         link_bytes_per_s=link_mbps * BYTES_PER_S_PER_MBPS if link_mbps else None,
-        counts_buffers=SLOW_READERS_CONTRACT in fields.get("contracts", ()),
     )
--- a/tests/decisions/overload/test_gateway_health.py
+++ b/tests/decisions/overload/test_gateway_health.py
@@ -10,7 +10,6 @@
     Resource,
     ResourceSample,
 )
-from sorrelhoist.decisions.resource_limits import ResourceLimits
 from sorrelhoist.decisions.store_contact import StoreContact
 from sorrelhoist.gateway.resource_watch import update_health
 from sorrelhoist.gateway.state import GatewayState
@@ -73,7 +72,6 @@
             node_id=f"g-{number}",
             failure_domain="a",
             contact=StoreContact(revoke_s=5.0),
-            limits=ResourceLimits(counts_buffers=True),
             fleet_headroom=fleets[number],
         )
         for number in range(count)
--- a/tests/gateway/overload_fleet.py
+++ b/tests/gateway/overload_fleet.py
@@ -7,7 +7,6 @@
 from tornado.httputil import HTTPHeaders
 
 from sorrelhoist.decisions.placement.demand import Assignment
-from sorrelhoist.decisions.resource_limits import ResourceLimits
 from sorrelhoist.decisions.routes import (
     EngineCosts,
     Repeat,
@@ -124,7 +123,6 @@
         )
         for gateway in self.fleet.gateways:
             gateway.state.adopt(self.table)
-            gateway.state.limits = ResourceLimits(counts_buffers=True)
 
     async def arrive(self, kind, per_s, seconds, workspace="usual", phases=True):
         """Send prompts of one kind at a mean rate, in phases or steadily."""
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -20,7 +20,7 @@
     whole,
 )
 
-LIMITS = ResourceLimits(memory_bytes=200 * 1024 * 1024, counts_buffers=True)
+LIMITS = ResourceLimits(memory_bytes=200 * 1024 * 1024)
 EVENT = b"id: %d\ndata: " + b"x" * 100_000 + b"\n\n"
 UNREAD_CUT_S = 0.6
 PATIENT = [
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 from click.testing import CliRunner
 
 from sorrelhoist.cli import main
+from sorrelhoist.decisions.overload.parts import ALL_PARTS, OverloadPart
 from sorrelhoist.decisions.resource_limits import ResourceLimits
 from sorrelhoist.exceptions import SettingsError
 from sorrelhoist.platform.settings import load_settings
@@ -40,8 +41,7 @@
 def test_limits_of_the_process_are_decoded(tmp_path):
     path = tmp_path / "boot.toml"
     path.write_text(
-        'contracts = ["base", "pressure"]\n'
-        + TEXT
+        TEXT
         + "[limits]\ncpu_share = 0.717\ncpu_cores = 3\nmemory_mb = 552\n"
         + "link_mbps = 100.0\n"
     )
@@ -49,7 +49,30 @@
     assert limits.memory_bytes == 552_000_000
     assert limits.processor_cores == pytest.approx(2.151)
     assert limits.link_bytes_per_s == 12_500_000
-    assert limits.counts_buffers
+
+
+@pytest.mark.parametrize(
+    "names, parts",
+    [
+        (None, ALL_PARTS),
+        ("", frozenset()),
+        ("refusal, kinds", {OverloadPart.REFUSAL, OverloadPart.KINDS}),
+    ],
+)
+def test_the_parts_of_overload_control_are_chosen(tmp_path, monkeypatch, names, parts):
+    path = tmp_path / "boot.toml"
+    path.write_text(TEXT)
+    if names is not None:
+        monkeypatch.setenv("SORRELHOIST_OVERLOAD", names)
+    assert load_settings(path).overload_parts == parts
+
+
+def test_an_unknown_part_of_overload_control_is_refused(tmp_path, monkeypatch):
+    path = tmp_path / "boot.toml"
+    path.write_text(TEXT)
+    monkeypatch.setenv("SORRELHOIST_OVERLOAD", "refusals")
+    with pytest.raises(SettingsError, match="use refusal, workspaces"):
+        load_settings(path)
 
 
 def test_without_limits_none_are_assumed(tmp_path):
