Gateways without arguments start without the argument parser

Callers wait for the start; the parser is a tenth of what is imported before the first of them can be served. A test holds that nothing but the settings is imported before callers can connect.

--- a/src/sorrelhoist/bench/start.py
+++ b/src/sorrelhoist/bench/start.py
@@ -15,7 +15,7 @@
 begin = time.process_time()
 import {LIBRARIES}
 libraries = time.process_time()
-import sorrelhoist.platform.main, sorrelhoist.platform.process
+import sorrelhoist.platform.start, sorrelhoist.platform.process
 print(libraries - begin, time.process_time() - begin)
 """
 
--- a/src/sorrelhoist/platform/listen.py
+++ b/src/sorrelhoist/platform/listen.py
@@ -1,13 +1,10 @@
-"""Sockets of a gateway, opened before its settings are checked.
-
-Nothing is imported here that takes long, so that callers can connect soon after a
-start.
-"""
+"""Sockets of a gateway, opened before its settings are checked."""
 
 import os
 import tomllib
 from collections.abc import Iterator
 from contextlib import contextmanager
+from pathlib import Path
 
 from ..gateway.sockets import Sockets, listening
 
@@ -15,6 +12,11 @@
 """Environment variable with the path of the settings file."""
 
 
+def settings_path(path: Path | None) -> Path:
+    """Return the path of the settings file: the given one, or the environment's."""
+    return path or Path(os.environ.get(PATH_VARIABLE, ""))
+
+
 def decode_addresses(fields: dict) -> tuple[str, str]:
     """Return the addresses for callers and for readiness probes.
 
@@ -28,15 +30,15 @@
 
 
 @contextmanager
-def listening_early() -> Iterator[Sockets]:
+def listening_early(path: Path | None = None) -> Iterator[Sockets]:
     """Listen on the addresses in the settings file, until the context exits.
 
     Nothing is opened if the file or an address can't be used: the check of the settings
     and the start of the servers, which come later, report that.
     """
     try:
-        with open(os.environ.get(PATH_VARIABLE, ""), "rb") as file:
-            sockets = listening(*decode_addresses(tomllib.load(file)))
+        fields = tomllib.loads(settings_path(path).read_text())
+        sockets = listening(*decode_addresses(fields))
     except (OSError, ValueError, AttributeError):
         sockets = listening()
     with sockets as opened:
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -9,7 +9,7 @@
 from ..decisions.overload.parts import ALL_PARTS, OverloadParts, parse_parts
 from ..decisions.resource_limits import ResourceLimits
 from ..exceptions import SettingsError
-from .listen import PATH_VARIABLE, decode_addresses
+from .listen import decode_addresses, settings_path
 
 METRICS_PORT = 9464
 """Also stated in ``deploy/system.toml``; the default port of OpenTelemetry's
@@ -71,7 +71,7 @@
     SettingsError
         If the file can't be read, lacks a field or holds an invalid value.
     """
-    path = path or Path(os.environ.get(PATH_VARIABLE, ""))
+    path = settings_path(path)
     try:
         fields = tomllib.loads(path.read_text())
         return _decode(fields)
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,6 +1,9 @@
 """Start of a gateway: its sockets accept connections before all is imported."""
 
+import os
 import socket
+import subprocess
+import sys
 
 from click.testing import CliRunner
 
@@ -52,3 +55,19 @@
     result = CliRunner().invoke(gateway, [])
     assert result.exit_code == 2
     assert "error:" in result.output
+
+
+def test_nothing_but_the_settings_is_imported_before_callers_can_connect():
+    script = (
+        "import sys, sorrelhoist.platform.start;"
+        "print(*{name.partition('.')[0] for name in sys.modules})"
+    )
+    path = os.pathsep.join(filter(None, sys.path))
+    result = subprocess.run(
+        [sys.executable, "-S", "-c", script],
+        env=os.environ | {"PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert not {"attr", "click", "tornado", "asyncio"} & set(result.stdout.split())
