A gateway that starts asks peers until some can answer

Cause: before its first configuration is used, a gateway asks five peers for their version, and waits for two answers or 0.3 s.

Change: others are asked every 0.05 s, within the same 0.3 s. Two answers of one peer no longer count as two.

--- a/src/sorrelhoist/gateway/freshness.py
+++ b/src/sorrelhoist/gateway/freshness.py
@@ -24,7 +24,7 @@
 """Interval between queries. Together with the readers' polling interval it stays below
 the time after which a leaving endpoint must get no more requests."""
 
-MAX_PENDING_QUERIES = 5
+MAX_PENDING_QUERIES = 30
 """Number of latest queries whose answers are still accepted."""
 
 MS_PER_S = 1000
@@ -34,10 +34,14 @@
 """Sent while nothing has been read yet."""
 
 START_QUERIES = 5
-"""Number of peers that a gateway asks for their configuration version at its start."""
+"""Number of peers that a gateway asks at a time for their configuration version at its
+start."""
+
+START_QUERY_INTERVAL_S = 0.05
+"""Interval at which it asks others: many round trips."""
 
 START_ANSWERS = 2
-"""Number of their answers that it waits for: one peer may itself have just started."""
+"""Number of peers whose answers it waits for: one may itself have just started."""
 
 START_ANSWER_TIMEOUT_S = 0.3
 """Longest wait for these answers: many round trips, and short beside a start."""
@@ -83,7 +87,7 @@
         self._confirmations = Confirmations()
         self._ids = itertools.count(1)
         self._pending: dict[int, float] = {}
-        self._answers = 0
+        self._answered: set[str] = set()
         self.on_directory_update: Callable[[ttypes.DirectoryUpdate], bool] = (
             lambda update: False
         )
@@ -149,14 +153,26 @@
             self._send(node_id, body)
 
     async def ask_versions(self, node_ids: Sequence[str]) -> None:
-        """Ask some peers which configuration they have, and wait for a few answers."""
-        chosen = self._state.rng.sample(node_ids, min(START_QUERIES, len(node_ids)))
-        wanted = self._answers + min(START_ANSWERS, len(chosen))
-        for node_id in chosen:
-            self._send_query(node_id)
+        """Ask peers which configuration they have, and wait for a few answers.
+
+        The load pattern is the start of all gateways at once: those that are asked
+        first can't answer yet, so that others are asked until some do.
+        """
+        self._answered.clear()
+        wanted = min(START_ANSWERS, len(node_ids))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(START_ANSWER_TIMEOUT_S):
-                while self._answers < wanted:
+                while len(self._answered) < wanted:
+                    count = min(START_QUERIES, len(node_ids))
+                    for node_id in self._state.rng.sample(node_ids, count):
+                        self._send_query(node_id)
+                    await self._wait_for_answers(wanted)
+
+    async def _wait_for_answers(self, wanted: int) -> None:
+        """Wait until enough peers have answered, or it is time to ask others."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_QUERY_INTERVAL_S):
+                while len(self._answered) < wanted:
                     await asyncio.sleep(START_POLL_S)
 
     def message_received(self, body: object) -> None:
@@ -210,7 +226,7 @@
                 sent_s - answer.configuration_age_ms / MS_PER_S,
                 now_s,
             )
-        self._answers += 1
+        self._answered.add(answer.node_id)
         position = None
         if answer.configuration_era is not None:
             position = StorePosition(
--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -3,8 +3,15 @@
 import asyncio
 import time
 
+import pytest
+
+from sorrelhoist.decisions.store_contact import StoreContact
+from sorrelhoist.gateway.freshness import Freshness
+from sorrelhoist.gateway.state import GatewayState
+from sorrelhoist.messages.gen import ttypes
 from tests.platform.fleet import configuration, running_gateway, until
 from tests.platform.standins import Endpoint, Store, whole
+from tests.virtual_loop import run_virtual
 
 
 def run_with_starting_gateway(main, mode="up"):
@@ -67,3 +74,57 @@
         await until(lambda: fleet.state.startup.held_count == 0)
 
     run_with_starting_gateway(main)
+
+
+class StartingPeers:
+    """Peers that answer queries from a given time on, as those that start too."""
+
+    def __init__(self, count, up_at_s):
+        self.up_at_s = {f"g-{n}": up_at_s * (n + 1) for n in range(count)}
+        state = GatewayState(
+            node_id="first", failure_domain="a", contact=StoreContact(5.0)
+        )
+        self.freshness = Freshness(state, self.send)
+        self.queries = 0
+
+    def send(self, node_id, query):
+        self.queries += 1
+        if asyncio.get_running_loop().time() < self.start_s + self.up_at_s[node_id]:
+            return
+        answer = ttypes.FreshnessAnswer(
+            node_id=node_id,
+            ask_id=query.ask_id,
+            configuration_offset=-1,
+            configuration_age_ms=2**31 - 1,
+            directory_digest=0,
+            directory_age_ms=2**31 - 1,
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.002, self.freshness.message_received, answer)
+
+    def wait_s(self):
+        async def ask():
+            loop = asyncio.get_running_loop()
+            self.start_s = loop.time()
+            await self.freshness.ask_versions(sorted(self.up_at_s))
+            return loop.time() - self.start_s
+
+        return run_virtual(ask())
+
+
+@pytest.mark.parametrize("count", [2, 4, 29, 67, 299])
+def test_gateways_that_all_start_do_not_wait_for_peers_in_vain(count):
+    # Replay: all processes are killed, and are up again 10 ms after one another. The
+    # first one asked five peers once, and waited 0.3 s for answers that could not come.
+    peers = StartingPeers(count, up_at_s=0.01 if count < 10 else 0.3 / count)
+    assert peers.wait_s() < 0.2
+    assert peers.queries <= 20
+
+
+def test_two_answers_of_one_peer_count_once():
+    peers = StartingPeers(2, up_at_s=0.2)
+    assert peers.wait_s() == pytest.approx(0.3, abs=0.02)
+
+
+def test_peers_that_are_up_are_waited_for_only_briefly():
+    assert StartingPeers(30, up_at_s=0.0).wait_s() < 0.02
