--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -15,7 +15,7 @@
 from ..decisions.overload.fleet_demand import FleetDemand
 from ..decisions.overload.gateway_health import FleetHeadroom, GatewayHealth
 from ..decisions.overload.own_work import OwnWork
-from ..decisions.overload.parts import ALL_PARTS, OverloadParts
+from ..decisions.overload.parts import OverloadParts
 from ..decisions.part_suspicion import Blame, PartSuspicions
 from ..decisions.pauses import EndpointPauses
 from ..decisions.peer_configurations import PeerConfigurations, PeerContact
@@ -127,7 +127,7 @@
     retries: RetryBudget = attrs.field(factory=RetryBudget)
     rng: random.Random = attrs.field(factory=random.Random)
     limits: ResourceLimits = ResourceLimits()
-    overload_parts: OverloadParts = ALL_PARTS
+    overload_parts: OverloadParts = frozenset()
     memory: MemoryBudget = attrs.field(
         default=attrs.Factory(
             lambda self: MemoryBudget(self.limits.memory_bytes), takes_self=True
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..decisions.overload.parts import ALL_PARTS, OverloadParts, parse_parts
+from ..decisions.overload.parts import OverloadParts, parse_parts
 from ..decisions.resource_limits import ResourceLimits
 from ..exceptions import SettingsError
 from .listen import decode_addresses, settings_path
@@ -20,7 +20,7 @@
 
 OVERLOAD_VARIABLE = "SORRELHOIST_OVERLOAD"
 """Environment variable with the parts of overload control in use, separated by commas.
-All are, if it isn't set."""
+"""
 
 
 @attrs.frozen(kw_only=True)
@@ -60,7 +60,7 @@
     retry_slack: float
     retry_window_s: float
     limits: ResourceLimits = ResourceLimits()
-    overload_parts: OverloadParts = ALL_PARTS
+    overload_parts: OverloadParts = frozenset()
 
 
 def load_settings(path: Path | None = None) -> PlatformSettings:
@@ -98,13 +98,11 @@
         retry_slack=float(bounds["retry_slack"]),
         retry_window_s=float(bounds["retry_window_s"]),
         limits=_decode_limits(fields),
-        overload_parts=_decode_overload(os.environ.get(OVERLOAD_VARIABLE)),
+        overload_parts=_decode_overload(os.environ.get(OVERLOAD_VARIABLE, "")),
     )
 
 
-def _decode_overload(names: str | None) -> OverloadParts:
-    if names is None:
-        return ALL_PARTS
+def _decode_overload(names: str) -> OverloadParts:
     return parse_parts(name.strip() for name in names.split(",") if name.strip())
 
 
--- a/tests/decisions/overload/test_gateway_health.py
+++ b/tests/decisions/overload/test_gateway_health.py
@@ -10,6 +10,7 @@
     Resource,
     ResourceSample,
 )
+from sorrelhoist.decisions.overload.parts import ALL_PARTS
 from sorrelhoist.decisions.store_contact import StoreContact
 from sorrelhoist.gateway.resource_watch import update_health
 from sorrelhoist.gateway.state import GatewayState
@@ -72,6 +73,7 @@
             node_id=f"g-{number}",
             failure_domain="a",
             contact=StoreContact(revoke_s=5.0),
+            overload_parts=ALL_PARTS,
             fleet_headroom=fleets[number],
         )
         for number in range(count)
--- a/tests/gateway/overload_fleet.py
+++ b/tests/gateway/overload_fleet.py
@@ -6,6 +6,7 @@
 import attrs
 from tornado.httputil import HTTPHeaders
 
+from sorrelhoist.decisions.overload.parts import ALL_PARTS
 from sorrelhoist.decisions.placement.demand import Assignment
 from sorrelhoist.decisions.routes import (
     EngineCosts,
@@ -123,6 +124,7 @@
         )
         for gateway in self.fleet.gateways:
             gateway.state.adopt(self.table)
+            gateway.state.overload_parts = ALL_PARTS
 
     async def arrive(self, kind, per_s, seconds, workspace="usual", phases=True):
         """Send prompts of one kind at a mean rate, in phases or steadily."""
