Usual terms for refusals and outcomes under overload

is_hopeless is is_unservable, settled is record_outcome; the constants of locality give the reason in terms of the system. No change of behaviour.

--- a/src/sorrelhoist/decisions/overload/kind_shares.py
+++ b/src/sorrelhoist/decisions/overload/kind_shares.py
@@ -56,10 +56,10 @@
     --------
     >>> shares = KindShares()
     >>> small, large = shares.classify("short", 10.0), shares.classify("long", 900.0)
-    >>> shares.settled(small, 10.0, was_placed=True, now_s=1.0)
+    >>> shares.record_outcome(small, 10.0, was_placed=True, now_s=1.0)
     >>> shares.is_starved(large, 1.0)
     False
-    >>> shares.settled(large, 900.0, was_placed=False, now_s=1.0)
+    >>> shares.record_outcome(large, 900.0, was_placed=False, now_s=1.0)
     >>> shares.is_starved(large, 1.0), shares.is_starved(small, 1.0)
     (True, False)
     """
@@ -74,7 +74,7 @@
         """Return the class of a request that arrives."""
         return (kind, self._band(kind, read_ms))
 
-    def settled(
+    def record_outcome(
         self, kind_class: KindClass, read_ms: float, was_placed: bool, now_s: float
     ) -> None:
         """Record that a request was placed or refused."""
--- a/src/sorrelhoist/decisions/overload/refusal.py
+++ b/src/sorrelhoist/decisions/overload/refusal.py
@@ -38,7 +38,7 @@
     min_answer_s: float = 0.0
 
 
-def is_hopeless(estimate: StartEstimate, limits: TimeLimits) -> bool:
+def is_unservable(estimate: StartEstimate, limits: TimeLimits) -> bool:
     """Return whether a request can't be served, however long it waits here.
 
     A prompt may be placed behind others, so what is ahead in prefill only has to fit
@@ -47,11 +47,11 @@
     Examples
     --------
     >>> limits = TimeLimits(deadline_left_s=10.0, queue_left_s=0.2, min_answer_s=1.0)
-    >>> is_hopeless(StartEstimate(prefill_s=8.0, slot_s=0.1), limits)
+    >>> is_unservable(StartEstimate(prefill_s=8.0, slot_s=0.1), limits)
     False
-    >>> is_hopeless(StartEstimate(prefill_s=9.5), limits)
+    >>> is_unservable(StartEstimate(prefill_s=9.5), limits)
     True
-    >>> is_hopeless(StartEstimate(slot_s=0.3), limits)
+    >>> is_unservable(StartEstimate(slot_s=0.3), limits)
     True
     """
     return (
--- a/src/sorrelhoist/decisions/placement/locality.py
+++ b/src/sorrelhoist/decisions/placement/locality.py
@@ -26,8 +26,8 @@
 
 OVERFLOW_START, OVERFLOW_FULL = 0.5, 0.85
 """Loads of the own domain at which the first requests leave it, and at which all that
-find room elsewhere do. In the replay of deployment A at 1.3 times its load, 0.7 and
-0.95 made more short prompts late than no regard to domains."""
+find room elsewhere do. Requests leave before it is full: what is known of its load is
+old by the time they arrive."""
 
 MIN_LOAD_DIFFERENCE = 0.1
 """Least difference of loads for which a share of the requests leaves: it is beyond the
--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -218,8 +218,8 @@
         )
         if beside is not None and beside.first_event_ms <= objective_ms * MIDDLE_SHARE:
             return beside
-    is_hopeless = min_first_event_ms(read_ms, costs) > objective_ms
-    if not is_hopeless:
+    misses_objective = min_first_event_ms(read_ms, costs) > objective_ms
+    if not misses_objective:
         enough_ms = objective_ms * _objective_share(1 + fleet.without_updates)
         best = _fewest_parts(demand, candidates, read_ms, costs, enough_ms)
         if best is not None and best.first_event_ms <= objective_ms:
--- a/src/sorrelhoist/decisions/placement/queue.py
+++ b/src/sorrelhoist/decisions/placement/queue.py
@@ -85,7 +85,7 @@
     def place_pending(
         self, place: Callable[[PendingPlacement, bool], Placement], now_s: float
     ) -> list[tuple[PendingPlacement, Placement]]:
-        """Try to place all requests in order and dequeue those that are settled.
+        """Try to place all requests in order and dequeue those that leave the queue.
 
         Parameters
         ----------
@@ -96,10 +96,10 @@
         Returns
         -------
         list of tuple
-            The settled requests and their results; `Busy` for one that found no
+            Those requests and their results; `Busy` for one that found no
             capacity at its last attempt.
         """
-        settled: list[tuple[PendingPlacement, Placement]] = []
+        decided: list[tuple[PendingPlacement, Placement]] = []
         blocked: set[Hashable] = set()
         for waiting in list(self._waiting):
             is_last_try = waiting.give_up_s <= now_s
@@ -111,5 +111,5 @@
                 if not is_last_try:
                     continue
             self._waiting.remove(waiting)
-            settled.append((waiting, placement))
-        return settled
+            decided.append((waiting, placement))
+        return decided
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -149,13 +149,13 @@
                 placement_request, now_s, may_be_late=now_s >= waiting.late_from_s
             )
             if not isinstance(placement, Busy):
-                self._settled(ranked, placement, now_s)
+                self._record_outcome(ranked, placement, now_s)
                 return placement
         pause_s = self._state.pause_left_s(placement_request.service, now_s) or 0.0
         if waiting.give_up_s <= now_s + pause_s:
-            self._settled(ranked, Busy(), now_s)
+            self._record_outcome(ranked, Busy(), now_s)
             return Busy()
-        if not placement_request.has_begun and self._overload.is_hopeless(
+        if not placement_request.has_begun and self._overload.is_unservable(
             waiting.request_id,
             item,
             placement_request.deadline_s - now_s,
@@ -163,7 +163,7 @@
             self._slot_interval_s(item.service),
             now_s,
         ):
-            self._settled(ranked, Busy(), now_s)
+            self._record_outcome(ranked, Busy(), now_s)
             return Busy("can't start before its time is over")
         future = asyncio.get_running_loop().create_future()
         self._pending[waiting] = (placement_request, future)
@@ -255,10 +255,10 @@
             priority=priority,
         )
 
-    def _settled(
+    def _record_outcome(
         self, ranked: RankedRequest, placement: Placement, now_s: float
     ) -> None:
-        self._overload.kinds.settled(
+        self._overload.kinds.record_outcome(
             ranked.kind_class,
             ranked.item.read_ms,
             isinstance(placement, Assignment),
@@ -317,11 +317,11 @@
             return self._overload.rank(ranked, shares[ranked.item.service], now_s)
 
         self._queue.rank_again(rank)
-        settled = self._queue.place_pending(
+        decided = self._queue.place_pending(
             lambda waiting, may_be_late: self._retry(waiting, may_be_late, now_s), now_s
         )
-        for waiting, placement in settled:
-            self._settled(self._ranked[waiting], placement, now_s)
+        for waiting, placement in decided:
+            self._record_outcome(self._ranked[waiting], placement, now_s)
             _, future = self._pending[waiting]
             if not future.done():
                 future.set_result(placement)
--- a/src/sorrelhoist/gateway/overload.py
+++ b/src/sorrelhoist/gateway/overload.py
@@ -11,7 +11,7 @@
 from ..decisions.overload.parts import OverloadPart
 from ..decisions.overload.refusal import (
     TimeLimits,
-    is_hopeless,
+    is_unservable,
     overload_retry_after_s,
 )
 from ..decisions.overload.start_estimate import (
@@ -170,7 +170,7 @@
             ),
         )
 
-    def is_hopeless(
+    def is_unservable(
         self,
         request_id: str,
         item: WorkItem,
@@ -191,7 +191,7 @@
             queue_left_s=queue_left_s,
             min_answer_s=min_first_event_ms(item.read_ms, costs) / MS_PER_S,
         )
-        if not is_hopeless(estimate, limits):
+        if not is_unservable(estimate, limits):
             return False
         self._state.early_refusals += 1
         logger.info(
--- a/tests/decisions/overload/test_fair_shares.py
+++ b/tests/decisions/overload/test_fair_shares.py
@@ -47,7 +47,7 @@
     for number in range(200):
         found = shares.classify("long", 100.0 + number % 100)
         is_placed = found[1] is SizeBand.REST
-        shares.settled(found, 100.0, is_placed, now_s=number / 10)
+        shares.record_outcome(found, 100.0, is_placed, now_s=number / 10)
     starved = {
         band for band in SizeBand if shares.is_starved(("long", band), now_s=20.0)
     }
