--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -30,6 +30,12 @@
 """
 
 
+def write_settings(tmp_path, monkeypatch, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    monkeypatch.setenv("SORRELHOIST_SETTINGS", str(path))
+
+
 def test_fields_are_decoded_and_converted_to_seconds(tmp_path):
     path = tmp_path / "boot.toml"
     path.write_text(TEXT)
