Addresses in the settings are checked

An address without a port, or of another type, ended the start with a traceback from the sockets. Now the check of the settings names the field; the sockets that are opened before it leave such a file to it.

--- a/src/sorrelhoist/platform/listen.py
+++ b/src/sorrelhoist/platform/listen.py
@@ -11,6 +11,8 @@
 PATH_VARIABLE = "SORRELHOIST_SETTINGS"
 """Environment variable with the path of the settings file."""
 
+MAX_PORT = 65_535
+
 
 def settings_path(path: Path | None) -> Path:
     """Return the path of the settings file: the given one, or the environment's."""
@@ -24,9 +26,27 @@
     -------
     tuple of str
         ``IP:PORT``; empty where the role serves no callers.
+
+    Raises
+    ------
+    ValueError
+        If one is no such address.
     """
     listen = fields.get("listen", {})
-    return listen.get("front", ""), listen.get("ready", "")
+    if not isinstance(listen, dict):
+        raise ValueError(f"listen must be a table, not {listen!r}")
+    return _decode_address(listen, "front"), _decode_address(listen, "ready")
+
+
+def _decode_address(listen: dict, name: str) -> str:
+    address = listen.get(name, "")
+    if address == "":
+        return ""
+    host, _, port = str(address).rpartition(":")
+    is_port = port.isascii() and port.isdigit() and int(port) <= MAX_PORT
+    if not (isinstance(address, str) and host and is_port):
+        raise ValueError(f"listen.{name} must be IP:PORT, not {address!r}")
+    return address
 
 
 @contextmanager
@@ -39,7 +59,7 @@
     try:
         fields = tomllib.loads(settings_path(path).read_text())
         sockets = listening(*decode_addresses(fields))
-    except (OSError, ValueError, AttributeError):
+    except (OSError, ValueError):
         sockets = listening()
     with sockets as opened:
         yield opened
--- a/tests/platform/test_listen.py
+++ b/tests/platform/test_listen.py
@@ -22,7 +22,13 @@
 def test_nothing_is_opened_without_usable_settings(tmp_path, monkeypatch):
     taken = socket.create_server((HOST, 0))
     address = f"{HOST}:{taken.getsockname()[1]}"
-    for text in ("[listen", "listen = 1", f'[listen]\nfront = "{address}"', ""):
+    for text in (
+        "[listen",
+        "listen = 1",
+        "listen.front = 3",
+        f'[listen]\nfront = "{address}"',
+        "",
+    ):
         write_settings(tmp_path, monkeypatch, text)
         with listening_early() as sockets:
             assert not sockets
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -82,6 +82,16 @@
         load_settings(path)
 
 
+@pytest.mark.parametrize(
+    "address", ["3", '"10.1.0.40"', '"10.1.0.40:port"', '"10.1.0.40:70000"', '":80"']
+)
+def test_an_address_that_cannot_be_used_is_named(tmp_path, address):
+    path = tmp_path / "boot.toml"
+    path.write_text(TEXT.replace('"10.1.0.40:8227"', address))
+    with pytest.raises(SettingsError, match="listen.front must be IP:PORT"):
+        load_settings(path)
+
+
 def test_without_limits_none_are_assumed(tmp_path):
     path = tmp_path / "boot.toml"
     path.write_text(TEXT)
