--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -89,15 +89,13 @@
 
 
 def _counter(name: str) -> Counter:
-    return attrs.field(factory=lambda: Counter(f"sorrelhoist_gateway_{name}"))
+    return attrs.field(factory=lambda: Counter(name))
 
 
 def _histogram(
     name: str, unit: str = "", boundaries: Sequence[float] | None = None
 ) -> Histogram:
-    return attrs.field(
-        factory=lambda: Histogram(f"sorrelhoist_gateway_{name}", unit, boundaries)
-    )
+    return attrs.field(factory=lambda: Histogram(name, unit, boundaries))
 
 
 @attrs.frozen(eq=False)
@@ -129,18 +127,22 @@
         Checks of long prompts whose first event was overdue, by outcome.
     """
 
-    requests: Counter = _counter("requests")
-    failures: Counter = _counter("failed_attempts")
-    callers_cut: Counter = _counter("callers_cut")
-    placement_wait: Histogram = _histogram("placement_wait_seconds")
-    first_event: Histogram = _histogram("first_event_seconds")
+    requests: Counter = _counter("sorrelhoist_gateway_requests")
+    failures: Counter = _counter("sorrelhoist_gateway_failed_attempts")
+    callers_cut: Counter = _counter("sorrelhoist_gateway_callers_cut")
+    placement_wait: Histogram = _histogram("sorrelhoist_gateway_placement_wait_seconds")
+    first_event: Histogram = _histogram("sorrelhoist_gateway_first_event_seconds")
     # Without the suffix of the unit, which the exporter adds, the boundaries of this
     # instrument apply instead of the general ones.
-    stream_pause: Histogram = _histogram("stream_pause", "s", PAUSE_BUCKETS_S)
-    pauses_over_target: Counter = _counter("pauses_over_target")
-    hold: Histogram = _histogram("hold_seconds")
-    prefill_lateness: Histogram = _histogram("prefill_lateness_seconds")
-    overdue_prefills: Counter = _counter("overdue_prefills")
+    stream_pause: Histogram = _histogram(
+        "sorrelhoist_gateway_stream_pause", "s", PAUSE_BUCKETS_S
+    )
+    pauses_over_target: Counter = _counter("sorrelhoist_gateway_pauses_over_target")
+    hold: Histogram = _histogram("sorrelhoist_gateway_hold_seconds")
+    prefill_lateness: Histogram = _histogram(
+        "sorrelhoist_gateway_prefill_lateness_seconds"
+    )
+    overdue_prefills: Counter = _counter("sorrelhoist_gateway_overdue_prefills")
 
     def instruments(self) -> list[Counter | Histogram]:
         """Return all instruments."""
--- a/tests/commands/test_operations.py
+++ b/tests/commands/test_operations.py
@@ -70,7 +70,11 @@
 @pytest.mark.parametrize("metric", sorted(set(re.findall(r"sorrelhoist_\w+", PAGE))))
 def test_metrics_named_on_the_page_exist(metric):
     source = ROOT / "src" / "sorrelhoist"
-    files = [source / "node" / "metrics.py", source / "gateway" / "metrics.py"]
+    files = [
+        source / "node" / "metrics.py",
+        source / "gateway" / "metrics.py",
+        source / "gateway" / "metrics_export.py",
+    ]
     text = "".join(file.read_text() for file in files)
     assert f'"{metric.removesuffix("_total")}"' in text
 
