A large directory is read in pages that are kept, and until its end

Found by reading for the cliff at 300 hosts with 3,000 endpoints, which write 2,500 records a second:

- An answer of the store holds 1 MB.
A read that got less than all was taken for the whole, so that its gateway confirmed a directory that was seconds old, to itself and to others, and caught up by 1 MB each 0.9 s, hardly faster than it grows.
Now it reads on at once, and only the last answer counts as a read.
- A gateway whose confirmations end read all records since its own last read, up to 50,000 (20 s of history).
After 2.5 s it reads the newest of each endpoint instead.
- A read of several pages that fails at one (429 at a start of all) began again.
It goes on after the pages that it has.

--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -38,6 +38,11 @@
 """Interval between two reads of the directory: less than half of the time after
 which a draining endpoint must not receive requests."""
 
+ENDPOINT_MAX_GAP_S = 2.5
+"""Time since the last read of the directory from which it is read as a whole: each
+endpoint writes its record about once a second, so that the records since then are
+several times as many as the endpoints."""
+
 PEER_INTERVAL_S = 15.0
 """Interval between two reads of the list of gateways, which also learn of each other
 from received reports."""
@@ -116,6 +121,7 @@
             is_confirmed=self._endpoints_confirmed,
             backoff_s=self._follower_backoff_s,
             interval_s=ENDPOINT_INTERVAL_S,
+            max_gap_s=ENDPOINT_MAX_GAP_S,
         )
         self._peers = TopicPoller(
             self._store,
@@ -424,7 +430,7 @@
             self._endpoint_changed(endpoint_id, outcome if endpoint else "removed")
         return "applied"
 
-    def _apply_registration(self, record: KeyedRecord) -> None:
+    def _apply_registration(self, record: KeyedRecord, is_logged: bool = True) -> None:
         now_s = asyncio.get_running_loop().time()
         directory = self._state.directory
         if record.value is None:
@@ -436,7 +442,7 @@
         except MalformedRecordError as error:
             self._log_malformed(error)
             return
-        if directory.put(endpoint, now_s):
+        if directory.put(endpoint, now_s) and is_logged:
             outcome = "leaving" if endpoint.is_leaving else "ready"
             self._endpoint_changed(record.key, outcome)
 
@@ -447,10 +453,22 @@
             return
         keys = {record.key for record in batch.records}
         self._state.directory.keep_only(keys, now_s)
+        if not self._state.directory.is_read:
+            self._read_first_directory(batch)
+            return
         for record in batch.records:
             self._apply_endpoint(record)
         if self._endpoints.position is None:
-            self._changes.clear()  # the others read for themselves when they start
+            self._changes.clear()  # the others read for themselves
+
+    def _read_first_directory(self, batch: Records) -> None:
+        """Apply the records of a start: nothing in them is a change to tell of."""
+        for record in batch.records:
+            self._apply_registration(record, is_logged=False)
+        logger.info(
+            "directory read",
+            extra={"event": "directory_read", "endpoints": len(batch.records)},
+        )
 
     def _restore_endpoints(self, batch: Records, now_s: float) -> None:
         copy: list[Endpoint] = []
--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -58,10 +58,42 @@
 
 @attrs.frozen
 class Records:
-    """A batch of records and the position of the next read."""
+    """A batch of records and the position of the next read.
+
+    Parameters
+    ----------
+    records : tuple of KeyedRecord
+    end : StorePosition
+    is_complete : bool
+        Whether these are all that the store had; an answer holds 1 MB at most.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: StorePosition
+    is_complete: bool = True
+
+
+@attrs.define(eq=False, repr=False)
+class PartialRead:
+    """The pages of a topic that were read before a call failed.
+
+    With 300 gateways that read a large directory at once, some calls of each are over
+    the store's rate. A read that began again would add to them.
+
+    Parameters
+    ----------
+    records : list of KeyedRecord
+    end : StorePosition or None
+        End of the topic when the first page was read.
+    """
+
+    records: list[KeyedRecord] = attrs.field(factory=list)
+    end: StorePosition | None = None
+
+    def clear(self) -> None:
+        """Forget the pages."""
+        self.records.clear()
+        self.end = None
 
 
 class StoreClient:
@@ -84,32 +116,48 @@
         self._era: int | None = None
         self._era_changed = era_changed
 
-    async def newest(self, topic: str) -> Records:
+    async def newest(self, topic: str, partial: "PartialRead | None" = None) -> Records:
         """Read the newest record of each key.
 
+        Parameters
+        ----------
+        topic : str
+        partial : PartialRead or None
+            Pages that an earlier call had read when it failed. Those read now are
+            added, so that a further call goes on after them.
+
         Returns
         -------
         Records
             With the end offset of the first page, so that changes during the read
             are returned again by the next `read`.
+
+        Raises
+        ------
+        StoreRestoredError
+            If the store was restored between two pages; `partial` is empty then.
+        PlatformError
+            If the store does not answer, or with an error or malformed data.
         """
-        records: list[KeyedRecord] = []
-        end: StorePosition | None = None
-        after = ""
-        while True:
+        partial = PartialRead() if partial is None else partial
+        has_more = True
+        while has_more:
             query = {"stream": topic, "part": 0}
-            if after:
-                query["after"] = after
+            if partial.records:
+                query["after"] = partial.records[-1].key
             response = await self._call("GET", "/log-newest", query)
             page = _decode_page(response.body)
             era = _era(response)
-            if end is not None and end.era != era:
+            if partial.end is None:
+                partial.end = StorePosition(page.end_offset, era)
+            elif partial.end.era != era:
+                partial.clear()
                 raise StoreRestoredError(f"{topic}: restored between two pages.")
-            end = end or StorePosition(page.end_offset, era)
-            records += page.records
-            if not page.has_more:
-                return Records(tuple(records), end)
-            after = page.records[-1].key
+            partial.records += page.records
+            has_more = page.has_more
+        found = Records(tuple(partial.records), partial.end)
+        partial.clear()
+        return found
 
     async def read(
         self, topic: str, position: StorePosition, wait_s: float = 0.0
@@ -141,8 +189,10 @@
         era = _era(response)
         if era != position.era:
             raise StoreRestoredError(f"{topic}: era {position.era}, now {era}.")
-        records, end_offset = _decode_records(response.body, position.offset)
-        return Records(records, StorePosition(end_offset, era))
+        records, end_offset, is_complete = _decode_records(
+            response.body, position.offset
+        )
+        return Records(records, StorePosition(end_offset, era), is_complete)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record; after a failed call it may have been written or not."""
@@ -240,19 +290,30 @@
         raise PlatformError(f"The store's answer is no page: {error!r}.") from error
 
 
-def _decode_records(data: bytes, offset: int) -> tuple[tuple[KeyedRecord, ...], int]:
-    r"""Decode the body of a ``/log-read`` response to records and the next offset.
+def _decode_records(
+    data: bytes, offset: int
+) -> tuple[tuple[KeyedRecord, ...], int, bool]:
+    r"""Decode the body of a ``/log-read`` response.
+
+    Returns
+    -------
+    records : tuple of KeyedRecord
+    next_offset : int
+    is_complete : bool
+        False if the topic goes on after these records.
 
     Examples
     --------
     >>> head = (5).to_bytes(8, "big") + (0).to_bytes(8, "big")
     >>> _decode_records(head + b"\0\0\0\5\3keyv", 4)
-    ((KeyedRecord(key='key', value=b'v'),), 5)
+    ((KeyedRecord(key='key', value=b'v'),), 5, True)
     """
     position = 2 * _COUNT.size
     if len(data) < position:
         raise PlatformError("The store's answer is too short.")
+    (topic_end,) = _COUNT.unpack_from(data)
     records: list[KeyedRecord] = []
+    first_offset = offset
     while position + _LENGTH.size <= len(data):
         (length,) = _LENGTH.unpack_from(data, position)
         position += _LENGTH.size
@@ -266,4 +327,6 @@
             key = content[1 : 1 + key_length].decode("utf-8", "replace")
             value = content[1 + key_length :]
             records.append(KeyedRecord(key, value or None))
-    return tuple(records), offset
+    # An answer without records would be the same again.
+    is_complete = offset >= topic_end or offset == first_offset
+    return tuple(records), offset, is_complete
--- a/src/sorrelhoist/platform/topic_poller.py
+++ b/src/sorrelhoist/platform/topic_poller.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Callable
 
 import attrs
@@ -13,6 +14,7 @@
 from ..gateway.state import boot_time_s
 from .store import (
     KeyedRecord,
+    PartialRead,
     Records,
     RecordsExpiredError,
     StoreClient,
@@ -52,6 +54,9 @@
         Returns whether the next read must not wait for a record.
     interval_s, wait_s : float
         Pause between reads, and the long-poll time of a read.
+    max_gap_s : float
+        Time since the last read from which the newest record of each key is read
+        instead of all records since then.
     """
 
     store: StoreClient
@@ -64,12 +69,15 @@
     is_urgent: Callable[[], bool] = lambda: False
     interval_s: float = 0.0
     wait_s: float = 0.0
+    max_gap_s: float = math.inf
     position: StorePosition | None = None
+    _read_s: float = -math.inf
     _read_era: int | None = None
     _failures: int = 0
     _was_confirmed: bool = False
     _is_ahead: bool = False
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _partial: PartialRead = attrs.field(factory=PartialRead)
 
     @property
     def is_lost(self) -> bool:
@@ -98,10 +106,11 @@
             self._wake.clear()
             sent_s = boot_time_s()
             try:
-                is_current = await self._read()
+                is_current = await self._read(sent_s)
             except (RecordsExpiredError, StoreRestoredError) as error:
                 self._log(error.kind.replace("_", " "), str(error))
                 self.position = None
+                self._partial.clear()
                 continue
             except PlatformError as error:
                 self._report_failure(error)
@@ -128,14 +137,18 @@
             async with asyncio.timeout(duration_s):
                 await self._wake.wait()
 
-    async def _read(self) -> bool:
-        """Read and apply; return False if other records were applied meanwhile.
+    async def _read(self, now_s: float) -> bool:
+        """Read and apply; return whether the state is that of the store now.
 
-        What was read may then be older than those.
+        It isn't if the store has more records than one answer holds, or if other
+        records were applied meanwhile: what was read may then be older than those.
         """
-        if self.position is None or self._is_ahead:
+        is_behind = now_s - self._read_s > self.max_gap_s
+        if self.position is None or self._is_ahead or is_behind:
+            if self._is_ahead:
+                self._partial.clear()
             self._is_ahead = False
-            batch = await self.store.newest(self.topic)
+            batch = await self.store.newest(self.topic, self._partial)
             if self._is_ahead:
                 return False
             is_restored = self._read_era not in (None, batch.end.era)
@@ -152,8 +165,9 @@
                 self.apply(record)
         self.position = batch.end
         self._read_era = batch.end.era
+        self._read_s = now_s
         self._was_confirmed = False
-        return True
+        return batch.is_complete
 
     def _report_failure(self, error: PlatformError) -> None:
         self._failures += 1
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -277,6 +277,8 @@
     malformed_body: bytes = b""
     era: int | None = 1
     """Value of ``Store-Era`` in all answers; without it the header is left out."""
+    page_records: int = 500
+    """Largest number of records in one answer."""
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def put(self, topic, key, value):
@@ -343,9 +345,13 @@
                 items = [
                     {"key": k, "val": base64.b64encode(v).decode(), "offset": 0}
                     for k, v in sorted(newest.items())
-                    if v
+                    if v and k > received.query.get("after", "")
                 ]
-                page = {"items": items, "has_more": False, "end_offset": len(records)}
+                page = {
+                    "items": items[: self.page_records],
+                    "has_more": len(items) > self.page_records,
+                    "end_offset": len(records),
+                }
                 return self._answer_bytes(200, json.dumps(page).encode())
             case _:
                 return await self._read(received, records, topic)
@@ -362,7 +368,7 @@
                         await self.changed.wait()
         records = self.topics[topic]
         body = struct.pack(">QQ", len(records), 0)
-        for key, value in records[offset:]:
+        for key, value in records[offset:][: self.page_records]:
             content = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
         return self._answer_bytes(200, body)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 from sorrelhoist.decisions.store_readers import StorePosition
 from sorrelhoist.exceptions import PlatformError
 from sorrelhoist.platform.store import (
+    PartialRead,
     RecordsExpiredError,
     StoreClient,
     StoreRestoredError,
@@ -141,3 +142,44 @@
         assert [one.key for one in batch.records] == ["b"]
 
     assert in_turn(main) == []
+
+
+# Large topics
+
+
+def test_a_read_that_failed_goes_on_after_the_pages_that_it_had(monkeypatch):
+    answer, calls = Store._answer, []
+
+    async def busy_once(store, received):
+        calls.append(received.query.get("after"))
+        if len(calls) == 2:
+            return store._answer_bytes(429)
+        return await answer(store, received)
+
+    async def main(client, store):
+        store.page_records = 2
+        for number in range(5):
+            store.put("keyed.servers", f"i-{number}", {})
+        partial = PartialRead()
+        with pytest.raises(PlatformError):
+            await client.newest("keyed.servers", partial)
+        batch = await client.newest("keyed.servers", partial)
+        assert [one.key for one in batch.records] == [f"i-{n}" for n in range(5)]
+        assert calls == [None, "i-1", "i-1", "i-3"]
+        assert not partial.records
+
+    monkeypatch.setattr(Store, "_answer", busy_once)
+    in_turn(main)
+
+
+def test_an_answer_tells_whether_the_store_had_more_records():
+    async def main(client, store):
+        position = (await client.newest("keyed.servers")).end
+        store.page_records = 2
+        for number in range(3):
+            store.put("keyed.servers", f"i-{number}", {})
+        first = await client.read("keyed.servers", position)
+        second = await client.read("keyed.servers", first.end)
+        assert (first.is_complete, second.is_complete) == (False, True)
+
+    in_turn(main)
