--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -148,14 +148,14 @@
             response = await self._call("GET", "/log-newest", query)
             page = _decode_page(response.body)
             era = _era(response)
-            if partial.end is None:
-                partial.end = StorePosition(page.end_offset, era)
-            elif partial.end.era != era:
+            end = partial.end or StorePosition(page.end_offset, era)
+            if end.era != era:
                 partial.clear()
                 raise StoreRestoredError(f"{topic}: restored between two pages.")
+            partial.end = end
             partial.records += page.records
             has_more = page.has_more
-        found = Records(tuple(partial.records), partial.end)
+        found = Records(tuple(partial.records), end)
         partial.clear()
         return found
 
