The first read of a large directory is tried again soon

Cause: 300 gateways that start at once before 3,000 endpoints need 2,400 reads, and the store takes 2,000 a second. Those that are rejected backed off for up to 0.8 s, which doubles with each failure, although the store answered their other reads.

Change: until the directory was read once, a gateway whose reads of the configuration succeed waits for 0.3 s at most.

--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -38,6 +38,10 @@
 """Interval between two reads of the directory: less than half of the time after
 which a draining endpoint must not receive requests."""
 
+START_BACKOFF_S = 0.3
+"""Longest backoff of the first read of the directory while the store answers others: it
+is over its rate, as at a start of all, and callers wait."""
+
 ENDPOINT_MAX_GAP_S = 2.5
 """Time since the last read of the directory from which it is read as a whole: each
 endpoint writes its record about once a second, so that the records since then are
@@ -177,6 +181,8 @@
     def _follower_backoff_s(self, failures: int) -> float:
         """Leave probing to the reads of the configuration if both topics are lost."""
         backoff_s = self._backoff_s(failures)
+        if not self._state.directory.is_read and not self._operator.is_lost:
+            return min(backoff_s, START_BACKOFF_S)
         return (
             max(backoff_s, BOTH_LOST_BACKOFF_S) if self._operator.is_lost else backoff_s
         )
