The memory of an engine is granted by one gateway

With messages up to 0.3 s late, or 30% of them lost, two gateways placed prompts of 300,000 tokens on the same engine of 382,500.

Change: a prompt that needs more than a sixteenth of an engine's memory is placed there only by a grant. The gateway that grants it is chosen by rendezvous hashing, as for permits, and counts a grant for 2 s, until the load reports have the placement. Denied or without an answer in 0.25 s, the prompt is proposed elsewhere. In the first second after a start of all no gateway grants, and nothing is checked.

--- a/src/sorrelhoist/decisions/placement/queue.py
+++ b/src/sorrelhoist/decisions/placement/queue.py
@@ -7,10 +7,11 @@
 import bisect
 import itertools
 from collections.abc import Callable, Hashable
+from typing import Any
 
 import attrs
 
-from .demand import Busy, Placement
+from .demand import Busy
 
 
 @attrs.define(order=False, eq=False)
@@ -83,8 +84,8 @@
         self._waiting.sort(key=lambda item: item.order)
 
     def place_pending(
-        self, place: Callable[[PendingPlacement, bool], Placement], now_s: float
-    ) -> list[tuple[PendingPlacement, Placement]]:
+        self, place: Callable[[PendingPlacement, bool], Any], now_s: float
+    ) -> list[tuple[PendingPlacement, Any]]:
         """Try to place all requests in order and dequeue those that leave the queue.
 
         Parameters
@@ -99,7 +100,7 @@
             Those requests and their results; `Busy` for one that found no
             capacity at its last attempt.
         """
-        decided: list[tuple[PendingPlacement, Placement]] = []
+        decided: list[tuple[PendingPlacement, Any]] = []
         blocked: set[Hashable] = set()
         for waiting in list(self._waiting):
             is_last_try = waiting.give_up_s <= now_s
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -17,6 +17,7 @@
     EndpointView,
     Impossible,
     Placement,
+    first_kv_tokens,
     request_uses,
 )
 from ..decisions.placement.load_tracker import RequestUse
@@ -28,6 +29,7 @@
     RequestKind,
     regards_domains,
 )
+from ..decisions.placement.memory_grants import limit_tokens, needs_grant
 from ..decisions.placement.pauses import is_tight
 from ..decisions.placement.queue import PendingPlacement, PlacementQueue
 from ..decisions.placement.strategy import place_prompt
@@ -89,6 +91,22 @@
 Lane = tuple[str, bool, int]
 
 
+@attrs.frozen
+class Proposal:
+    """An assignment that needs memory of its first endpoint to be granted.
+
+    Parameters
+    ----------
+    assignment : Assignment
+    demand : Demand
+    costs : EngineCosts
+    """
+
+    assignment: Assignment
+    demand: Demand
+    costs: EngineCosts
+
+
 def _lane(placement_request: PlacementRequest, costs: EngineCosts | None) -> Lane:
     """Return the lane of the queue within which the earliest due time goes first.
 
@@ -118,7 +136,8 @@
         self._drains: dict[str, DrainRate] = {}
         self._slot_ends: dict[str, DrainRate] = {}
         self._pending: dict[
-            PendingPlacement, tuple[PlacementRequest, asyncio.Future[Placement]]
+            PendingPlacement,
+            tuple[PlacementRequest, asyncio.Future[Placement | Proposal]],
         ] = {}
         self._ranked: dict[PendingPlacement, RankedRequest] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -145,10 +164,11 @@
         shares = self._overload.shares_if_waiting(item.service, now_s)
         waiting.rank = self._overload.rank(ranked, shares, now_s)
         if not self._queue.would_overtake(waiting):
-            placement = self._try_place(
+            found = self._try_place(
                 placement_request, now_s, may_be_late=now_s >= waiting.late_from_s
             )
-            if not isinstance(placement, Busy):
+            if not isinstance(found, Busy):
+                placement = await self._settle(placement_request, waiting, found)
                 self._record_outcome(ranked, placement, now_s)
                 return placement
         pause_s = self._state.pause_left_s(placement_request.service, now_s) or 0.0
@@ -165,14 +185,15 @@
         ):
             self._record_outcome(ranked, Busy(), now_s)
             return Busy("can't start before its time is over")
-        future = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         self._pending[waiting] = (placement_request, future)
         self._ranked[waiting] = ranked
         self._queue.push(waiting)
         self._state.own_work.waits(waiting.request_id, item)
         self._schedule_retry()
         try:
-            return await future
+            found = await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 # It was placed just before its caller disconnected.
@@ -183,6 +204,49 @@
             self._state.own_work.stops_waiting(waiting.request_id)
             del self._pending[waiting]
             del self._ranked[waiting]
+        if not isinstance(found, Proposal):
+            return found
+        placement = await self._settle(placement_request, waiting, found)
+        self._record_outcome(ranked, placement, loop.time())
+        return placement
+
+    async def _settle(
+        self,
+        placement_request: PlacementRequest,
+        waiting: PendingPlacement,
+        found: Placement | Proposal,
+    ) -> Placement:
+        """Place a prompt where the memory that it needs is granted.
+
+        Where it isn't, it is proposed elsewhere until its time is over.
+        """
+        loop = asyncio.get_running_loop()
+        denied: set[str] = set()
+        while isinstance(found, Proposal):
+            first = found.assignment.first
+            tokens = first_kv_tokens(found.demand, found.costs)
+            if await self._state.acquire_memory(
+                first.address, tokens, limit_tokens(tokens, found.costs)
+            ):
+                self._commit(placement_request, found, loop.time())
+                return found.assignment
+            denied.add(first.endpoint_id)
+            found = self._try_place(
+                attrs.evolve(
+                    placement_request, excluded=placement_request.excluded | denied
+                ),
+                loop.time(),
+                may_be_late=loop.time() >= waiting.late_from_s,
+            )
+            while isinstance(found, Busy) and loop.time() < waiting.give_up_s:
+                denied.clear()
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                found = self._try_place(
+                    placement_request,
+                    loop.time(),
+                    may_be_late=loop.time() >= waiting.late_from_s,
+                )
+        return found
 
     def ended(self, service: str, now_s: float, was_placed: bool = True) -> None:
         """Record for the drain rate that a request ended, and whether it had a slot."""
@@ -317,11 +381,13 @@
             return self._overload.rank(ranked, shares[ranked.item.service], now_s)
 
         self._queue.rank_again(rank)
+
         decided = self._queue.place_pending(
             lambda waiting, may_be_late: self._retry(waiting, may_be_late, now_s), now_s
         )
         for waiting, placement in decided:
-            self._record_outcome(self._ranked[waiting], placement, now_s)
+            if not isinstance(placement, Proposal):
+                self._record_outcome(self._ranked[waiting], placement, now_s)
             _, future = self._pending[waiting]
             if not future.done():
                 future.set_result(placement)
@@ -329,7 +395,7 @@
 
     def _retry(
         self, waiting: PendingPlacement, may_be_late: bool, now_s: float
-    ) -> Placement:
+    ) -> Placement | Proposal:
         placement_request, future = self._pending[waiting]
         if future.done():  # its caller just disconnected
             return Busy()
@@ -340,7 +406,7 @@
         placement_request: PlacementRequest,
         now_s: float,
         may_be_late: bool = False,
-    ) -> Placement:
+    ) -> Placement | Proposal:
         table = self._state.table
         service = table.services.get(placement_request.service) if table else None
         if service is None:
@@ -409,21 +475,28 @@
         costs: EngineCosts,
         may_be_late: bool,
         now_s: float,
-    ) -> Placement:
+    ) -> Placement | Proposal:
         demand, placement = self._choose(placement_request, costs, may_be_late, now_s)
-        if isinstance(placement, Assignment):
-            uses = request_uses(placement, demand, costs, now_s)
-            self._state.place(
-                placement_request.request.request_id, placement.first, uses, now_s
-            )
-            if placement.is_long:
-                self._state.on_long_placed([use.address for use in uses], now_s)
-            self._state.own_work.placed(
-                placement_request.request.request_id,
-                self._work_item(placement_request),
-            )
+        if not isinstance(placement, Assignment):
+            return placement
+        proposal = Proposal(placement, demand, costs)
+        if needs_grant(first_kv_tokens(demand, costs), costs):
+            return proposal
+        self._commit(placement_request, proposal, now_s)
         return placement
 
+    def _commit(
+        self, placement_request: PlacementRequest, proposal: Proposal, now_s: float
+    ) -> None:
+        """Count a prompt in the loads, and tell the others of a long one."""
+        assignment = proposal.assignment
+        request_id = placement_request.request.request_id
+        uses = request_uses(assignment, proposal.demand, proposal.costs, now_s)
+        self._state.place(request_id, assignment.first, uses, now_s)
+        if assignment.is_long:
+            self._state.on_long_placed([use.address for use in uses], now_s)
+        self._state.own_work.placed(request_id, self._work_item(placement_request))
+
     def _place_call(
         self, placement_request: PlacementRequest, now_s: float
     ) -> Placement:
--- a/src/sorrelhoist/gateway/metrics_export.py
+++ b/src/sorrelhoist/gateway/metrics_export.py
@@ -40,6 +40,7 @@
         "sent": state.update_rate.sent,
         "held_back": state.update_rate.held_back,
     },
+    "sorrelhoist_gateway_memory_asks": lambda state: state.memory_asks,
 }
 """Counters of the state, by name; their values by outcome."""
 
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -25,6 +25,7 @@
 from ..messages.frames import Message, decode, encode
 from ..messages.gen import ttypes
 from .freshness import MS_PER_S, Freshness, age_ms
+from .memory_grants import MemoryGrants
 from .permit_exchange import PermitExchange
 from .state import GatewayState, boot_time_s
 
@@ -79,6 +80,9 @@
         self.permits = PermitExchange(
             state, self._send_to, has_peers=lambda: bool(self._peers)
         )
+        self.memory_grants = MemoryGrants(state, self._send_to, self.permits.issuers)
+        state.acquire_memory = self.memory_grants.acquire
+        state.grants_memory_of = self.memory_grants.is_granted_here
         self._transport: asyncio.DatagramTransport | None = None
         state.on_long_placed = self._on_long_placed
 
@@ -121,6 +125,8 @@
                 self._update_received(body)
             case ttypes.PermitAsk() | ttypes.PermitGrant():
                 self.permits.message_received(body)
+            case ttypes.MemoryAsk() | ttypes.MemoryAnswer():
+                self.memory_grants.message_received(body)
             case _:
                 self.freshness.message_received(body)
 
@@ -155,6 +161,7 @@
             now_s,
         )
         self.permits.peer_reported(body.node_id, bool(body.issues_permits))
+        self.memory_grants.peer_reported(body.node_id, bool(body.grants_memory))
         self._limits_received(body.named_limits or (), now_s)
         for leaving in body.leaving or ():
             if self._state.directory.said_leaving(
@@ -287,6 +294,7 @@
                 ).items()
             ],
             issues_permits=self.permits.issues_permits(now_s),
+            grants_memory=self.memory_grants.grants_memory,
             leaving=[
                 ttypes.LeavingEndpoint(endpoint_id, said.born_ms)
                 for endpoint_id, said in self._state.directory.leaving_to_report(
--- a/src/sorrelhoist/gateway/permit_exchange.py
+++ b/src/sorrelhoist/gateway/permit_exchange.py
@@ -99,7 +99,7 @@
                 self._granted(body.ask_id, body.endpoint_id, body.permits or 0, now_s)
 
     def _send_ask(self, ask: Ask, now_s: float) -> None:
-        chosen = issuer(ask.endpoint_id, self._issuers(now_s))
+        chosen = issuer(ask.endpoint_id, self.issuers(now_s))
         if chosen == self._state.node_id:
             self._ask_received(ask, now_s)
         elif chosen is not None:
@@ -114,7 +114,8 @@
                 ),
             )
 
-    def _issuers(self, now_s: float) -> list[str]:
+    def issuers(self, now_s: float) -> list[str]:
+        """Return the ids of the live gateways that issue permits."""
         peers = self._state.loads.peers(now_s)
         self._issuing_peers &= set(peers)
         own = [self._state.node_id] if self.issues_permits(now_s) else []
@@ -122,7 +123,7 @@
 
     def _ask_received(self, ask: Ask, now_s: float) -> None:
         # While gateways differ about the issuer, those that aren't it stay silent.
-        if issuer(ask.endpoint_id, self._issuers(now_s)) != self._state.node_id:
+        if issuer(ask.endpoint_id, self.issuers(now_s)) != self._state.node_id:
             return
         self._issuer.ask(ask, now_s)
         self._grant()
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 
@@ -55,6 +55,10 @@
 may be denied."""
 
 
+async def _acquire_unchecked(address: str, tokens: int, limit_tokens: int) -> bool:
+    return True
+
+
 def boot_time_s() -> float:
     """Return seconds on a clock that also counts while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -93,6 +97,11 @@
     update_rate : UpdateRate
     on_long_placed : callable
         Called with the addresses and the present time when a long prompt was placed.
+    acquire_memory : callable
+        ``acquire_memory(address, tokens, limit_tokens)`` returns whether the memory of
+        an engine was granted.
+    grants_memory_of : callable
+        ``grants_memory_of(address, now_s)`` returns whether this gateway grants it.
     prefill_watches : dict
         Long prompts that were sent and have no first event yet, by request id.
     troubles, faults : FailureTracker
@@ -112,6 +121,8 @@
         The same of the other gateways.
     early_refusals : int
         Requests refused at once, since they couldn't have started in time.
+    memory_asks : Counter
+        Asks for memory of an engine, by outcome.
     health : GatewayHealth
         Shortage of processor, link or memory here.
     fleet_headroom : FleetHeadroom
@@ -150,6 +161,8 @@
     on_long_placed: Callable[[Iterable[str], float], None] = lambda addresses, now_s: (
         None
     )
+    acquire_memory: Callable[[str, int, int], Awaitable[bool]] = _acquire_unchecked
+    grants_memory_of: Callable[[str, float], bool] = lambda address, now_s: False
     prefill_watches: dict[str, PrefillWatch] = attrs.field(factory=dict)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
     part_suspicions: PartSuspicions = attrs.field(
@@ -174,6 +187,7 @@
     own_work: OwnWork = attrs.field(factory=OwnWork)
     fleet_demand: FleetDemand = attrs.field(factory=FleetDemand)
     early_refusals: int = 0
+    memory_asks: Counter[str] = attrs.field(factory=Counter)
     health: GatewayHealth = attrs.field(factory=GatewayHealth)
     fleet_headroom: FleetHeadroom = attrs.field(factory=FleetHeadroom)
     is_withdrawn: bool = False
@@ -436,6 +450,7 @@
             "part_suspicions": self.part_suspicions.dump(now_s),
             "fleet_demand": self.fleet_demand.dump(now_s),
             "early_refusals": self.early_refusals,
+            "memory_asks": dict(self.memory_asks),
             "is_withdrawn": self.is_withdrawn,
             "health": attrs.asdict(self.health),
         }
--- a/src/sorrelhoist/messages/gen/ttypes.py
+++ b/src/sorrelhoist/messages/gen/ttypes.py
@@ -4145,6 +4145,7 @@
      - leaving
      - demands
      - headroom_percent
+     - grants_memory
 
     """
 
@@ -4164,10 +4165,11 @@
         'leaving',
         'demands',
         'headroom_percent',
+        'grants_memory',
     )
 
 
-    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None, part_suspicions=None, leaving=None, demands=None, headroom_percent=None,):
+    def __init__(self, node_id=None, boot_ms=None, sequence=None, loads=None, suspicions=None, configuration_version=None, configuration_age_ms=None, failure_domain=None, failures=None, named_limits=None, issues_permits=None, part_suspicions=None, leaving=None, demands=None, headroom_percent=None, grants_memory=None,):
         self.node_id = node_id
         self.boot_ms = boot_ms
         self.sequence = sequence
@@ -4183,6 +4185,7 @@
         self.leaving = leaving
         self.demands = demands
         self.headroom_percent = headroom_percent
+        self.grants_memory = grants_memory
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4310,6 +4313,11 @@
                     self.headroom_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.grants_memory = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4401,6 +4409,10 @@
             oprot.writeFieldBegin('headroom_percent', TType.I32, 15)
             oprot.writeI32(self.headroom_percent)
             oprot.writeFieldEnd()
+        if self.grants_memory is not None:
+            oprot.writeFieldBegin('grants_memory', TType.BOOL, 16)
+            oprot.writeBool(self.grants_memory)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4964,6 +4976,202 @@
         return not (self == other)
 
 
+class MemoryAsk(object):
+    """
+    Attributes:
+     - node_id
+     - ask_id
+     - address
+     - tokens
+     - limit_tokens
+
+    """
+
+    __slots__ = (
+        'node_id',
+        'ask_id',
+        'address',
+        'tokens',
+        'limit_tokens',
+    )
+
+
+    def __init__(self, node_id=None, ask_id=None, address=None, tokens=None, limit_tokens=None,):
+        self.node_id = node_id
+        self.ask_id = ask_id
+        self.address = address
+        self.tokens = tokens
+        self.limit_tokens = limit_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.limit_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemoryAsk')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 2)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 4)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.limit_tokens is not None:
+            oprot.writeFieldBegin('limit_tokens', TType.I64, 5)
+            oprot.writeI64(self.limit_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemoryAnswer(object):
+    """
+    Attributes:
+     - ask_id
+     - is_granted
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'is_granted',
+    )
+
+
+    def __init__(self, ask_id=None, is_granted=None,):
+        self.ask_id = ask_id
+        self.is_granted = is_granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemoryAnswer')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.is_granted is not None:
+            oprot.writeFieldBegin('is_granted', TType.BOOL, 2)
+            oprot.writeBool(self.is_granted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FreshnessAsk(object):
     """
     Attributes:
@@ -5246,6 +5454,8 @@
      - permit_grant
      - load_update
      - directory_update
+     - memory_ask
+     - memory_answer
 
     """
 
@@ -5285,10 +5495,12 @@
         'permit_grant',
         'load_update',
         'directory_update',
+        'memory_ask',
+        'memory_answer',
     )
 
 
-    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None, freshness_ask=None, freshness_answer=None, permit_ask=None, permit_grant=None, load_update=None, directory_update=None,):
+    def __init__(self, call_id=None, grant_request=None, grant=None, denial=None, submit=None, renew=None, renewed=None, cancel=None, cancelled=None, attach=None, piece=None, stream_end=None, stream_failure=None, service_call=None, service_reply=None, configuration_request=None, configuration_body=None, configuration_ack=None, ping=None, pong=None, indirect_ping=None, sync_request=None, sync_reply=None, queued=None, demand_report=None, demand_heard=None, host_leaving=None, host_leaving_heard=None, load_report=None, freshness_ask=None, freshness_answer=None, permit_ask=None, permit_grant=None, load_update=None, directory_update=None, memory_ask=None, memory_answer=None,):
         self.call_id = call_id
         self.grant_request = grant_request
         self.grant = grant
@@ -5324,6 +5536,8 @@
         self.permit_grant = permit_grant
         self.load_update = load_update
         self.directory_update = directory_update
+        self.memory_ask = memory_ask
+        self.memory_answer = memory_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5543,6 +5757,18 @@
                     self.directory_update.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 36:
+                if ftype == TType.STRUCT:
+                    self.memory_ask = MemoryAsk()
+                    self.memory_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 37:
+                if ftype == TType.STRUCT:
+                    self.memory_answer = MemoryAnswer()
+                    self.memory_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5693,6 +5919,14 @@
             oprot.writeFieldBegin('directory_update', TType.STRUCT, 35)
             self.directory_update.write(oprot)
             oprot.writeFieldEnd()
+        if self.memory_ask is not None:
+            oprot.writeFieldBegin('memory_ask', TType.STRUCT, 36)
+            self.memory_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.memory_answer is not None:
+            oprot.writeFieldBegin('memory_answer', TType.STRUCT, 37)
+            self.memory_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6039,6 +6273,7 @@
     (13, TType.LIST, 'leaving', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 13
     (14, TType.LIST, 'demands', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 14
     (15, TType.I32, 'headroom_percent', None, None, ),  # 15
+    (16, TType.BOOL, 'grants_memory', None, None, ),  # 16
 )
 all_structs.append(LoadUpdate)
 LoadUpdate.thrift_spec = (
@@ -6080,6 +6315,21 @@
     (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
     (3, TType.I32, 'permits', None, None, ),  # 3
 )
+all_structs.append(MemoryAsk)
+MemoryAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'ask_id', None, None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'tokens', None, None, ),  # 4
+    (5, TType.I64, 'limit_tokens', None, None, ),  # 5
+)
+all_structs.append(MemoryAnswer)
+MemoryAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.BOOL, 'is_granted', None, None, ),  # 2
+)
 all_structs.append(FreshnessAsk)
 FreshnessAsk.thrift_spec = (
     None,  # 0
@@ -6137,6 +6387,8 @@
     (33, TType.STRUCT, 'permit_grant', [PermitGrant, None], None, ),  # 33
     (34, TType.STRUCT, 'load_update', [LoadUpdate, None], None, ),  # 34
     (35, TType.STRUCT, 'directory_update', [DirectoryUpdate, None], None, ),  # 35
+    (36, TType.STRUCT, 'memory_ask', [MemoryAsk, None], None, ),  # 36
+    (37, TType.STRUCT, 'memory_answer', [MemoryAnswer, None], None, ),  # 37
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/sorrelhoist/messages/sorrelhoist.thrift
+++ b/src/sorrelhoist/messages/sorrelhoist.thrift
@@ -332,6 +332,8 @@
   14: optional list<ServiceDemand> demands,
   // Unused share of the sender's scarcest resource: processor, link or memory.
   15: optional i32 headroom_percent,
+  // Whether the sender answers a MemoryAsk for the endpoints that it is chosen for.
+  16: optional bool grants_memory,
 }
 
 // New totals of some endpoints of the sender's last report, sent before the next one.
@@ -376,6 +378,22 @@
   3: i32 permits,
 }
 
+// Asks the gateway that grants the memory of an engine for a part of it. With 0 tokens it
+// gives back what an earlier ask of the same id got.
+struct MemoryAsk {
+  1: string node_id,
+  2: i64 ask_id,
+  3: string address,
+  4: i64 tokens,
+  // What all requests may hold there together, as far as the sender knows.
+  5: i64 limit_tokens,
+}
+
+struct MemoryAnswer {
+  1: i64 ask_id,
+  2: bool is_granted,
+}
+
 // Asks another gateway how recently it has read the configuration and the directory.
 struct FreshnessAsk {
   1: string node_id,
@@ -435,4 +453,6 @@
   33: optional PermitGrant permit_grant,
   34: optional LoadUpdate load_update,
   35: optional DirectoryUpdate directory_update,
+  36: optional MemoryAsk memory_ask,
+  37: optional MemoryAnswer memory_answer,
 }
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -129,6 +129,8 @@
             self.exchange.permits.issues_permits = lambda now_s: None
             self.exchange.permits.message_received = lambda body: None
             self.exchange._limits_received = lambda limits, now_s: None
+            self.exchange.memory_grants.grants_memory = False
+            self.exchange.memory_grants.message_received = lambda body: None
 
     def sendto(self, data, address):
         self.network.send(self, data, address[1])
