Long prompts are proposed where their memory can be granted

A gateway chose the first engine by the whole memory of 97%, the granter left an eighth for prompts without a grant.

--- a/src/sorrelhoist/decisions/placement/long.py
+++ b/src/sorrelhoist/decisions/placement/long.py
@@ -14,7 +14,6 @@
 
 from ..routes import EngineCosts
 from .demand import (
-    MAX_KV_UTILISATION,
     Assignment,
     Busy,
     Demand,
@@ -25,6 +24,7 @@
     has_free_kv_cache,
     ticket_count,
 )
+from .memory_grants import usable_tokens
 from .pauses import max_prefill_ms
 
 MAX_HELPERS = 16
@@ -120,9 +120,8 @@
     now_s: float,
 ) -> list[_Candidate]:
     """Return the endpoints to choose from, those with the smallest backlog first."""
-    largest_kv_tokens = costs.kv_capacity_tokens * MAX_KV_UTILISATION - first_kv_tokens(
-        demand, costs
-    )
+    needed_tokens = first_kv_tokens(demand, costs)
+    largest_kv_tokens = usable_tokens(needed_tokens, costs) - needed_tokens
     has_updates = fleet.has_updates
     usable_share = 1 - ARRIVALS_SHARE if has_updates else 1.0
     ordered = []
--- a/src/sorrelhoist/decisions/placement/memory_grants.py
+++ b/src/sorrelhoist/decisions/placement/memory_grants.py
@@ -81,7 +81,7 @@
     return tokens > costs.kv_capacity_tokens * GRANTED_SHARE
 
 
-def limit_tokens(tokens: int, costs: EngineCosts) -> int:
+def usable_tokens(tokens: int, costs: EngineCosts) -> int:
     """Return what may be held on an engine in all, with a request of some tokens.
 
     A request that leaves less than the share for prompts without a grant gets an engine
@@ -92,10 +92,12 @@
     >>> costs = EngineCosts(max_running=6, kv_capacity_tokens=400_000,
     ...     tokens_per_event=38, step_ms=1.31, prefill_tokens_per_s=154_000.0,
     ...     pair_ms_per_million=0.162)
-    >>> limit_tokens(260_000, costs), limit_tokens(380_000, costs)
-    (338000, 380000)
+    >>> [usable_tokens(tokens, costs) for tokens in (5_000, 260_000, 380_000)]
+    [388000, 338000, 380000]
     """
-    share = MAX_KV_UTILISATION - UNGRANTED_SHARE
+    share = MAX_KV_UTILISATION
+    if needs_grant(tokens, costs):
+        share -= UNGRANTED_SHARE
     return max(int(costs.kv_capacity_tokens * share), tokens)
 
 
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -29,7 +29,7 @@
     RequestKind,
     regards_domains,
 )
-from ..decisions.placement.memory_grants import limit_tokens, needs_grant
+from ..decisions.placement.memory_grants import needs_grant, usable_tokens
 from ..decisions.placement.pauses import is_tight
 from ..decisions.placement.queue import PendingPlacement, PlacementQueue
 from ..decisions.placement.strategy import place_prompt
@@ -226,7 +226,7 @@
             first = found.assignment.first
             tokens = first_kv_tokens(found.demand, found.costs)
             if await self._state.acquire_memory(
-                first.address, tokens, limit_tokens(tokens, found.costs)
+                first.address, tokens, usable_tokens(tokens, found.costs)
             ):
                 self._commit(placement_request, found, loop.time())
                 return found.assignment
--- a/tests/platform/test_start_fleet.py
+++ b/tests/platform/test_start_fleet.py
@@ -1,6 +1,5 @@
 """A start of all gateways at once, before a store with limits on its calls."""
 
-
 import pytest
 
 from tests.platform.start_fleet import start_fleet
