Short prompts are spread over all engines until peers have reported

Cause: after a loss of all gateways their callers return within a quarter of a second.

Change: in its first two seconds, until half of the listed gateways have reported, a gateway draws among all free slots.

--- a/src/sorrelhoist/decisions/placement/short.py
+++ b/src/sorrelhoist/decisions/placement/short.py
@@ -7,6 +7,10 @@
 slots, more of them the more gateways there are, and concurrent placements rarely
 collide.
 
+After a loss of all gateways their callers return within tenths of a second, before the
+gateways have heard of each other's placements. Packing would send most of these prompts
+to the same endpoint, so they are drawn from all until the first reports are there.
+
 A short prompt goes where its prefill, with what waits there, fits into the pass of the
 streams that run there, as long as enough endpoints have room in this way and can begin
 it in time. Otherwise it is placed without regard to pauses: a wait would make it late.
@@ -151,8 +155,9 @@
     gateways: int,
     rng: random.Random,
     now_s: float,
+    is_packed: bool = True,
 ) -> Placement:
-    """Draw one of the first free slots in the shared endpoint order."""
+    """Draw one of the first free slots in the shared endpoint order, or of all."""
     open_slots = max(MIN_OPEN_SLOTS, gateways * OPEN_SLOTS_PER_GATEWAY)
     candidates = _Candidates(demand, _in_shared_order(views), read_ms, costs, now_s)
     limits_ms = _backlog_limits_ms(demand)
@@ -162,7 +167,9 @@
     ]
     for must_keep_pauses, limit_ms, spare in searches:
         open_views = _open_views(
-            candidates.within(limit_ms, must_keep_pauses), spare, open_slots
+            candidates.within(limit_ms, must_keep_pauses),
+            spare,
+            open_slots if is_packed else math.inf,
         )
         slots = sum(open_views.values())
         is_enough = slots >= open_slots * MIN_OPEN_SHARE
--- a/src/sorrelhoist/decisions/placement/strategy.py
+++ b/src/sorrelhoist/decisions/placement/strategy.py
@@ -22,6 +22,7 @@
     rng: random.Random,
     now_s: float,
     gateways_without_updates: int | None = None,
+    is_packed: bool = True,
 ) -> Placement:
     """Choose the endpoints that prefill a prompt and decode its output.
 
@@ -38,6 +39,9 @@
     gateways_without_updates : int or None
         Number of the other gateways whose placements of long prompts are known from
         their reports only; None if this holds for all.
+    is_packed : bool
+        Whether the loads of the other gateways are known, so that short prompts may be
+        packed on few endpoints.
 
     Returns
     -------
@@ -54,7 +58,14 @@
     healthy = [view for view in usable if not view.is_avoided]
     if read_ms <= max_short_ms(demand.service_pause_ms, costs):
         return place_short(
-            demand, healthy or usable, read_ms, costs, gateways, rng, now_s
+            demand,
+            healthy or usable,
+            read_ms,
+            costs,
+            gateways,
+            rng,
+            now_s,
+            is_packed,
         )
     without_updates = (
         gateways - 1 if gateways_without_updates is None else gateways_without_updates
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -459,6 +459,7 @@
                 self._state.rng,
                 now_s,
                 gateways_without_updates=min(without_updates, gateways - 1),
+                is_packed=self._state.knows_peer_loads(now_s),
             )
 
         is_short = costs.read_ms(size.prompt_tokens) <= SHORT_READ_MS
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -50,6 +50,9 @@
 """Lower bound on the number of gateways that share the retry budget, until more are
 known from their reports; the smaller sites have four and five."""
 
+KNOWN_SHARE = 0.5
+"""Fraction of the listed gateways from which reports must have come after a start."""
+
 MAX_WANTED = 2
 """Number of endpoints for whose permits one placement asks: it uses one, and the other
 may be denied."""
@@ -97,6 +100,8 @@
     update_rate : UpdateRate
     on_long_placed : callable
         Called with the addresses and the present time when a long prompt was placed.
+    listed_peers : callable
+        Returns the number of the other gateways that the store lists.
     acquire_memory : callable
         ``acquire_memory(address, tokens, limit_tokens)`` returns whether the memory of
         an engine was granted.
@@ -161,6 +166,7 @@
     on_long_placed: Callable[[Iterable[str], float], None] = lambda addresses, now_s: (
         None
     )
+    listed_peers: Callable[[], int] = lambda: 0
     acquire_memory: Callable[[str, int, int], Awaitable[bool]] = _acquire_unchecked
     grants_memory_of: Callable[[str, float], bool] = lambda address, now_s: False
     prefill_watches: dict[str, PrefillWatch] = attrs.field(factory=dict)
@@ -317,6 +323,15 @@
         """Return the number of live gateways, including this one."""
         return len(self.loads.peers(now_s)) + 1
 
+    def knows_peer_loads(self, now_s: float) -> bool:
+        """Return whether the loads of most of the other gateways are known.
+
+        They aren't right after a start of all. Some that the store lists may have gone.
+        """
+        if not self.startup.is_starting(now_s):
+            return True
+        return len(self.loads.peers(now_s)) >= max(1, KNOWN_SHARE * self.listed_peers())
+
     def views(self, service: str, now_s: float) -> list[EndpointView]:
         """Return the usable endpoints of a service with their load.
 
