A read that goes on after a failure is as old as its first page

Cause, found in review: the pages that were kept from before a failed call counted as read when the last call was sent, so that a directory of ten seconds ago could be taken for a fresh one after an outage, here and by the gateways that ask this one.

Change: the state is known from the time of the first page.

--- a/src/sorrelhoist/platform/topic_poller.py
+++ b/src/sorrelhoist/platform/topic_poller.py
@@ -42,8 +42,8 @@
         back from an older copy since the last read: then records that were read
         before may be missing, and others may be older than those.
     completed : callable
-        Called after each complete read with the time it was sent, on the clock
-        that counts from boot.
+        Called after each complete read with the time at which its first call was sent,
+        on the clock that counts from boot.
     is_confirmed : callable
         Returns whether another gateway has confirmed that there are no new records,
         so that a read isn't needed.
@@ -72,6 +72,7 @@
     max_gap_s: float = math.inf
     position: StorePosition | None = None
     _read_s: float = -math.inf
+    _begun_s: float = -math.inf
     _read_era: int | None = None
     _failures: int = 0
     _was_confirmed: bool = False
@@ -106,7 +107,7 @@
             self._wake.clear()
             sent_s = boot_time_s()
             try:
-                is_current = await self._read(sent_s)
+                known_s = await self._read(sent_s)
             except (RecordsExpiredError, StoreRestoredError) as error:
                 self._log(error.kind.replace("_", " "), str(error))
                 self.position = None
@@ -117,9 +118,9 @@
                 await self._back_off()
                 continue
             self._report_recovery()
-            if not is_current:
+            if known_s is None:
                 continue
-            self.completed(sent_s)
+            self.completed(known_s)
             if self.interval_s:
                 await self._pause(self.interval_s)
 
@@ -137,20 +138,27 @@
             async with asyncio.timeout(duration_s):
                 await self._wake.wait()
 
-    async def _read(self, now_s: float) -> bool:
-        """Read and apply; return whether the state is that of the store now.
+    async def _read(self, now_s: float) -> float | None:
+        """Read and apply; return the time from which the state is that of the store.
 
-        It isn't if the store has more records than one answer holds, or if other
-        records were applied meanwhile: what was read may then be older than those.
+        Returns
+        -------
+        float or None
+            None if it has to be read on at once: the store has more records than one
+            answer holds, other records were applied meanwhile, which may be newer, or
+            the first pages were read too long ago.
         """
         is_behind = now_s - self._read_s > self.max_gap_s
         if self.position is None or self._is_ahead or is_behind:
             if self._is_ahead:
                 self._partial.clear()
             self._is_ahead = False
+            if not self._partial.records:
+                self._begun_s = now_s
             batch = await self.store.newest(self.topic, self._partial)
             if self._is_ahead:
-                return False
+                return None
+            known_s = self._begun_s
             is_restored = self._read_era not in (None, batch.end.era)
             self.replace(batch, is_restored)
         else:
@@ -160,14 +168,16 @@
             wait_s = 0.0 if is_urgent else self.wait_s
             batch = await self.store.read(self.topic, self.position, wait_s)
             if self._is_ahead:
-                return False
+                return None
+            known_s = now_s
             for record in batch.records:
                 self.apply(record)
         self.position = batch.end
         self._read_era = batch.end.era
         self._read_s = now_s
         self._was_confirmed = False
-        return batch.is_complete
+        is_current = batch.is_complete and now_s - known_s <= self.max_gap_s
+        return known_s if is_current else None
 
     def _report_failure(self, error: PlatformError) -> None:
         self._failures += 1
--- a/tests/platform/test_topic_poller.py
+++ b/tests/platform/test_topic_poller.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from sorrelhoist.exceptions import PlatformError
 from sorrelhoist.platform import topic_poller
 from sorrelhoist.platform.store import KeyedRecord, Records, StorePosition
 from sorrelhoist.platform.topic_poller import TopicPoller
@@ -13,7 +14,7 @@
 ANSWER_S = 0.01
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, slots=False)
 class LogStore:
     """A topic whose keys are written in turn, 100 times a second."""
 
@@ -106,6 +107,29 @@
     assert reader.store.calls == ["newest", "newest"]
 
 
+@pytest.mark.parametrize("outage_s, known_after_s", [(0.5, 0.0), (6.0, 6.0)])
+def test_a_read_is_as_old_as_its_first_page(virtual_boot_time, outage_s, known_after_s):
+    # The first page was read before an outage, the last one after it.
+    store = LogStore()
+    newest, begun_s = store.newest, []
+
+    async def newest_in_two(topic, partial):
+        now_s = asyncio.get_running_loop().time()
+        if not begun_s:
+            begun_s.append(now_s)
+            partial.records.append(KeyedRecord("k0", b"v"))
+        if now_s < begun_s[0] + outage_s:
+            raise PlatformError("no answer")
+        partial.clear()
+        return await newest(topic, partial)
+
+    store.newest = newest_in_two
+    reader = Reader(store)
+    run_reader(reader, (outage_s + 2.0, False))
+    first_s = reader.completed_s[0] - begun_s[0]
+    assert known_after_s <= first_s <= known_after_s + 1.0
+
+
 def test_after_a_short_confirmation_the_records_since_then_are_read(virtual_boot_time):
     reader = Reader(LogStore())
     run_reader(reader, (0.5, False), (1.5, True), (0.3, False))
