A prompt without a memory grant is refused when its time is over

Cause, found in review: a prompt that was denied memory asked for one engine after the other, 0.25 s each without an answer, and past the time for which it may wait. While it asked, another request could use the only permit of a cold endpoint.

Change: after a denial the time is checked, and a placement that lacks its permit by now goes elsewhere. A hook that nobody used is gone.

--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -225,11 +225,15 @@
         while isinstance(found, Proposal):
             first = found.assignment.first
             tokens = first_kv_tokens(found.demand, found.costs)
-            if await self._state.acquire_memory(
+            is_granted = await self._state.acquire_memory(
                 first.address, tokens, usable_tokens(tokens, found.costs)
-            ):
+            )
+            # Another request may have used the permit meanwhile.
+            if is_granted and not self._state.lacks_permit(first, loop.time()):
                 self._commit(placement_request, found, loop.time())
                 return found.assignment
+            if loop.time() >= waiting.give_up_s:
+                return Busy("no endpoint's memory was granted")
             denied.add(first.endpoint_id)
             found = self._try_place(
                 attrs.evolve(
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -83,7 +83,6 @@
         self.memory_grants = MemoryGrants(state, self._send_to, self.permits.issuers)
         state.listed_peers = lambda: len(self._peers)
         state.acquire_memory = self.memory_grants.acquire
-        state.grants_memory_of = self.memory_grants.is_granted_here
         self._transport: asyncio.DatagramTransport | None = None
         state.on_long_placed = self._on_long_placed
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -105,8 +105,6 @@
     acquire_memory : callable
         ``acquire_memory(address, tokens, limit_tokens)`` returns whether the memory of
         an engine was granted.
-    grants_memory_of : callable
-        ``grants_memory_of(address, now_s)`` returns whether this gateway grants it.
     prefill_watches : dict
         Long prompts that were sent and have no first event yet, by request id.
     troubles, faults : FailureTracker
@@ -168,7 +166,6 @@
     )
     listed_peers: Callable[[], int] = lambda: 0
     acquire_memory: Callable[[str, int, int], Awaitable[bool]] = _acquire_unchecked
-    grants_memory_of: Callable[[str, float], bool] = lambda address, now_s: False
     prefill_watches: dict[str, PrefillWatch] = attrs.field(factory=dict)
     suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
     part_suspicions: PartSuspicions = attrs.field(
@@ -344,9 +341,7 @@
         for endpoint in self.directory.usable(service, now_s):
             if self.pauses.is_paused(endpoint, now_s):
                 continue
-            (lacking if self._lacks_permit(endpoint, now_s) else usable).append(
-                endpoint
-            )
+            (lacking if self.lacks_permit(endpoint, now_s) else usable).append(endpoint)
         self._want_permits(lacking, now_s)
         return self.load_views(usable, now_s)
 
@@ -383,7 +378,8 @@
             limits_per_s.append(config.cold_requests_per_s)
         return min(limits_per_s, default=None)
 
-    def _lacks_permit(self, endpoint: Endpoint, now_s: float) -> bool:
+    def lacks_permit(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Return whether an endpoint takes few requests and no permit is at hand."""
         is_limited = self._limit_per_s(endpoint, now_s) is not None
         return is_limited and not self.permits.can_place(endpoint.endpoint_id, now_s)
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from sorrelhoist.decisions.directory import Endpoint
-from sorrelhoist.decisions.placement.demand import Assignment
+from sorrelhoist.decisions.placement.demand import Assignment, Busy
 from sorrelhoist.decisions.routes import (
     EngineCosts,
     Repeat,
@@ -21,6 +21,7 @@
 from sorrelhoist.gateway.dispatch import Dispatcher, PlacementRequest
 from sorrelhoist.gateway.ports import CallerRequest, PromptSize
 from sorrelhoist.gateway.state import GatewayState
+from tests.virtual_loop import run_virtual
 
 COSTS = EngineCosts(
     max_running=8,
@@ -124,6 +125,70 @@
 COLD_REQUESTS_PER_S = 6.0
 
 
+def in_virtual_time(acquire, engines=4):
+    """Place a long prompt where memory is granted as `acquire` says."""
+
+    async def main():
+        now_s = asyncio.get_running_loop().time()
+        state, dispatch = dispatcher(engines)
+        state.acquire_memory = acquire
+        request = attrs.evolve(
+            placement_request("r1", 200_000),
+            objective_due_s=now_s + 3.0,
+            deadline_s=now_s + 15.0,
+        )
+        found = await dispatch.place(request, now_s)
+        return found, asyncio.get_running_loop().time() - now_s, state
+
+    return run_virtual(main())
+
+
+def test_a_prompt_goes_where_its_memory_is_granted():
+    asked = []
+
+    async def acquire(address, tokens, limit_tokens):
+        assert tokens == 201_000 and tokens <= limit_tokens
+        asked.append(address)
+        return len(asked) == 3
+
+    found, _, state = in_virtual_time(acquire)
+    assert found.first.address == asked[-1] and len(set(asked)) == 3
+    held = [use.address for use in state.loads.own_uses() if use.kv_tokens]
+    assert held == [found.first.address]
+
+
+def test_a_prompt_whose_memory_is_granted_nowhere_is_refused_when_its_time_is_over():
+    async def acquire(address, tokens, limit_tokens):
+        await asyncio.sleep(0.25)
+        return False
+
+    found, waited_s, state = in_virtual_time(acquire)
+    assert isinstance(found, Busy)
+    assert waited_s <= 3.0
+    assert not state.loads.own_uses()
+
+
+def test_a_permit_that_was_used_while_memory_was_asked_for_is_not_used_twice():
+    asked = []
+
+    async def acquire(address, tokens, limit_tokens):
+        asked.append(address)
+        state.named_limits.observe(f"i-{address.split('.')[-1][:-3]}", 1.0, 1000.0)
+        return True
+
+    async def main():
+        request = attrs.evolve(
+            placement_request("r1", 200_000), objective_due_s=1003.0, deadline_s=1015.0
+        )
+        return await dispatch.place(request, 1000.0)
+
+    state, dispatch = dispatcher(engines=1)
+    state.acquire_memory = acquire
+    assert isinstance(run_virtual(main()), Busy)
+    assert len(asked) == 1
+    assert not state.loads.own_uses()
+
+
 def cold_dispatcher():
     """Return a dispatcher with one endpoint in a cold start and no other."""
     state, dispatch = dispatcher(engines=0)
