A prompt that is denied memory waits in the queue again

Change: a proposal is counted in the loads of its gateway from the start, and is taken back when it is denied; the prompt then goes through the queue again, not to the engine that denied it last. After the time for which it may wait, two more asks may be denied.

--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -54,6 +54,10 @@
 """The jitter spreads retries over up to twice the drain time of the queue, so that
 callers don't all return together."""
 
+MAX_LAST_ASKS = 2
+"""Number of asks for memory that may be denied after the time for which a prompt may
+wait."""
+
 DEFAULT_PROMPT_SIZE = PromptSize(prompt_tokens=1000, output_tokens=200)
 """Assumed for callers that don't declare the size of their prompt."""
 
@@ -95,13 +99,18 @@
 class Proposal:
     """An assignment that needs memory of its first endpoint to be granted.
 
+    Until then it is counted in the loads of this gateway, so that the prompts behind it
+    in the queue go elsewhere.
+
     Parameters
     ----------
+    request_id : str
     assignment : Assignment
     demand : Demand
     costs : EngineCosts
     """
 
+    request_id: str
     assignment: Assignment
     demand: Demand
     costs: EngineCosts
@@ -160,6 +169,39 @@
         """
         waiting = self._create_pending(placement_request, now_s)
         ranked = self._ranked_request(placement_request)
+        loop = asyncio.get_running_loop()
+        denied: frozenset[str] = frozenset()
+        asks_left = MAX_LAST_ASKS
+        while True:
+            found = await self._find(
+                attrs.evolve(
+                    placement_request, excluded=placement_request.excluded | denied
+                ),
+                waiting,
+                ranked,
+                now_s,
+            )
+            if not isinstance(found, Proposal):
+                return found
+            if await self._is_granted(found):
+                self._confirm(placement_request, found, loop.time())
+                self._record_outcome(ranked, found.assignment, loop.time())
+                return found.assignment
+            now_s = loop.time()
+            asks_left -= now_s >= waiting.give_up_s
+            if not asks_left:
+                self._record_outcome(ranked, Busy(), now_s)
+                return Busy("no endpoint's memory was granted")
+            denied = frozenset({found.assignment.first.endpoint_id})
+
+    async def _find(
+        self,
+        placement_request: PlacementRequest,
+        waiting: PendingPlacement,
+        ranked: RankedRequest,
+        now_s: float,
+    ) -> Placement | Proposal:
+        """Find a place for a request now, or when its turn in the queue comes."""
         item = ranked.item
         shares = self._overload.shares_if_waiting(item.service, now_s)
         waiting.rank = self._overload.rank(ranked, shares, now_s)
@@ -168,9 +210,9 @@
                 placement_request, now_s, may_be_late=now_s >= waiting.late_from_s
             )
             if not isinstance(found, Busy):
-                placement = await self._settle(placement_request, waiting, found)
-                self._record_outcome(ranked, placement, now_s)
-                return placement
+                if not isinstance(found, Proposal):
+                    self._record_outcome(ranked, found, now_s)
+                return found
         pause_s = self._state.pause_left_s(placement_request.service, now_s) or 0.0
         if waiting.give_up_s <= now_s + pause_s:
             self._record_outcome(ranked, Busy(), now_s)
@@ -185,15 +227,14 @@
         ):
             self._record_outcome(ranked, Busy(), now_s)
             return Busy("can't start before its time is over")
-        loop = asyncio.get_running_loop()
-        future = loop.create_future()
+        future = asyncio.get_running_loop().create_future()
         self._pending[waiting] = (placement_request, future)
         self._ranked[waiting] = ranked
         self._queue.push(waiting)
         self._state.own_work.waits(waiting.request_id, item)
         self._schedule_retry()
         try:
-            found = await future
+            return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 # It was placed just before its caller disconnected.
@@ -204,53 +245,21 @@
             self._state.own_work.stops_waiting(waiting.request_id)
             del self._pending[waiting]
             del self._ranked[waiting]
-        if not isinstance(found, Proposal):
-            return found
-        placement = await self._settle(placement_request, waiting, found)
-        self._record_outcome(ranked, placement, loop.time())
-        return placement
 
-    async def _settle(
-        self,
-        placement_request: PlacementRequest,
-        waiting: PendingPlacement,
-        found: Placement | Proposal,
-    ) -> Placement:
-        """Place a prompt where the memory that it needs is granted.
-
-        Where it isn't, it is proposed elsewhere until its time is over.
-        """
-        loop = asyncio.get_running_loop()
-        denied: set[str] = set()
-        while isinstance(found, Proposal):
-            first = found.assignment.first
-            tokens = first_kv_tokens(found.demand, found.costs)
+    async def _is_granted(self, proposal: Proposal) -> bool:
+        """Ask for the memory of a proposal, which isn't placed any more without it."""
+        tokens = first_kv_tokens(proposal.demand, proposal.costs)
+        is_granted = False
+        try:
             is_granted = await self._state.acquire_memory(
-                first.address, tokens, usable_tokens(tokens, found.costs)
-            )
-            # Another request may have used the permit meanwhile.
-            if is_granted and not self._state.lacks_permit(first, loop.time()):
-                self._commit(placement_request, found, loop.time())
-                return found.assignment
-            if loop.time() >= waiting.give_up_s:
-                return Busy("no endpoint's memory was granted")
-            denied.add(first.endpoint_id)
-            found = self._try_place(
-                attrs.evolve(
-                    placement_request, excluded=placement_request.excluded | denied
-                ),
-                loop.time(),
-                may_be_late=loop.time() >= waiting.late_from_s,
+                proposal.assignment.first.address,
+                tokens,
+                usable_tokens(tokens, proposal.costs),
             )
-            while isinstance(found, Busy) and loop.time() < waiting.give_up_s:
-                denied.clear()
-                await asyncio.sleep(RETRY_INTERVAL_S)
-                found = self._try_place(
-                    placement_request,
-                    loop.time(),
-                    may_be_late=loop.time() >= waiting.late_from_s,
-                )
-        return found
+        finally:
+            if not is_granted:
+                self._state.release(proposal.request_id)
+        return is_granted
 
     def ended(self, service: str, now_s: float, was_placed: bool = True) -> None:
         """Record for the drain rate that a request ended, and whether it had a slot."""
@@ -484,23 +493,26 @@
         demand, placement = self._choose(placement_request, costs, may_be_late, now_s)
         if not isinstance(placement, Assignment):
             return placement
-        proposal = Proposal(placement, demand, costs)
+        request_id = placement_request.request.request_id
+        uses = request_uses(placement, demand, costs, now_s)
+        self._state.place(request_id, placement.first, uses, now_s)
+        proposal = Proposal(request_id, placement, demand, costs)
         if needs_grant(first_kv_tokens(demand, costs), costs):
             return proposal
-        self._commit(placement_request, proposal, now_s)
+        self._confirm(placement_request, proposal, now_s)
         return placement
 
-    def _commit(
+    def _confirm(
         self, placement_request: PlacementRequest, proposal: Proposal, now_s: float
     ) -> None:
-        """Count a prompt in the loads, and tell the others of a long one."""
+        """Tell the others of a long prompt that was placed."""
         assignment = proposal.assignment
-        request_id = placement_request.request.request_id
-        uses = request_uses(assignment, proposal.demand, proposal.costs, now_s)
-        self._state.place(request_id, assignment.first, uses, now_s)
         if assignment.is_long:
-            self._state.on_long_placed([use.address for use in uses], now_s)
-        self._state.own_work.placed(request_id, self._work_item(placement_request))
+            placed = (assignment.first, *assignment.helpers)
+            self._state.on_long_placed([one.address for one in placed], now_s)
+        self._state.own_work.placed(
+            proposal.request_id, self._work_item(placement_request)
+        )
 
     def _place_call(
         self, placement_request: PlacementRequest, now_s: float
--- a/src/sorrelhoist/gateway/memory_grants.py
+++ b/src/sorrelhoist/gateway/memory_grants.py
@@ -115,6 +115,8 @@
 
     def _try_grant(self, ask: MemoryAsk, now_s: float) -> bool:
         held_tokens = self._state.loads.endpoint_use(ask.address, now_s).kv_tokens
+        if ask.node_id == self._state.node_id:
+            held_tokens -= ask.tokens  # own loads have the proposal already
         return self._ledger.try_grant(ask, held_tokens, now_s)
 
     async def _ask(self, node_id: str, ask: MemoryAsk) -> Outcome:
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -341,7 +341,9 @@
         for endpoint in self.directory.usable(service, now_s):
             if self.pauses.is_paused(endpoint, now_s):
                 continue
-            (lacking if self.lacks_permit(endpoint, now_s) else usable).append(endpoint)
+            (lacking if self._lacks_permit(endpoint, now_s) else usable).append(
+                endpoint
+            )
         self._want_permits(lacking, now_s)
         return self.load_views(usable, now_s)
 
@@ -378,8 +380,7 @@
             limits_per_s.append(config.cold_requests_per_s)
         return min(limits_per_s, default=None)
 
-    def lacks_permit(self, endpoint: Endpoint, now_s: float) -> bool:
-        """Return whether an endpoint takes few requests and no permit is at hand."""
+    def _lacks_permit(self, endpoint: Endpoint, now_s: float) -> bool:
         is_limited = self._limit_per_s(endpoint, now_s) is not None
         return is_limited and not self.permits.can_place(endpoint.endpoint_id, now_s)
 
