The only engine of a service is asked for memory again

A prompt that was denied memory left the denying engine out until another took it. With one engine it waited until its time was over. The engine is left out only while there is another.

--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -174,12 +174,7 @@
         asks_left = MAX_LAST_ASKS
         while True:
             found = await self._find(
-                attrs.evolve(
-                    placement_request, excluded=placement_request.excluded | denied
-                ),
-                waiting,
-                ranked,
-                now_s,
+                self._without(placement_request, denied, now_s), waiting, ranked, now_s
             )
             if not isinstance(found, Proposal):
                 return found
@@ -194,6 +189,16 @@
                 return Busy("no endpoint's memory was granted")
             denied = frozenset({found.assignment.first.endpoint_id})
 
+    def _without(
+        self, placement_request: PlacementRequest, denied: frozenset[str], now_s: float
+    ) -> PlacementRequest:
+        """Leave out endpoints whose memory was denied, unless there is no other."""
+        excluded = placement_request.excluded | denied
+        service = placement_request.service
+        if not self._state.has_alternative(service, set(excluded), now_s):
+            return placement_request
+        return attrs.evolve(placement_request, excluded=excluded)
+
     async def _find(
         self,
         placement_request: PlacementRequest,
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -125,7 +125,7 @@
 COLD_REQUESTS_PER_S = 6.0
 
 
-def in_virtual_time(acquire, engines=4):
+def in_virtual_time(acquire, engines=4, prompt_tokens=200_000):
     """Place a long prompt where memory is granted as `acquire` says."""
 
     async def main():
@@ -133,7 +133,7 @@
         state, dispatch = dispatcher(engines)
         state.acquire_memory = acquire
         request = attrs.evolve(
-            placement_request("r1", 200_000),
+            placement_request("r1", prompt_tokens),
             objective_due_s=now_s + 3.0,
             deadline_s=now_s + 15.0,
         )
@@ -157,6 +157,18 @@
     assert held == [found.first.address]
 
 
+def test_the_only_engine_is_asked_again_after_it_was_denied():
+    asked = []
+
+    async def acquire(address, tokens, limit_tokens):
+        asked.append(address)
+        return len(asked) == 3
+
+    found, waited_s, _ = in_virtual_time(acquire, engines=1, prompt_tokens=60_000)
+    assert isinstance(found, Assignment) and len(asked) == 3
+    assert waited_s <= 0.1
+
+
 def test_a_prompt_whose_memory_is_granted_nowhere_is_refused_when_its_time_is_over():
     async def acquire(address, tokens, limit_tokens):
         await asyncio.sleep(0.25)
