--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -152,7 +152,7 @@
         return len(asked) == 3
 
     found, _, state = in_virtual_time(acquire)
-    assert found.first.address == asked[-1] != asked[-2]
+    assert found.first.address == asked[-1] and len(set(asked)) == 3
     held = [use.address for use in state.loads.own_uses() if use.kv_tokens]
     assert held == [found.first.address]
 
@@ -196,6 +196,27 @@
     assert not state.loads.own_uses()
 
 
+def test_a_permit_that_was_used_while_memory_was_asked_for_is_not_used_twice():
+    asked = []
+
+    async def acquire(address, tokens, limit_tokens):
+        asked.append(address)
+        state.named_limits.observe(f"i-{address.split('.')[-1][:-3]}", 1.0, 1000.0)
+        return True
+
+    async def main():
+        request = attrs.evolve(
+            placement_request("r1", 200_000), objective_due_s=1003.0, deadline_s=1015.0
+        )
+        return await dispatch.place(request, 1000.0)
+
+    state, dispatch = dispatcher(engines=1)
+    state.acquire_memory = acquire
+    assert isinstance(run_virtual(main()), Busy)
+    assert len(asked) == 1
+    assert not state.loads.own_uses()
+
+
 def cold_dispatcher():
     """Return a dispatcher with one endpoint in a cold start and no other."""
     state, dispatch = dispatcher(engines=0)
