--- a/tests/gateway/test_engine_memory_fleet.py
+++ b/tests/gateway/test_engine_memory_fleet.py
@@ -123,6 +123,7 @@
         (30, 8.0, {"max_delay_s": 0.3}),
         (68, 8.0, {"loss": 0.3}),
         (300, 4.0, {"max_delay_s": 0.1, "loss": 0.3}),
+        (300, 4.0, {"max_delay_s": 0.1, "loss": 0.3, "seed": 2}),
     ],
 )
 def test_no_engine_holds_more_than_its_memory(count, seconds, network):
