--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -148,4 +148,6 @@
             "balance": self._balance,
             "earned": sum(one.retries for one in self._earned),
             "ratio": self.ratio,
+            "max_balance": self.max_balance,
+            "floor_per_s": self.floor_per_s,
         }
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -24,6 +24,7 @@
 from .ports import CallerRequest, Helper, SendOptions
 from .request_log import RequestLog
 from .reservations import ReservationError
+from .retry_charges import charge_retry
 from .state import boot_time_s
 from .upstream import (
     AnswerHead,
@@ -263,9 +264,9 @@
         now_s = asyncio.get_running_loop().time()
         if self._watch is not None and not self._may_move(self._watch, limit, now_s):
             return
-        if self._can_fail_over(
-            now_s, boot_time_s()
-        ) and self.parts.state.retries.try_retry(now_s):
+        if self._can_fail_over(now_s, boot_time_s()) and charge_retry(
+            self.parts, self.log, self.admitted.service, now_s
+        ):
             if self._watch is not None:
                 self.admitted.is_moved = True
             limit.reschedule(now_s)
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -37,6 +37,7 @@
 from .parts import GatewayParts
 from .ports import CallerRequest
 from .request_log import RequestLog
+from .retry_charges import charge_retry
 from .state import boot_time_s
 from .upstream import is_reachable
 
@@ -120,7 +121,7 @@
             admitted = await self._hold(admitted)
         if isinstance(admitted, Refusal):
             return await self._refuse(admitted)
-        self.parts.state.retries.record_first_attempt(self.received_s)
+        self.parts.state.record_first_attempt(admitted.service, self.received_s)
         try:
             async with asyncio.timeout_at(admitted.deadline_s):
                 last = await self._forward(admitted)
@@ -285,8 +286,12 @@
             step = await self._handle_failure(admitted, failure, placement)
             if not isinstance(step, TryAgain):
                 return step
-            if costs_retry(failure) and not state.retries.try_retry(
-                loop.time(), kept_share(failure)
+            if costs_retry(failure) and not charge_retry(
+                self.parts,
+                self._log,
+                admitted.service,
+                loop.time(),
+                kept_share(failure),
             ):
                 return give_up(admitted.progress, "the retry budget is spent")
 
@@ -384,6 +389,7 @@
             outcome=type(step).__name__,
             endpoint=first.endpoint_id,
             blamed=blamed.endpoint_id,
+            service=admitted.service,
             failure=kind,
             detail=str(failure),
             runs=admitted.progress.runs,
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -108,6 +108,8 @@
         Ended requests, by outcome.
     failures : Counter
         Failed attempts, by kind.
+    retries : Counter
+        Retries that the budget allowed or denied, by service and outcome.
     callers_cut : Counter
         Callers that were disconnected for what was held for them, by reason.
     placement_wait : Histogram
@@ -129,6 +131,7 @@
 
     requests: Counter = _counter("sorrelhoist_gateway_requests")
     failures: Counter = _counter("sorrelhoist_gateway_failed_attempts")
+    retries: Counter = _counter("sorrelhoist_gateway_retries")
     callers_cut: Counter = _counter("sorrelhoist_gateway_callers_cut")
     placement_wait: Histogram = _histogram("sorrelhoist_gateway_placement_wait_seconds")
     first_event: Histogram = _histogram("sorrelhoist_gateway_first_event_seconds")
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -80,6 +80,8 @@
         Retry budget of all gateways together; None leaves `retries` unchanged.
     retries : RetryBudget
         Retry budget of this gateway.
+    retry_gateways : int or None
+        Number of gateways for which its share was computed; None before that.
     rng : random.Random
     limits : ResourceLimits
     overload_parts : frozenset of OverloadPart
@@ -139,6 +141,7 @@
     contact: StoreContact
     shared_retries: SharedRetryBudget | None = None
     retries: RetryBudget = attrs.field(factory=RetryBudget)
+    retry_gateways: int | None = None
     rng: random.Random = attrs.field(factory=random.Random)
     limits: ResourceLimits = ResourceLimits()
     overload_parts: OverloadParts = frozenset()
@@ -315,6 +318,27 @@
         if self.shared_retries is not None:
             gateways = max(MIN_ASSUMED_GATEWAYS, self.gateway_count(now_s))
             self.shared_retries.set_process_share(self.retries, gateways)
+            self.retry_gateways = gateways
+
+    def record_first_attempt(self, service: str, now_s: float) -> None:
+        """Record the first attempt of a request for a service."""
+        self.retries.record_first_attempt(now_s)
+
+    def try_retry(self, service: str, now_s: float, kept_share: float = 0.0) -> bool:
+        """Charge a retry at a service to the budget if it allows one.
+
+        Parameters
+        ----------
+        service : str
+        now_s : float
+        kept_share : float
+            Share of the maximum balance that must be left.
+        """
+        return self.retries.try_retry(now_s, kept_share)
+
+    def dump_retries(self, service: str) -> dict:
+        """Return the budget from which retries at a service are paid, as plain data."""
+        return self.retries.dump() | {"gateways": self.retry_gateways}
 
     def gateway_count(self, now_s: float) -> int:
         """Return the number of live gateways, including this one."""
@@ -452,7 +476,7 @@
             "troubles": self.troubles.dump(now_s),
             "troubles_of_peers": self.peer_failures.evidence(now_s),
             "memory": self.memory.dump(now_s),
-            "retries": self.retries.dump(),
+            "retries": self.retries.dump() | {"gateways": self.retry_gateways},
             "pauses": self.pauses.dump(now_s),
             "slow_endpoints": self.pass_corrections.slow(now_s),
             "localities": self.localities.dump(),
