The time since the last use of a retry budget is counted once

Cause: a first attempt is recorded at the receipt of its headers. For a request whose body came slowly, or that was held after a start, that is before the last use of the budget: the clock of the budget went back, and the time since earned a second time. What such a request earned could also lapse late, behind newer ones.

Why it works: the clock of the budget only goes forward, and earned retries are kept in the order in which they lapse.

--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -1,6 +1,7 @@
 """Retry budgets, which keep retries after failures from multiplying the load."""
 
-from collections import deque
+import bisect
+import operator
 
 import attrs
 
@@ -57,6 +58,9 @@
     earned_s: float
 
 
+_earned_s = operator.attrgetter("earned_s")
+
+
 @attrs.define(eq=False, repr=False)
 class RetryBudget:
     """A token bucket of retries, filled by first attempts and at a small constant rate.
@@ -78,7 +82,7 @@
     floor_per_s: float = DEFAULT_FLOOR_PER_S
     max_balance: float = DEFAULT_MAX_BALANCE
     earned_ttl_s: float | None = None
-    _earned: deque["_Earned"] = attrs.field(init=False, factory=deque)
+    _earned: list[_Earned] = attrs.field(init=False, factory=list)
     _balance: float = attrs.field(init=False)
     _updated_s: float | None = attrs.field(init=False, default=None)
 
@@ -86,10 +90,12 @@
         self._balance = self.max_balance / 2
 
     def _refill(self, now_s: float) -> None:
-        if self._updated_s is not None:
-            elapsed_s = max(0.0, now_s - self._updated_s)
-            self._add(elapsed_s * self.floor_per_s)
-        self._updated_s = now_s
+        # A first attempt is recorded at its receipt, which may lie before the last use.
+        if self._updated_s is None:
+            self._updated_s = now_s
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self._add(elapsed_s * self.floor_per_s)
+        self._updated_s += elapsed_s
 
     def _add(self, amount: float) -> None:
         self._balance = min(self.max_balance, self._balance + amount)
@@ -101,7 +107,7 @@
             self._add(self.ratio)
             return
         self._drop_lapsed(now_s)
-        self._earned.append(_Earned(self.ratio, now_s))
+        bisect.insort(self._earned, _Earned(self.ratio, now_s), key=_earned_s)
 
     def try_retry(self, now_s: float, kept_share: float = 0.0) -> bool:
         """Spend one retry if the budget allows it.
@@ -125,22 +131,19 @@
         wanted = 1.0
         # What lapses first is spent first.
         while wanted > 0.0 and self._earned:
-            oldest = self._earned.popleft()
+            oldest = self._earned.pop(0)
             used = min(wanted, oldest.retries)
             wanted -= used
             if used < oldest.retries:
-                self._earned.appendleft(_Earned(oldest.retries - used, oldest.earned_s))
+                rest = _Earned(oldest.retries - used, oldest.earned_s)
+                self._earned.insert(0, rest)
         self._balance -= wanted
         return True
 
     def _drop_lapsed(self, now_s: float) -> None:
-        ttl_s = self.earned_ttl_s
-        while (
-            ttl_s is not None
-            and self._earned
-            and now_s - self._earned[0].earned_s >= ttl_s
-        ):
-            self._earned.popleft()
+        if self.earned_ttl_s is not None:
+            lapsed_s = now_s - self.earned_ttl_s
+            del self._earned[: bisect.bisect(self._earned, lapsed_s, key=_earned_s)]
 
     def dump(self) -> dict:
         """Return the state as plain data for the state dump."""
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -28,6 +28,21 @@
     assert spend_all(budget, elapsed_s) == retries
 
 
+def test_a_request_that_was_held_counts_no_time_twice():
+    budget = RetryBudget(ratio=0.0)
+    spend_all(budget, 10.0)
+    for _ in range(20):
+        budget.record_first_attempt(9.0)
+        assert spend_all(budget, 10.0) == 0
+
+
+def test_what_a_held_request_earned_lapses_a_window_after_its_receipt():
+    budget = RetryBudget(ratio=0.5, floor_per_s=0.0, max_balance=0.0, earned_ttl_s=10.0)
+    budget.record_first_attempt(3.0)
+    budget.record_first_attempt(1.0)
+    assert spend_all(budget, 11.5) == 0
+
+
 @given(st.lists(st.tuples(st.booleans(), st.floats(0, 0.5))))
 def test_fuzz_retries_are_bounded_by_attempts_and_time(steps):
     budget, now_s, attempts, retries = RetryBudget(), 0.0, 0, 0
