A gateway that starts has no retries but those that its traffic earns

What its predecessor had spent within the window counted again with each start.

Why it works: balance and allowance over time of one host stay below its share of the slack in each window, however many processes follow each other there.

--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -27,27 +27,41 @@
     slack: float
     window_s: float
 
-    def set_process_share(self, budget: "RetryBudget", processes: int) -> None:
-        """Set the budget of one process to its share.
+    def empty_budget(self) -> "RetryBudget":
+        """Return the budget of a process that has just started.
+
+        It begins without a balance: what the former process on its host has spent in
+        this window is unknown. What first attempts earn is kept apart and lapses after
+        a window: a share of the slack may be less than one retry, and must not limit
+        what traffic has earned.
+        """
+        return RetryBudget(
+            ratio=self.ratio / 2,
+            floor_per_s=0.0,
+            max_balance=0.0,
+            earned_ttl_s=self.window_s,
+        )
+
+    def set_process_share(
+        self, budget: "RetryBudget", processes: int, now_s: float
+    ) -> None:
+        """Set the slack of one process to its share.
 
         Half of the total is granted as a balance and half over time, so that no
-        window exceeds the total. What first attempts earn is kept apart and lapses
-        after a window: a share of the slack may be less than one retry, and must not
-        limit what traffic has earned.
+        window exceeds the total.
 
         Examples
         --------
-        >>> budget = RetryBudget()
         >>> shared = SharedRetryBudget(ratio=0.2, slack=100.0, window_s=10.0)
-        >>> shared.set_process_share(budget, 10)
+        >>> budget = shared.empty_budget()
+        >>> shared.set_process_share(budget, 10, now_s=0.0)
         >>> budget.max_balance, budget.floor_per_s, budget.ratio
         (5.0, 0.5, 0.1)
+        >>> budget.try_retry(now_s=1.0), budget.try_retry(now_s=2.0)
+        (False, True)
         """
         share = self.slack / 2 / max(1, processes)
-        budget.ratio = self.ratio / 2
-        budget.max_balance = share
-        budget.floor_per_s = share / self.window_s
-        budget.earned_ttl_s = self.window_s
+        budget.set_slack(share, share / self.window_s, now_s)
 
 
 @attrs.frozen
@@ -89,6 +103,13 @@
     def __attrs_post_init__(self) -> None:
         self._balance = self.max_balance / 2
 
+    def set_slack(self, max_balance: float, floor_per_s: float, now_s: float) -> None:
+        """Set what may be saved up and what is added over time from now on."""
+        self._refill(now_s)
+        self.max_balance = max_balance
+        self.floor_per_s = floor_per_s
+        self._balance = min(self._balance, max_balance)
+
     def _refill(self, now_s: float) -> None:
         # A first attempt is recorded at its receipt, which may lie before the last use.
         if self._updated_s is None:
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -79,7 +79,7 @@
     shared_retries : SharedRetryBudget or None
         Retry budget of all gateways together; None leaves `retries` unchanged.
     retries : RetryBudget
-        Retry budget of this gateway.
+        Retry budget of this gateway, empty at its start where it is a share.
     retry_gateways : int or None
         Number of gateways for which its share was computed; None before that.
     rng : random.Random
@@ -140,7 +140,16 @@
     failure_domain: str
     contact: StoreContact
     shared_retries: SharedRetryBudget | None = None
-    retries: RetryBudget = attrs.field(factory=RetryBudget)
+    retries: RetryBudget = attrs.field(
+        default=attrs.Factory(
+            lambda self: (
+                self.shared_retries.empty_budget()
+                if self.shared_retries
+                else RetryBudget()
+            ),
+            takes_self=True,
+        )
+    )
     retry_gateways: int | None = None
     rng: random.Random = attrs.field(factory=random.Random)
     limits: ResourceLimits = ResourceLimits()
@@ -317,7 +326,7 @@
         """Set the retry budget to this gateway's share among the live gateways."""
         if self.shared_retries is not None:
             gateways = max(MIN_ASSUMED_GATEWAYS, self.gateway_count(now_s))
-            self.shared_retries.set_process_share(self.retries, gateways)
+            self.shared_retries.set_process_share(self.retries, gateways, now_s)
             self.retry_gateways = gateways
 
     def record_first_attempt(self, service: str, now_s: float) -> None:
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -62,10 +62,10 @@
 FLEETS = pytest.mark.parametrize("count", [5, 30, 68, 300])
 
 
-def shared_budgets(count):
-    budgets = [RetryBudget() for _ in range(count)]
+def shared_budgets(count, now_s=0.0):
+    budgets = [SHARED.empty_budget() for _ in range(count)]
     for budget in budgets:
-        SHARED.set_process_share(budget, count)
+        SHARED.set_process_share(budget, count, now_s)
     return budgets
 
 
@@ -90,6 +90,17 @@
         assert retries <= 0.2 * requests + 106.0
 
 
+@FLEETS
+def test_processes_that_start_in_series_keep_to_the_shared_budget(count):
+    budgets, retries = shared_budgets(count), 0
+    for step in range(100):
+        now_s = 60.0 + step * 0.1
+        if step in (25, 50, 75):
+            budgets = shared_budgets(count, now_s)
+        retries += sum(spend_all(budget, now_s) for budget in budgets)
+    assert retries <= 106.0
+
+
 @FLEETS
 def test_a_gateway_with_steady_traffic_can_retry_in_a_fleet_of_any_size(count):
     budget = shared_budgets(count)[0]
