The share of the retry budget counts gateways that are not heard

Cause: the share was the total divided by the gateways with a report of the last 2 s, five at least. A process that had just started, or that others couldn't reach, took up to a fifth of the total, while the others went on using theirs.

Why it works: a gateway counts from its entry in the store's list, or its first report, until the list was read 150 s after the last of either: being cut off doesn't remove it. Before the list was read, and for 2 s after the start, a process has no share, only what its first attempts earn.

--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -95,6 +95,7 @@
         if node_id != self._state.node_id:
             now_s = asyncio.get_running_loop().time()
             self._peers[node_id] = _Peer(address, now_s)
+            self._state.fleet_size.seen(node_id, now_s)
 
     def drop_peer(self, node_id: str) -> None:
         """Stop sending reports to a gateway that has left."""
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -11,6 +11,7 @@
 from ..decisions.directory import Directory, Endpoint
 from ..decisions.endpoint_failures import FailureTracker
 from ..decisions.endpoint_notices import NamedLimits
+from ..decisions.fleet_size import FleetSize
 from ..decisions.memory.budget import MemoryBudget
 from ..decisions.overload.fleet_demand import FleetDemand
 from ..decisions.overload.gateway_health import FleetHeadroom, GatewayHealth
@@ -46,10 +47,6 @@
 balancer sends callers elsewhere within 2 s if it can. Streams take about 3 s of the 5 s
 that remain afterwards."""
 
-MIN_ASSUMED_GATEWAYS = 5
-"""Lower bound on the number of gateways that share the retry budget, until more are
-known from their reports; the smaller sites have four and five."""
-
 KNOWN_SHARE = 0.5
 """Fraction of the listed gateways from which reports must have come after a start."""
 
@@ -80,6 +77,8 @@
         Retry budget of all gateways together; None leaves `retries` unchanged.
     retries : RetryBudget
         Retry budget of this gateway, empty at its start where it is a share.
+    fleet_size : FleetSize
+        Number of gateways that share the retry budget.
     retry_gateways : int or None
         Number of gateways for which its share was computed; None before that.
     rng : random.Random
@@ -150,6 +149,9 @@
             takes_self=True,
         )
     )
+    fleet_size: FleetSize = attrs.field(
+        default=attrs.Factory(lambda self: FleetSize(self.node_id), takes_self=True)
+    )
     retry_gateways: int | None = None
     rng: random.Random = attrs.field(factory=random.Random)
     limits: ResourceLimits = ResourceLimits()
@@ -323,9 +325,14 @@
         return self.part_suspicions.try_trial(blame, gateways, now_s)
 
     def update_retry_share(self, now_s: float) -> None:
-        """Set the retry budget to this gateway's share among the live gateways."""
-        if self.shared_retries is not None:
-            gateways = max(MIN_ASSUMED_GATEWAYS, self.gateway_count(now_s))
+        """Set the retry budget to this gateway's share among all gateways.
+
+        There is none while it starts: others that start may not be listed yet.
+        """
+        gateways = self.fleet_size.gateways
+        if self.shared_retries is None or gateways is None:
+            return
+        if not self.startup.is_starting(now_s):
             self.shared_retries.set_process_share(self.retries, gateways, now_s)
             self.retry_gateways = gateways
 
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -132,7 +132,7 @@
             PEER_TOPIC,
             self._apply_peer,
             self._replace_peers,
-            lambda sent_s: self._peers_read.set(),
+            self._peers_read_completed,
             backoff_s=self._peers_backoff_s,
             interval_s=PEER_INTERVAL_S,
         )
@@ -561,6 +561,10 @@
             if is_missing:
                 self._own_entry_due.set()
 
+    def _peers_read_completed(self, sent_s: float) -> None:
+        self._state.fleet_size.list_read(asyncio.get_running_loop().time())
+        self._peers_read.set()
+
     def _own_entry(self) -> bytes:
         own = {"host": self._settings.address, "port": self._settings.peer_port}
         return json.dumps(own).encode()
--- a/tests/gateway/test_retry_budget_fleet.py
+++ b/tests/gateway/test_retry_budget_fleet.py
@@ -105,6 +105,8 @@
     def read_list(self, gateway):
         for node_id in self.ids:
             gateway.exchange.add_peer(node_id, PeerAddress(node_id, 1))
+        now_s = asyncio.get_running_loop().time()
+        gateway.state.fleet_size.list_read(now_s)
 
     def _reaches(self, one, other):
         if self.are_reports_lost:
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -11,9 +11,10 @@
     read_answer,
     route,
     run_with_fleet,
+    running_gateway,
     until,
 )
-from tests.platform.standins import HOST, hangs, streams, whole
+from tests.platform.standins import HOST, Store, hangs, streams, whole
 
 KEYS = ("key-1",)
 
@@ -355,3 +356,19 @@
         asking.cancel()
 
     run_with_fleet(main, grace_s=3.5)
+
+
+# Gateways
+
+
+def test_a_listed_gateway_that_is_not_heard_counts_in_the_fleet():
+    async def main():
+        store = await Store().start()
+        store.put("keyed.op", "config", configuration())
+        store.put("keyed.gateways", "silent", {"host": HOST, "port": 9})
+        async with asyncio.timeout(20.0), running_gateway(store) as fleet:
+            await until(lambda: fleet.state.fleet_size.gateways == 2)
+            assert fleet.state.gateway_count(asyncio.get_running_loop().time()) == 1
+        await store.stop()
+
+    asyncio.run(main())
