Requests of one service pay for no retries at another

Cause: one budget for all services, while the bound is for each. What first attempts at the larger service earned was spent at the smaller one.

Why it works: a budget for each service, with a share of the whole slack each, as the bound grants it; only first attempts at the service earn in it. The budgets of all configured services are opened together, so that a service with little traffic has its slack when it needs it. Tests that emptied the budget empty that of the service they call.

--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -2,6 +2,7 @@
 
 import bisect
 import operator
+from collections.abc import Iterable
 
 import attrs
 
@@ -12,12 +13,12 @@
 
 @attrs.frozen(kw_only=True)
 class SharedRetryBudget:
-    """The retry budget of all processes together.
+    """The retry budget of all processes together, for each service.
 
     Parameters
     ----------
     ratio : float
-        Retries allowed per first attempt.
+        Retries allowed per first attempt at the service.
     slack : float
         Additional retries allowed in each window.
     window_s : float
@@ -175,3 +176,54 @@
             "max_balance": self.max_balance,
             "floor_per_s": self.floor_per_s,
         }
+
+
+@attrs.define(eq=False, repr=False)
+class ServiceRetries:
+    """Retry budgets of one process: requests of a service pay for its retries only.
+
+    Parameters
+    ----------
+    shared : SharedRetryBudget or None
+        None gives each service a budget that isn't a share.
+    processes : int or None
+        Number of processes that share the slack; None while this one has no share.
+
+    Examples
+    --------
+    >>> retries = ServiceRetries(SharedRetryBudget(ratio=2.0, slack=0.0, window_s=10.0))
+    >>> retries.budget("a").record_first_attempt(now_s=0.0)
+    >>> retries.budget("b").try_retry(now_s=1.0)
+    False
+    >>> retries.budget("a").try_retry(now_s=1.0)
+    True
+    """
+
+    shared: SharedRetryBudget | None = None
+    processes: int | None = None
+    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
+        if service not in self._budgets:
+            self._budgets[service] = (
+                self.shared.empty_budget() if self.shared else RetryBudget()
+            )
+        return self._budgets[service]
+
+    def share_among(
+        self, processes: int, services: Iterable[str], now_s: float
+    ) -> None:
+        """Set the budgets of these services, and of all others in use, to the share."""
+        if self.shared is None:
+            return
+        self.processes = processes
+        for service in {*services, *self._budgets}:
+            self.shared.set_process_share(self.budget(service), processes, now_s)
+
+    def dump(self) -> dict:
+        """Return the budgets by service as plain data for the state dump."""
+        return {
+            service: budget.dump() | {"processes": self.processes}
+            for service, budget in self._budgets.items()
+        }
--- a/src/sorrelhoist/gateway/metrics_export.py
+++ b/src/sorrelhoist/gateway/metrics_export.py
@@ -29,7 +29,7 @@
     "sorrelhoist_gateway_memory_budget_bytes": lambda state: state.memory.budget_bytes,
     "sorrelhoist_gateway_memory_held_bytes": lambda state: state.memory.held_bytes,
     "sorrelhoist_gateway_memory_pressure": lambda state: int(state.memory.is_short),
-    "sorrelhoist_gateway_retry_gateways": lambda state: state.retry_gateways,
+    "sorrelhoist_gateway_retry_gateways": lambda state: state.retries.processes,
     "sorrelhoist_gateway_headroom": lambda state: state.health.headroom,
     "sorrelhoist_gateway_withdrawn": lambda state: int(state.is_withdrawn),
 }
--- a/src/sorrelhoist/gateway/retry_charges.py
+++ b/src/sorrelhoist/gateway/retry_charges.py
@@ -35,7 +35,13 @@
     parts.metrics.retries.add(1, {"service": service, "outcome": outcome})
     left = {
         name: round(value, LOGGED_DIGITS) if isinstance(value, float) else value
-        for name, value in parts.state.dump_retries(service).items()
+        for name, value in parts.state.retries.budget(service).dump().items()
     }
-    log.write("retry charged", outcome=outcome, service=service, **left)
+    log.write(
+        "retry charged",
+        outcome=outcome,
+        service=service,
+        gateways=parts.state.retries.processes,
+        **left,
+    )
     return is_allowed
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -1,4 +1,4 @@
-"""State of a gateway: configuration, endpoint directory, load and retry budget."""
+"""State of a gateway: configuration, endpoint directory, load and retry budgets."""
 
 import logging
 import random
@@ -34,7 +34,7 @@
 from ..decisions.placement.prefill_watch import PrefillWatch
 from ..decisions.report_rate import UpdateRate, settle_s
 from ..decisions.resource_limits import ResourceLimits
-from ..decisions.retries import RetryBudget, SharedRetryBudget
+from ..decisions.retries import ServiceRetries, SharedRetryBudget
 from ..decisions.routes import EngineCosts, RouteTable, Workspace
 from ..decisions.startup import Startup
 from ..decisions.store_contact import StoreContact
@@ -74,13 +74,11 @@
     contact : StoreContact
         Its age is measured with `boot_time_s`.
     shared_retries : SharedRetryBudget or None
-        Retry budget of all gateways together; None leaves `retries` unchanged.
-    retries : RetryBudget
-        Retry budget of this gateway, empty at its start where it is a share.
+        Retry budget of all gateways together.
+    retries : ServiceRetries
+        Retry budgets of this gateway.
     fleet_size : FleetSize
         Number of gateways that share the retry budget.
-    retry_gateways : int or None
-        Number of gateways for which its share was computed; None before that.
     rng : random.Random
     limits : ResourceLimits
     overload_parts : frozenset of OverloadPart
@@ -139,20 +137,14 @@
     failure_domain: str
     contact: StoreContact
     shared_retries: SharedRetryBudget | None = None
-    retries: RetryBudget = attrs.field(
+    retries: ServiceRetries = attrs.field(
         default=attrs.Factory(
-            lambda self: (
-                self.shared_retries.empty_budget()
-                if self.shared_retries
-                else RetryBudget()
-            ),
-            takes_self=True,
+            lambda self: ServiceRetries(self.shared_retries), takes_self=True
         )
     )
     fleet_size: FleetSize = attrs.field(
         default=attrs.Factory(lambda self: FleetSize(self.node_id), takes_self=True)
     )
-    retry_gateways: int | None = None
     rng: random.Random = attrs.field(factory=random.Random)
     limits: ResourceLimits = ResourceLimits()
     overload_parts: OverloadParts = frozenset()
@@ -325,20 +317,18 @@
         return self.part_suspicions.try_trial(blame, gateways, now_s)
 
     def update_retry_share(self, now_s: float) -> None:
-        """Set the retry budget to this gateway's share among all gateways.
+        """Set the retry budgets to this gateway's share among all gateways.
 
         There is none while it starts: others that start may not be listed yet.
         """
         gateways = self.fleet_size.gateways
-        if self.shared_retries is None or gateways is None:
-            return
-        if not self.startup.is_starting(now_s):
-            self.shared_retries.set_process_share(self.retries, gateways, now_s)
-            self.retry_gateways = gateways
+        if gateways is not None and not self.startup.is_starting(now_s):
+            services = self.table.services if self.table else ()
+            self.retries.share_among(gateways, services, now_s)
 
     def record_first_attempt(self, service: str, now_s: float) -> None:
         """Record the first attempt of a request for a service."""
-        self.retries.record_first_attempt(now_s)
+        self.retries.budget(service).record_first_attempt(now_s)
 
     def try_retry(self, service: str, now_s: float, kept_share: float = 0.0) -> bool:
         """Charge a retry at a service to the budget if it allows one.
@@ -350,11 +340,7 @@
         kept_share : float
             Share of the maximum balance that must be left.
         """
-        return self.retries.try_retry(now_s, kept_share)
-
-    def dump_retries(self, service: str) -> dict:
-        """Return the budget from which retries at a service are paid, as plain data."""
-        return self.retries.dump() | {"gateways": self.retry_gateways}
+        return self.retries.budget(service).try_retry(now_s, kept_share)
 
     def gateway_count(self, now_s: float) -> int:
         """Return the number of live gateways, including this one."""
@@ -492,7 +478,7 @@
             "troubles": self.troubles.dump(now_s),
             "troubles_of_peers": self.peer_failures.evidence(now_s),
             "memory": self.memory.dump(now_s),
-            "retries": self.retries.dump() | {"gateways": self.retry_gateways},
+            "retries": self.retries.dump(),
             "pauses": self.pauses.dump(now_s),
             "slow_endpoints": self.pass_corrections.slow(now_s),
             "localities": self.localities.dump(),
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -99,9 +99,7 @@
     async def main(fleet):
         await fleet.add(pauses)
         await fleet.add(pauses)
-        fleet.state.retries.max_balance = 0.0
-        fleet.state.retries.floor_per_s = 0.0
-        fleet.state.retries.try_retry(0.0)
+        fleet.state.retries.budget("llm").set_slack(0.0, 0.0, 0.0)
         answer = await fleet.stream(wait_ms=3000)
         assert answer.is_complete
         assert answer.body == all_events(1, 2)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -312,9 +312,7 @@
             endpoint = await fleet.add(whole(), service="app")
             await endpoint.stop()
         await fleet.add(whole(), service="app")
-        fleet.state.retries.max_balance = 0.0
-        fleet.state.retries.floor_per_s = 0.0
-        fleet.state.retries.try_retry(0.0)
+        fleet.state.retries.budget("app").set_slack(0.0, 0.0, 0.0)
         assert (await fleet.fetch()).status == 200
 
     run_with_fleet(main)
--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -86,7 +86,7 @@
         # Each call is declined once, with a pause that has ended by the next call.
         for _ in range(3):
             await add_endpoint(found, asks_for(0.01), capacity=100)
-        budget = found[0].state.retries
+        budget = found[0].state.retries.budget("app")
         for _ in range(40):
             await found[0].fetch()
         assert budget.dump()["balance"] >= budget.max_balance * PAUSE_KEPT_SHARE
--- a/tests/gateway/test_retry_budget_fleet.py
+++ b/tests/gateway/test_retry_budget_fleet.py
@@ -10,6 +10,7 @@
 import pytest
 
 from sorrelhoist.decisions.retries import SharedRetryBudget
+from sorrelhoist.decisions.routes import RouteTable, ServiceConfig
 from sorrelhoist.decisions.store_contact import StoreContact
 from sorrelhoist.gateway.peer_exchange import PeerAddress, PeerExchange
 from sorrelhoist.gateway.state import GatewayState
@@ -17,6 +18,7 @@
 
 RATIO, WINDOW_S = 0.2, 10.0
 STEP_S = 0.1
+SERVICES = {name: ServiceConfig(name=name) for name in ("app", "other")}
 REPORT_INTERVAL_S = 1.2
 """Longer than that of any fleet, shorter than the time after which reports lapse."""
 
@@ -92,6 +94,7 @@
                 shared_retries=self.shared,
             )
             state.startup.begin(now_s)
+            state.adopt(RouteTable(version=1, routes={}, services=SERVICES))
             gateway = RetryingGateway(
                 node_id,
                 number % DOMAINS,
