A retry is charged when it is sent, not when it is decided

Cause: a retry was charged when the former attempt failed, and then waited until an endpoint had room, for seconds when engines are full or gone. Retries of one window arrived together with those of the next.

Evidence: before, a waiting retry had left the budget: test_a_retry_that_waits_for_an_ endpoint_is_charged_when_it_is_sent. test_retries_that_wait_for_an_endpoint_keep_to_the_ shared_budget plays an outage of 5 s with 5, 30, 68 and 300 gateways.

Why it works: the decision reserves a retry, so that nothing waits in vain, and the balance is reduced when the request is written to a connection. A reserved retry counts towards what may be saved up, so that waiting retries don't make room for more. Requests that end otherwise give it back. Tests of the dump: it has what is reserved.

--- a/src/sorrelhoist/decisions/forwarding.py
+++ b/src/sorrelhoist/decisions/forwarding.py
@@ -68,7 +68,7 @@
     detail : str
     is_silent : bool
         Whether nothing was received, as opposed to a truncated answer. The endpoint was
-        abandoned for another one, and the retry has already been charged to the budget.
+        abandoned for another one, and the retry has already been reserved.
     """
 
     detail: str
@@ -162,8 +162,8 @@
     Returns
     -------
     TryAgain, RefuseNotRun, FailUnknown or PassOn
-        After `TryAgain` the caller still has to charge the shared retry budget if
-        `costs_retry`.
+        After `TryAgain` the caller still has to reserve a retry of the shared budget
+        if `costs_retry`.
 
     Examples
     --------
@@ -197,7 +197,7 @@
 
     It is if the service gets the request a second time. Not charged are failures in
     which the request did not reach an endpoint, and a silent endpoint, for which the
-    retry has been charged already.
+    retry has been reserved already.
 
     Examples
     --------
--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -98,6 +98,7 @@
     max_balance: float = DEFAULT_MAX_BALANCE
     earned_ttl_s: float | None = None
     _earned: list[_Earned] = attrs.field(init=False, factory=list)
+    _reserved: int = attrs.field(init=False, default=0)
     _balance: float = attrs.field(init=False)
     _updated_s: float | None = attrs.field(init=False, default=None)
 
@@ -145,11 +146,48 @@
         bool
             False if the budget is empty: fail the request without a retry.
         """
+        return self.try_reserve(now_s, kept_share) and self.spend_reserved(now_s)
+
+    def try_reserve(self, now_s: float, kept_share: float = 0.0) -> bool:
+        """Reserve one retry, for a request that may have to wait for an endpoint.
+
+        Parameters
+        ----------
+        now_s : float
+        kept_share : float
+            Share of the maximum balance that must be left.
+
+        Returns
+        -------
+        bool
+            False if the budget is empty or reserved for other requests.
+        """
         self._refill(now_s)
-        self._drop_lapsed(now_s)
-        left = self._balance + sum(one.retries for one in self._earned) - 1.0
+        left = self._available(now_s) - self._reserved - 1.0
         if left < kept_share * self.max_balance:
             return False
+        self._reserved += 1
+        return True
+
+    def cancel_reserved(self) -> None:
+        """Give back a reserved retry that wasn't spent."""
+        self._reserved -= 1
+
+    def spend_reserved(self, now_s: float) -> bool:
+        """Spend a reserved retry.
+
+        It is spent when the request is sent: retries that waited don't add to those of
+        the window in which they arrive.
+
+        Returns
+        -------
+        bool
+            False if what it was to be paid from has lapsed.
+        """
+        self._reserved -= 1
+        self._refill(now_s)
+        if self._available(now_s) < 1.0:
+            return False
         wanted = 1.0
         # What lapses first is spent first.
         while wanted > 0.0 and self._earned:
@@ -162,6 +200,10 @@
         self._balance -= wanted
         return True
 
+    def _available(self, now_s: float) -> float:
+        self._drop_lapsed(now_s)
+        return self._balance + sum(one.retries for one in self._earned)
+
     def _drop_lapsed(self, now_s: float) -> None:
         if self.earned_ttl_s is not None:
             lapsed_s = now_s - self.earned_ttl_s
@@ -172,6 +214,7 @@
         return {
             "balance": self._balance,
             "earned": sum(one.retries for one in self._earned),
+            "reserved": self._reserved,
             "ratio": self.ratio,
             "max_balance": self.max_balance,
             "floor_per_s": self.floor_per_s,
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from ..decisions.event_stream import EventSplitter, is_comment
-from ..decisions.forwarding import Broken, Failed, Failure, Progress
+from ..decisions.forwarding import Broken, Failed, Failure, Progress, Withheld
 from ..decisions.placement.demand import Assignment
 from ..decisions.placement.pause_monitor import StreamPauses, estimate_pass
 from ..decisions.placement.pauses import is_tight
@@ -24,7 +24,7 @@
 from .ports import CallerRequest, Helper, SendOptions
 from .request_log import RequestLog
 from .reservations import ReservationError
-from .retry_charges import charge_retry
+from .retry_charges import RetryCharge
 from .state import boot_time_s
 from .upstream import (
     AnswerHead,
@@ -66,6 +66,7 @@
         Equal for all repetitions of a request by the same caller.
     received_s, deadline_s : float
     progress : Progress
+    retry : RetryCharge
     splitter : EventSplitter
         Holds the id of the last event that the caller has received.
     excluded : set of str
@@ -84,6 +85,7 @@
     received_s: float
     deadline_s: float
     progress: Progress
+    retry: RetryCharge
     splitter: EventSplitter
     excluded: set[str] = attrs.field(factory=set)
     is_trial: bool = False
@@ -151,6 +153,8 @@
         try:
             timeout_s = min(left_s, connect_timeout_s(self.admitted.route.objective_s))
             async with connected(endpoint.address, timeout_s) as upstream:
+                if not self.admitted.retry.try_send(loop.time()):
+                    return Withheld("what was to pay for the retry has lapsed")
                 self.admitted.progress.is_in_flight = True
                 await upstream.send(request.method, request.path, headers, request.body)
                 failure = await self._read_answer(upstream)
@@ -264,9 +268,9 @@
         now_s = asyncio.get_running_loop().time()
         if self._watch is not None and not self._may_move(self._watch, limit, now_s):
             return
-        if self._can_fail_over(now_s, boot_time_s()) and charge_retry(
-            self.parts, self.log, self.admitted.service, now_s
-        ):
+        if self._can_fail_over(
+            now_s, boot_time_s()
+        ) and self.admitted.retry.try_reserve(now_s):
             if self._watch is not None:
                 self.admitted.is_moved = True
             limit.reschedule(now_s)
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -1,6 +1,7 @@
 """Handling of one request: admission, placement, attempts, retries and refusal."""
 
 import asyncio
+from contextlib import closing
 
 import attrs
 import xxhash
@@ -37,7 +38,7 @@
 from .parts import GatewayParts
 from .ports import CallerRequest
 from .request_log import RequestLog
-from .retry_charges import charge_retry
+from .retry_charges import RetryCharge
 from .state import boot_time_s
 from .upstream import is_reachable
 
@@ -123,8 +124,9 @@
             return await self._refuse(admitted)
         self.parts.state.record_first_attempt(admitted.service, self.received_s)
         try:
-            async with asyncio.timeout_at(admitted.deadline_s):
-                last = await self._forward(admitted)
+            with closing(admitted.retry):
+                async with asyncio.timeout_at(admitted.deadline_s):
+                    last = await self._forward(admitted)
         except TimeoutError:
             last = give_up(admitted.progress, "its time is over")
         if last is None:
@@ -184,10 +186,12 @@
         if self.caller.account is not None:
             self.caller.account.request_id = request.request_id
             self.caller.account.due_s = deadline_s
+        service = route.choose_service(state.rng.random())
         return AdmittedRequest(
             request=request,
             route=route,
-            service=route.choose_service(state.rng.random()),
+            service=service,
+            retry=RetryCharge(parts=self.parts, log=self._log, service=service),
             workspace=workspace,
             fingerprint=fingerprint,
             received_s=self.received_s,
@@ -286,12 +290,9 @@
             step = await self._handle_failure(admitted, failure, placement)
             if not isinstance(step, TryAgain):
                 return step
-            if costs_retry(failure) and not charge_retry(
-                self.parts,
-                self._log,
-                admitted.service,
-                loop.time(),
-                kept_share(failure),
+            is_charged = costs_retry(failure) or admitted.retry.has_arrived
+            if is_charged and not admitted.retry.try_reserve(
+                loop.time(), kept_share(failure)
             ):
                 return give_up(admitted.progress, "the retry budget is spent")
 
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -330,18 +330,6 @@
         """Record the first attempt of a request for a service."""
         self.retries.budget(service).record_first_attempt(now_s)
 
-    def try_retry(self, service: str, now_s: float, kept_share: float = 0.0) -> bool:
-        """Charge a retry at a service to the budget if it allows one.
-
-        Parameters
-        ----------
-        service : str
-        now_s : float
-        kept_share : float
-            Share of the maximum balance that must be left.
-        """
-        return self.retries.budget(service).try_retry(now_s, kept_share)
-
     def gateway_count(self, now_s: float) -> int:
         """Return the number of live gateways, including this one."""
         return len(self.loads.peers(now_s)) + 1
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -101,6 +101,40 @@
     assert retries <= 106.0
 
 
+@FLEETS
+def test_retries_that_wait_for_an_endpoint_keep_to_the_shared_budget(count):
+    # All engines are gone for 5 s: what was decided meanwhile is sent at once.
+    budgets, sent = shared_budgets(count), []
+    waiting = [0] * count
+    for step in range(300):
+        now_s = 60.0 + step * 0.1
+        for number, budget in enumerate(budgets):
+            while budget.try_reserve(now_s):
+                waiting[number] += 1
+            if not 5.0 <= step * 0.1 < 10.0:
+                sent += [now_s] * sum(
+                    budget.spend_reserved(now_s) for _ in range(waiting[number])
+                )
+                waiting[number] = 0
+    for start_s in sorted(set(sent)):
+        assert sum(start_s <= one < start_s + 10.0 for one in sent) <= 106.0
+
+
+def test_a_reserved_retry_is_not_there_for_another_request():
+    budget = RetryBudget(floor_per_s=0.0, max_balance=2.0)
+    assert budget.try_reserve(0.0)
+    assert not budget.try_retry(0.0)
+    budget.cancel_reserved()
+    assert budget.try_retry(0.0)
+
+
+def test_a_reserved_retry_lapses_with_what_was_to_pay_for_it():
+    budget = RetryBudget(ratio=1.0, floor_per_s=0.0, max_balance=0.0, earned_ttl_s=10.0)
+    budget.record_first_attempt(0.0)
+    assert budget.try_reserve(1.0)
+    assert not budget.spend_reserved(11.0)
+
+
 @FLEETS
 def test_a_gateway_with_steady_traffic_can_retry_in_a_fleet_of_any_size(count):
     budget = shared_budgets(count)[0]
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -318,6 +318,36 @@
     run_with_fleet(main)
 
 
+def test_a_retry_that_waits_for_an_endpoint_is_charged_when_it_is_sent():
+    # Retries that had waited arrived together with those of the next window: BUDGET.
+    async def main(fleet):
+        answers = asyncio.Event()
+
+        async def busy(received, writer):
+            await answers.wait()
+            await whole()(received, writer)
+
+        await fleet.add(busy, service="app", capacity=1)
+        first = asyncio.ensure_future(fleet.fetch())
+        await until(lambda: fleet.endpoints[0].requests)
+        declining = await fleet.add(declines(), service="app")
+        budget = fleet.state.retries.budget("app")
+        budget.set_slack(2.0, 0.0, 0.0)
+        waiting = asyncio.ensure_future(fleet.fetch())
+        leaving = asyncio.ensure_future(fleet.fetch(wait_ms=120))
+        await until(lambda: budget.dump()["reserved"] == 2)
+        assert (await leaving).status == 503
+        assert budget.dump()["reserved"] == 1
+        assert budget.dump()["balance"] == 2.0
+        answers.set()
+        assert (await first).status == (await waiting).status == 200
+        assert budget.dump()["reserved"] == 0
+        assert budget.dump()["balance"] == 1.0
+        assert len(declining.requests) == 2
+
+    run_with_fleet(main)
+
+
 # Poison requests
 
 
--- a/tests/gateway/test_retry_budget_fleet.py
+++ b/tests/gateway/test_retry_budget_fleet.py
@@ -139,7 +139,7 @@
         for service in self.attempts_per_s or ("app",):
             spent = 0
             for one in self.gateways:
-                while one.state.try_retry(service, now_s):
+                while one.state.retries.budget(service).try_retry(now_s):
                     spent += 1
             self.retries.setdefault(service, []).append((now_s, spent))
         spent = sum(one.spend() for one in self.former)
