Odd records in the store no longer end gateways

Cause: the decoders of records caught errors of types, not values nested so deeply that they can't be parsed (RecursionError), nor numbers too large for a float (OverflowError). The error ended the process. An infinite cold start was taken as it is, and so were ports in other digits or out of range for gateways, names in place of addresses, and text that can't be encoded.

Why it works: each decoder runs in one context that turns all such errors into a malformed record, and states a range for each number. Entries of gateways are decoded there as well. Pages of the store and the settings file get the same. Capacity must be a number now; text was accepted.

--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -75,7 +75,15 @@
     try:
         fields = tomllib.loads(path.read_text())
         return _decode(fields)
-    except (OSError, KeyError, TypeError, ValueError, IndexError) as error:
+    except (
+        OSError,
+        LookupError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise SettingsError(f"{path}: {error!r}.") from error
 
 
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -11,7 +11,7 @@
 from ..decisions.peer_configurations import PeerContact
 from ..decisions.store_backoff import ALONE_BACKOFF_S, store_backoff_s
 from ..exceptions import PlatformError
-from ..gateway.peer_exchange import PeerAddress, PeerExchange
+from ..gateway.peer_exchange import PeerExchange
 from ..gateway.state import GatewayState, boot_time_s
 from .settings import PlatformSettings
 from .store import KeyedRecord, Records, StoreClient
@@ -21,6 +21,7 @@
     EVACUATION_PREFIX,
     MalformedRecordError,
     decode_endpoint,
+    decode_gateway,
     decode_table,
 )
 
@@ -591,11 +592,8 @@
             self._exchange.drop_peer(record.key)
             return
         try:
-            fields = json.loads(record.value)
-            address = PeerAddress(fields["host"], int(fields["port"]))
-        except (KeyError, TypeError, ValueError) as error:
-            self._log_malformed(
-                MalformedRecordError(f"gateway {record.key}: {error!r}")
-            )
+            address = decode_gateway(record.key, record.value)
+        except MalformedRecordError as error:
+            self._log_malformed(error)
             return
         self._exchange.add_peer(record.key, address)
--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -286,7 +286,14 @@
         if has_more and not records:
             raise ValueError("an empty page, and more to come")
         return _Page(records, int(page["end_offset"]), has_more)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise PlatformError(f"The store's answer is no page: {error!r}.") from error
 
 
--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -1,6 +1,13 @@
-"""Decodes the platform's records of the configuration and of endpoints."""
+"""Decodes the platform's records of the configuration, endpoints and gateways.
 
+Others write to the store too: whatever a value holds, it is decoded or malformed.
+"""
+
+import ipaddress
 import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
 
 from ..decisions.directory import Endpoint
 from ..decisions.routes import (
@@ -13,17 +20,77 @@
     Target,
     Workspace,
 )
+from ..gateway.peer_exchange import PeerAddress
 
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 DEFAULT_CAPACITY = 8
 """Slots of an endpoint that doesn't state its capacity; the smallest in use."""
 
+MAX_CAPACITY = 1_000_000
+MAX_TIME_MS = 86_400_000.0
+"""Longest time in a record: a day."""
+
+MAX_UNIX_MS = 2**53
+"""Largest whole number that all writers of JSON represent exactly."""
+
+MAX_PORT = 65_535
+
 
 class MalformedRecordError(ValueError):
     """A record is corrupt, or another writer used a different format."""
 
 
+@contextmanager
+def _decoding(what: str) -> Iterator[None]:
+    """Raise `MalformedRecordError` for whatever an odd value leads to.
+
+    That includes numbers that are too large for a float, and values nested so deeply
+    that they can't be parsed.
+    """
+    try:
+        yield
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
+        raise MalformedRecordError(f"{what}: {error!r:.200}") from error
+
+
+def _number(value: Any, least: float, most: float) -> float:
+    """Check that a value is a number in a range, and return it."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not least <= value <= most:
+        raise ValueError(f"not a number from {least} to {most}")
+    return value
+
+
+def _whole_number(value: Any, least: int, most: int) -> int:
+    if _number(value, least, most) != int(value):
+        raise ValueError("not a whole number")
+    return int(value)
+
+
+def _seconds(value_ms: Any) -> float:
+    return _number(value_ms, 0.0, MAX_TIME_MS) / 1000
+
+
+def _text(value: Any) -> str:
+    """Check that a value is text that can be sent to others, and return it."""
+    if not isinstance(value, str):
+        raise TypeError(f"{type(value).__name__} in place of text")
+    value.encode()
+    return value
+
+
+def _ip(value: Any) -> str:
+    return str(ipaddress.IPv4Address(_text(value)))
+
+
 def decode_table(value: bytes) -> RouteTable:
     """Decode the configuration that operators write: routes, services, API keys.
 
@@ -32,7 +99,7 @@
     MalformedRecordError
         If a field is missing or has the wrong type.
     """
-    try:
+    with _decoding("configuration"):
         fields = json.loads(value)
         routes = [_route(route) for route in fields["routes"]]
         by_prefix: dict[tuple[str, str], Route] = {}
@@ -47,8 +114,6 @@
             workspaces=_workspaces(fields.get("tenants")),
             limits=_limits(fields.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MalformedRecordError(f"configuration: {error!r}") from error
 
 
 def _route(fields: dict) -> Route:
@@ -67,9 +132,9 @@
         targets=targets,
         repeat=_repeat(fields),
         is_stream=fields.get("kind") == "streaming",
-        timeout_s=fields["timeout_ms"] / 1000,
-        objective_s=fields.get("goal_ms", fields["timeout_ms"]) / 1000,
-        pause_s=pause_ms / 1000 if pause_ms else float("inf"),
+        timeout_s=_seconds(fields["timeout_ms"]),
+        objective_s=_seconds(fields.get("goal_ms", fields["timeout_ms"])),
+        pause_s=_seconds(pause_ms) if pause_ms else float("inf"),
         max_endpoints=int(fields.get("attempts", 1)),
         priority=int(fields.get("priority", 0)),
         is_public=bool(fields.get("public", False)),
@@ -138,8 +203,8 @@
     return CallerLimits(
         max_header_bytes=int(fields.get("max_header_bytes", defaults.max_header_bytes)),
         max_body_bytes=int(fields.get("max_body_bytes", defaults.max_body_bytes)),
-        header_timeout_s=fields.get("header_timeout_ms", 3000) / 1000,
-        idle_timeout_s=fields.get("idle_timeout_ms", 15000) / 1000,
+        header_timeout_s=_seconds(fields.get("header_timeout_ms", 3000)),
+        idle_timeout_s=_seconds(fields.get("idle_timeout_ms", 15000)),
     )
 
 
@@ -152,27 +217,42 @@
         If a required field is missing or has the wrong type, or the state is
         unknown: such an entry doesn't describe a usable endpoint.
     """
-    try:
+    with _decoding(f"endpoint {key}"):
         fields = json.loads(value)
-        address, state = fields["addr"], fields["state"]
-        host, _, port = address.rpartition(":")
-        if state not in ("ready", "draining") or not host or not 0 < int(port) < 65536:
-            raise ValueError(f"state {state!r} at {address!r}")
-        for name in ("backend", "zone"):
-            if not isinstance(fields[name], str):
-                raise TypeError(name)
-        capacity = fields.get("capacity", DEFAULT_CAPACITY)
+        state = fields["state"]
+        if state not in ("ready", "draining"):
+            raise ValueError(f"state {state!r:.40}")
+        host, _, port = _text(fields["addr"]).rpartition(":")
+        if not (port.isascii() and port.isdigit()):
+            raise ValueError("no port")
         # Remaining time of the endpoint's cold start.
-        cold_ms = fields.get("cold_left_ms", 0)
+        cold_ms = _number(fields.get("cold_left_ms", 0), -MAX_TIME_MS, MAX_TIME_MS)
         return Endpoint(
             endpoint_id=key,
-            service=fields["backend"],
-            address=address,
-            failure_domain=fields["zone"],
-            capacity=max(1, int(capacity)),
+            service=_text(fields["backend"]),
+            address=f"{_ip(host)}:{_whole_number(int(port), 1, MAX_PORT)}",
+            failure_domain=_text(fields["zone"]),
+            capacity=max(1, _capacity(fields)),
             is_leaving=state == "draining",
             cold_until_s=now_s + cold_ms / 1000 if cold_ms > 0 else 0.0,
-            born_ms=int(fields.get("born", 0)),
+            born_ms=_whole_number(fields.get("born", 0), 0, MAX_UNIX_MS),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MalformedRecordError(f"endpoint {key}: {error!r}") from error
+
+
+def _capacity(fields: dict) -> int:
+    capacity = fields.get("capacity", DEFAULT_CAPACITY)
+    return int(_number(capacity, 0, MAX_CAPACITY))
+
+
+def decode_gateway(key: str, value: bytes) -> PeerAddress:
+    """Decode a gateway's entry in the list of gateways.
+
+    Raises
+    ------
+    MalformedRecordError
+        If it names no address to which reports can be sent.
+    """
+    with _decoding(f"gateway {key}"):
+        fields = json.loads(value)
+        port = _whole_number(fields["port"], 1, MAX_PORT)
+        return PeerAddress(_ip(fields["host"]), port)
