Messages between gateways are checked before they are used

A gateway's background tasks ended without a word: it asked for no permits any more, or reported no loads.

Cause: fields of a datagram that are missing were used as they are. An error in the handler of a datagram is logged by the event loop; but an id that is None became one of the peers, on which later code failed.

Why it works: a message without the fields that it can't do without, with an empty id or with a negative age is ignored as one that can't be decoded.

--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -26,6 +26,7 @@
 from ..messages.gen import ttypes
 from .freshness import MS_PER_S, Freshness, age_ms
 from .memory_grants import MemoryGrants
+from .peer_messages import check_message
 from .permit_exchange import PermitExchange
 from .state import GatewayState, boot_time_s
 
@@ -110,6 +111,7 @@
         """Decode a datagram and process the message."""
         try:
             body = decode(data).body
+            check_message(body)
         except PeerError as error:
             logger.warning(
                 "datagram from peer could not be decoded; ignored",
