A caller's number that is too large gets 400

Cause: the conversion to seconds raised OverflowError, which ended the exchange; so large a count of tokens doesn't fit into messages to peers.

Evidence: test_a_number_of_a_caller_that_is_odd_is_invalid failed for both headers.

Why it works: both are invalid requests, as other odd values are.

--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -56,6 +56,9 @@
 MAX_SHARED_PARTS = 64
 """Parts of a prompt beyond this number are ignored."""
 
+MAX_TOKENS = 1_000_000_000
+"""Larger counts are taken for garbled ones; they would not fit into messages to peers."""
+
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 
@@ -250,9 +253,9 @@
         return None
     try:
         return max(0, int(text)) / 1000
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         raise InvalidRequestError(
-            f"{DEADLINE_HEADER} is no number: {text!r}."
+            f"{DEADLINE_HEADER} is no number: {text!r:.40}."
         ) from error
 
 
@@ -269,14 +272,22 @@
     try:
         prompt_tokens, _, output_tokens = text.partition(",")
         return PromptSize(
-            prompt_tokens=int(prompt_tokens), output_tokens=int(output_tokens or 0)
+            prompt_tokens=_token_count(prompt_tokens),
+            output_tokens=_token_count(output_tokens or "0"),
         )
     except ValueError as error:
         raise InvalidRequestError(
-            f"{TOKEN_COUNT_HEADER} is no pair: {text!r}."
+            f"{TOKEN_COUNT_HEADER} is no pair: {text!r:.40}."
         ) from error
 
 
+def _token_count(text: str) -> int:
+    count = int(text)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f"not a number from 0 to {MAX_TOKENS}")
+    return count
+
+
 def _decode_shared_parts(text: str) -> tuple[str, ...]:
     """Decode the ids of the parts of a prompt, without the last, which is its own.
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -3,6 +3,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from sorrelhoist.exceptions import InvalidRequestError
 from sorrelhoist.platform.dialect import PlatformDialect
 
 
@@ -73,3 +74,11 @@
         {"Retry-After": "2", "X-Not-Executed": "1", "At-Server": "10.0.0.1:80"}
     )
     assert not PlatformDialect().parse_decline(503, headers).asks_for_pause
+
+
+@pytest.mark.parametrize("text", ["9" * 400, "-", "1e5", ""])
+@pytest.mark.parametrize("name", ["X-Deadline-Ms", "X-Token-Count"])
+def test_a_number_of_a_caller_that_is_odd_is_invalid(name, text):
+    headers = HTTPHeaders({"X-Attempt-Id": "r-1", name: text})
+    with pytest.raises(InvalidRequestError):
+        PlatformDialect().read_request("GET", "/", headers, b"")
