A refusal of another request doesn't say that this one has not run

Connections serve one request here, so that way in is closed; a refusal that bears another request's id was believed all the same.

Cause: whether an answer declines the request was asked before whether it belongs to it.

Why it works: an answer with another id counts as lost, whatever it says: the request may have run. A refusal without an id is believed as before, as the platform's pages have it. A test shows that a refusal behind an answer isn't read for the next request; connections that are kept will have to keep to it.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -396,11 +396,12 @@
 
     def _check_head(self, head: AnswerHead) -> Failure | None:
         dialect = self.parts.dialect
+        # A refusal of another request doesn't say that this one has not run.
+        if not dialect.answers(self.admitted.request, head.headers):
+            return Broken("an answer to another request")
         declined = dialect.parse_decline(head.status, head.headers)
         if declined is not None:
             return declined
-        if not dialect.answers(self.admitted.request, head.headers):
-            return Broken("an answer to another request")
         if not dialect.is_genuine(head.headers):
             return Broken(f"status {head.status} without a signature")
         return None
--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -57,7 +57,7 @@
 """Parts of a prompt beyond this number are ignored."""
 
 MAX_TOKENS = 1_000_000_000
-"""Larger counts are taken for garbled ones; they would not fit into messages to peers."""
+"""Larger counts are taken for garbled ones, and don't fit into messages to peers."""
 
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -262,6 +262,62 @@
     run_with_fleet(main)
 
 
+# Refusals
+
+
+def refuses_another(status, extra=()):
+    """Refuse, with the id of a request that was refused earlier."""
+
+    async def script(received, writer):
+        earlier = ("X-Attempt-Id", "earlier")
+        await declines(status, [earlier, *extra])(received, writer)
+
+    return script
+
+
+@pytest.mark.parametrize("status", [503, 429, 421, 400])
+def test_the_refusal_of_another_request_does_not_say_that_this_one_has_not_run(status):
+    # A faulty worker wrote an earlier refusal once more.
+    async def main(fleet):
+        for _ in range(3):
+            await fleet.add(refuses_another(status), service="app")
+        answer = await fleet.fetch("/once/1", "POST", b"deposit")
+        assert answer.status == 502
+        assert "retry-after" not in answer.headers
+        assert sum(len(one.requests) for one in fleet.endpoints) == 1
+
+    run_with_fleet(main)
+
+
+def test_the_refusal_of_another_request_asks_for_no_pause():
+    async def main(fleet):
+        scripts = refuses_another(503, [("Retry-After", "5"), ("Server-Limit", "1")])
+        await fleet.add(scripts, service="app")
+        await fleet.fetch()
+        now_s = asyncio.get_running_loop().time()
+        assert fleet.state.dump(now_s)["pauses"] == {}
+        assert fleet.state.named_limits.limited() == {}
+
+    run_with_fleet(main)
+
+
+@pytest.mark.parametrize("ids", [True, False], ids=["with its id", "without one"])
+def test_a_refusal_is_never_taken_for_the_answer_to_the_next_request(ids):
+    # Connections that are kept would have to keep to this, too.
+    async def main(fleet):
+        async def answers_and_refuses(received, writer):
+            await whole()(received, writer)
+            extra = [("X-Attempt-Id", received.headers["x-attempt-id"])] if ids else []
+            await declines(503, extra)(received, writer)
+
+        endpoint = await fleet.add(answers_and_refuses, service="app")
+        for _ in range(3):
+            assert (await fleet.fetch("/once/1", "POST", b"deposit")).status == 200
+        assert len(endpoint.requests) == 3
+
+    run_with_fleet(main)
+
+
 # Keys and routes
 
 
