A stream that is resumed gets nothing but its next events

Cause: an error status was kept out of a stream that had begun, but a 200 was taken for its continuation whatever it held: JSON, plain text, events from the start, events without ids. An answer without a frame that ended at once looked like an end, since an earlier attempt had left an event id. And the body of an error was read before the next attempt, to the deadline if it never came.

Why it works: only an answer whose content type is that of events is relayed as a stream. In one that resumes, the first event must have an id after that of the last one, or the attempt counts as broken off. An answer without a frame ends a stream only behind events of its own. An error status ends the attempt at its head.

--- a/src/sorrelhoist/decisions/event_stream.py
+++ b/src/sorrelhoist/decisions/event_stream.py
@@ -16,6 +16,15 @@
     A source may fail in the middle of an event. The incomplete event is dropped,
     so that another source can resume after the last complete one.
 
+    Parameters
+    ----------
+    last_id : str
+        Id of the last event so far.
+    must_resume : bool
+        Whether the first event has to come after that one.
+    has_events : bool
+        Whether there was any event but comments.
+
     Examples
     --------
     >>> splitter = EventSplitter()
@@ -26,6 +35,8 @@
     """
 
     last_id: str = ""
+    must_resume: bool = False
+    has_events: bool = attrs.field(default=False, init=False)
     _buffer: bytes = b""
 
     def feed(self, data: bytes) -> list[bytes]:
@@ -34,13 +45,17 @@
         Raises
         ------
         ValueError
-            If an event grows beyond `MAX_EVENT_BYTES`.
+            If an event grows beyond `MAX_EVENT_BYTES`, or the stream isn't resumed.
         """
         *events, self._buffer = (self._buffer + data).split(_END)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event over {MAX_EVENT_BYTES} bytes")
         whole = [event + _END for event in events if event.strip()]
         for event in whole:
+            if not self.has_events and not is_comment(event):
+                if self.must_resume and not resumes(event, self.last_id):
+                    raise ValueError("the stream wasn't resumed")
+                self.has_events = True
             self.last_id = event_id(event) or self.last_id
         return whole
 
@@ -81,3 +96,22 @@
         if name.strip() == b"id":
             return value.strip().decode("ascii", "replace")
     return ""
+
+
+def resumes(event: bytes, last_id: str) -> bool:
+    r"""Return whether an event can be the first after another one in a resumed stream.
+
+    An error text has no id, and an endpoint that doesn't resume begins again; so does
+    each one after events without an id.
+
+    Examples
+    --------
+    >>> resumes(b"id: 10\ndata: x\n\n", "9"), resumes(b"id: 9\ndata: x\n\n", "9")
+    (True, False)
+    >>> resumes(b"HTTP/1.1 500 Error\r\n\r\nid: 10\n\n", "9")
+    False
+    """
+    new_id = event_id(event.replace(b"\r\n", b"\n").partition(_END)[0])
+    if new_id.isdigit() and last_id.isdigit():
+        return int(new_id) > int(last_id)
+    return bool(last_id) and new_id not in ("", last_id)
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -235,7 +235,9 @@
                     self._record_notice(head)
                 if failure is not None:
                     return failure
-                if not self.admitted.route.is_stream or head.status != 200:
+                if not self.admitted.route.is_stream or not head.may_be_stream:
+                    if self.caller.has_begun:
+                        return Failed(head.status)
                     self._restart_timer(limit, None)
                     return await self._relay_complete(upstream, head)
                 return await self._relay_stream(upstream, head, limit)
@@ -414,8 +416,6 @@
         body = await upstream.body(account.hold_answer if account else _ignore_size)
         progress = self.admitted.progress
         is_last = progress.runs + 1 >= progress.max_endpoints
-        if self.caller.has_begun:
-            return Failed(head.status)
         if head.status >= 500 and progress.may_repeat and not is_last:
             return Failed(head.status)
         headers = self._caller_headers(head)
@@ -433,7 +433,9 @@
         """Relay complete events as they arrive."""
         pause_s = self.admitted.route.pause_s
         timeout_s = max(MIN_STREAM_TIMEOUT_S, STREAM_TIMEOUT_PAUSES * pause_s)
-        splitter = EventSplitter(last_id=self.admitted.splitter.last_id)
+        splitter = EventSplitter(
+            last_id=self.admitted.splitter.last_id, must_resume=self.caller.has_begun
+        )
         self.admitted.splitter = splitter
         pauses = StreamPauses(target_s=pause_s)
         account = self.caller.account
@@ -468,7 +470,7 @@
         self._record_passes(pauses)
         if splitter.has_partial_event:
             return Broken("the stream ended in the middle of an event")
-        if not splitter.last_id and not head.is_framed:
+        if not splitter.has_events and not head.is_framed:
             # It ends like one whose endpoint died before the first event.
             return Broken("the stream ended before its first event")
         if not self.caller.has_begun:
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -44,6 +44,9 @@
 """TCP closes a connection whose sent data is unacknowledged for this long."""
 
 
+EVENT_STREAM = "text/event-stream"
+
+
 class ExchangeError(Exception):
     """An exchange ended without a complete answer.
 
@@ -70,6 +73,12 @@
         """Whether the answer says where it ends, other than by its connection."""
         return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
 
+    @property
+    def may_be_stream(self) -> bool:
+        """Whether the answer is a success with events, or doesn't say what it holds."""
+        media_type = self.headers.get("Content-Type", EVENT_STREAM).partition(";")[0]
+        return self.status == 200 and media_type.strip().lower() == EVENT_STREAM
+
 
 @attrs.define(eq=False, repr=False)
 class Upstream:
