A gateway that has stopped leaves no connection open

Cause: the process ended its loop with connections of callers open; they were closed when the interpreter had ended, 0.33 s later on this machine (beside load). Requests sent meanwhile were accepted by the kernel and lost.

Evidence: test_a_stopped_process_leaves_no_connection_open failed: the connection was still open when the gateway was done.

Why it works: connections are closed at the end of the drain, at once: what a caller sends then crosses the close, and is sent again.

--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -1,6 +1,7 @@
 """A gateway process: HTTP servers, peer exchange and graceful shutdown."""
 
 import asyncio
+import contextlib
 import json
 import logging
 import signal
@@ -46,6 +47,9 @@
 """Time without a new request, after the process stopped listening, at which a drain
 ends: a request that was just sent on an accepted connection is read within it."""
 
+CLOSE_TIMEOUT_S = 0.1
+"""Longest wait for the connections to be closed, within `EXIT_MARGIN_S`."""
+
 DUMP_PATH = "/dump"
 
 
@@ -123,6 +127,8 @@
                 logger.info("stopping", extra={"event": "stop", "running": count})
                 self.state.stopping_s = loop.time()
                 await _drain(front, servers, stop_at_s)
+                # The interpreter takes a while to end; nobody would read a request.
+                await _close_connections(servers)
         count = len(front.running)
         logger.info("stopped", extra={"event": "stopped", "running": count})
 
@@ -207,6 +213,13 @@
         await asyncio.sleep(DRAIN_POLL_S)
 
 
+async def _close_connections(servers: list[HTTPServer]) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            for server in servers:
+                await server.close_all_connections()
+
+
 def _operator_answers(
     parts: GatewayParts, metrics_text: Callable[[], bytes]
 ) -> Callable[[str], tuple[int, bytes]]:
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -341,6 +341,29 @@
     assert not cut
 
 
+def test_a_stopped_process_leaves_no_connection_open(monkeypatch):
+    # Callers sent requests on connections that were kept until the interpreter had
+    # ended, 0.3 s later: LOST on pryce-mapiau-grown, hunt-9a6a-7.
+    import os
+    import signal
+
+    from sorrelhoist.gateway import app
+
+    monkeypatch.setattr(app, "READINESS_DETECTION_S", 0.1)
+
+    async def main(fleet):
+        await fleet.add(whole(), service="app")
+        reader, writer = await fleet.send()
+        assert (await read_answer(reader, writer, keep_open=True)).is_complete
+        os.kill(os.getpid(), signal.SIGTERM)
+        await fleet.main
+        async with asyncio.timeout(0.1):
+            assert await reader.read() == b""
+        writer.close()
+
+    run_with_fleet(main)
+
+
 def test_stopping_takes_no_longer_than_the_grace_period():
     import os
     import signal
