A permit is needed also for a limit that is named while memory is asked for

An endpoint that names a limit while its memory is asked for got the prompt without a permit.

Cause: the permit is taken when the prompt is proposed, before the grant of the memory.

Why it works: after the grant the prompt must have a permit if its endpoint has a limit now; otherwise it takes one that is at hand, or goes back to the queue.

--- a/src/sorrelhoist/decisions/permits.py
+++ b/src/sorrelhoist/decisions/permits.py
@@ -306,6 +306,10 @@
         self._unsent[request_id] = (endpoint_id, held.expiries_s.pop(0))
         return True
 
+    def has_placed(self, request_id: str) -> bool:
+        """Return whether a request that wasn't sent yet has a permit."""
+        return request_id in self._unsent
+
     def sent(self, request_id: str) -> None:
         """Record that a placed request was sent, so that its permit stays used."""
         self._unsent.pop(request_id, None)
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -261,6 +261,12 @@
                 tokens,
                 usable_tokens(tokens, proposal.costs),
             )
+            # The endpoint may have named a limit meanwhile.
+            is_granted = is_granted and self._state.has_permit(
+                proposal.request_id,
+                proposal.assignment.first,
+                asyncio.get_running_loop().time(),
+            )
         finally:
             if not is_granted:
                 self._state.release(proposal.request_id)
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -440,6 +440,17 @@
         if self._limit_per_s(first, now_s) is not None:
             self.permits.try_place(request_id, first.endpoint_id, now_s)
 
+    def has_permit(self, request_id: str, first: Endpoint, now_s: float) -> bool:
+        """Return whether a placed request has the permit that its endpoint needs now.
+
+        One that is at hand is taken for it.
+        """
+        return (
+            self._limit_per_s(first, now_s) is None
+            or self.permits.has_placed(request_id)
+            or self.permits.try_place(request_id, first.endpoint_id, now_s)
+        )
+
     def request_sent(self, request_id: str) -> None:
         """Record that a placed request is being sent to its endpoint."""
         self.permits.sent(request_id)
