Odd values in the settings file are refused like others

Change: the errors to which odd values lead are named once, for records, pages of the store, settings and the addresses that are opened early.

--- a/src/sorrelhoist/platform/listen.py
+++ b/src/sorrelhoist/platform/listen.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from ..gateway.sockets import Sockets, listening
+from .decode_errors import DECODE_ERRORS
 
 PATH_VARIABLE = "SORRELHOIST_SETTINGS"
 """Environment variable with the path of the settings file."""
@@ -59,7 +60,7 @@
     try:
         fields = tomllib.loads(settings_path(path).read_text())
         sockets = listening(*decode_addresses(fields))
-    except (OSError, ValueError):
+    except (OSError, *DECODE_ERRORS):
         sockets = listening()
     with sockets as opened:
         yield opened
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -9,6 +9,7 @@
 from ..decisions.overload.parts import OverloadParts, parse_parts
 from ..decisions.resource_limits import ResourceLimits
 from ..exceptions import SettingsError
+from .decode_errors import DECODE_ERRORS
 from .listen import decode_addresses, settings_path
 
 METRICS_PORT = 9464
@@ -75,15 +76,7 @@
     try:
         fields = tomllib.loads(path.read_text())
         return _decode(fields)
-    except (
-        OSError,
-        LookupError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except (OSError, *DECODE_ERRORS) as error:
         raise SettingsError(f"{path}: {error!r}.") from error
 
 
--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -16,6 +16,7 @@
 
 from ..decisions.store_readers import StorePosition
 from ..exceptions import PlatformError
+from .decode_errors import DECODE_ERRORS
 
 CONNECT_TIMEOUT_S = 0.35
 """Many round-trip times to the store. If the SYN packet is lost, a retransmission
@@ -286,14 +287,7 @@
         if has_more and not records:
             raise ValueError("an empty page, and more to come")
         return _Page(records, int(page["end_offset"]), has_more)
-    except (
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except DECODE_ERRORS as error:
         raise PlatformError(f"The store's answer is no page: {error!r}.") from error
 
 
--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -21,6 +21,7 @@
     Workspace,
 )
 from ..gateway.peer_exchange import PeerAddress
+from .decode_errors import DECODE_ERRORS
 
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
@@ -43,21 +44,10 @@
 
 @contextmanager
 def _decoding(what: str) -> Iterator[None]:
-    """Raise `MalformedRecordError` for whatever an odd value leads to.
-
-    That includes numbers that are too large for a float, and values nested so deeply
-    that they can't be parsed.
-    """
+    """Raise `MalformedRecordError` for whatever an odd value leads to."""
     try:
         yield
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except DECODE_ERRORS as error:
         raise MalformedRecordError(f"{what}: {error!r:.200}") from error
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 from sorrelhoist.decisions.overload.parts import ALL_PARTS, OverloadPart
 from sorrelhoist.decisions.resource_limits import ResourceLimits
 from sorrelhoist.exceptions import SettingsError
+from sorrelhoist.platform.listen import listening_early
 from sorrelhoist.platform.settings import load_settings
 
 TEXT = """
@@ -107,6 +108,25 @@
         load_settings(path)
 
 
+@pytest.mark.parametrize(
+    "was, now",
+    [
+        ("port_range = [7340, 7355]", "port_range = [inf]"),
+        ("port_range = [7340, 7355]", "port_range = []"),
+        ("port_range = [7340, 7355]", "port_range = 7340"),
+        ("unknown_field = 3", "unknown_field = " + "[" * 100_000),
+        ("unknown_field = 3", "limits = 3"),
+    ],
+)
+def test_a_file_with_an_odd_value_is_refused(tmp_path, monkeypatch, was, now):
+    text = TEXT.replace(was, now)
+    write_settings(tmp_path, monkeypatch, text)
+    with pytest.raises(SettingsError):
+        load_settings()
+    with listening_early() as sockets:
+        assert not sockets
+
+
 def test_the_check_flag_validates_the_settings_file(tmp_path):
     path = tmp_path / "boot.toml"
     path.write_text("no = toml = at all")
