A record with a key that can't be encoded is malformed

Cause: a page of the store may name a key with half of a character ("\ud800").

Change: such records of endpoints and gateways are malformed; the next page is asked for all the same.

--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -215,7 +215,7 @@
         wait_s: float = 0.0,
     ) -> HTTPResponse:
         request = HTTPRequest(
-            f"{self._base}{path}?{urlencode(query)}",
+            f"{self._base}{path}?{urlencode(query, errors='surrogatepass')}",
             method=method,
             body=body,
             connect_timeout=CONNECT_TIMEOUT_S,
--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -218,7 +218,7 @@
         # Remaining time of the endpoint's cold start.
         cold_ms = _number(fields.get("cold_left_ms", 0), -MAX_TIME_MS, MAX_TIME_MS)
         return Endpoint(
-            endpoint_id=key,
+            endpoint_id=_text(key),
             service=_text(fields["backend"]),
             address=f"{_ip(host)}:{_whole_number(int(port), 1, MAX_PORT)}",
             failure_domain=_text(fields["zone"]),
@@ -243,6 +243,7 @@
         If it names no address to which reports can be sent.
     """
     with _decoding(f"gateway {key}"):
+        _text(key)
         fields = json.loads(value)
         port = _whole_number(fields["port"], 1, MAX_PORT)
         return PeerAddress(_ip(fields["host"]), port)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 from sorrelhoist.decisions.store_readers import StorePosition
 from sorrelhoist.exceptions import PlatformError
 from sorrelhoist.platform.store import (
+    KeyedRecord,
     PartialRead,
     RecordsExpiredError,
     StoreClient,
@@ -40,6 +41,8 @@
         b'{"items": [{"key": "a", "val": 3}], "end_offset": 1}',
         b'{"items": [], "end_offset": null}',
         b'{"items": [], "end_offset": 1, "has_more": true}',
+        b'{"items": [], "end_offset": 1e999}',
+        b'{"items": ' + b"[" * 200_000,
     ],
 )
 def test_a_malformed_page_raises_platform_error(body):
@@ -47,6 +50,11 @@
         call(Store(mode="odd", malformed_body=body), "newest", "keyed.op")
 
 
+def test_a_page_goes_on_after_a_key_that_can_not_be_encoded():
+    partial = PartialRead([KeyedRecord("i-\ud800", b"{}")], StorePosition(1, era=1))
+    assert call(Store(), "newest", "keyed.servers", partial).records
+
+
 @pytest.mark.parametrize("body", [b"", b"\0" * 15, b"\0" * 16 + b"\0\0\0\7ab"])
 def test_truncated_records_raise_platform_error(body):
     with pytest.raises(PlatformError):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -8,6 +8,7 @@
 from sorrelhoist.platform.wire import (
     MalformedRecordError,
     decode_endpoint,
+    decode_gateway,
     decode_table,
 )
 from tests.platform.fleet import configuration, running_gateway, until
@@ -71,6 +72,13 @@
         decode_endpoint("i-1", value, 0.0)
 
 
+def test_an_odd_key_is_malformed():
+    with pytest.raises(MalformedRecordError):
+        decode_endpoint("i-\ud800", entry(), 0.0)
+    with pytest.raises(MalformedRecordError):
+        decode_gateway("g-\ud800", b'{"host": "10.0.0.1", "port": 80}')
+
+
 def test_a_usual_entry_of_an_endpoint_is_decoded():
     found = decode_endpoint("i-1", entry(capacity="6", cold_left_ms="250.5"), 1.0)
     assert (found.address, found.capacity) == ("10.0.0.1:80", 6)
