The check of a message looks only at the ages that it has

Cause: the check of a load report took 15 us with 8 failed endpoints, 0.6% of a core at 400 reports a second: ages that an item doesn't have were looked for in each.

Change: a table of ages by type, like that of required fields.

--- a/src/sorrelhoist/gateway/peer_messages.py
+++ b/src/sorrelhoist/gateway/peer_messages.py
@@ -33,8 +33,15 @@
 }
 """Fields without which a message, or an item of one, means nothing."""
 
+_AGES: dict[type, tuple[str, ...]] = {
+    ttypes.LoadReport: ("configuration_age_ms",),
+    ttypes.NamedLimit: ("age_ms",),
+    ttypes.DirectoryUpdate: ("age_ms",),
+    ttypes.FreshnessAnswer: ("configuration_age_ms", "directory_age_ms"),
+}
+"""Fields that may be missing, but not negative."""
+
 _IDS = ("node_id", "endpoint_id")
-_AGES = ("age_ms", "configuration_age_ms", "directory_age_ms")
 
 
 def check_message(message: object) -> None:
@@ -74,8 +81,8 @@
         is_id = name in _IDS
         if value is None or (is_id and not 0 < len(value) <= MAX_ID_CHARS):
             raise _refusal(part, name)
-    for name in _AGES:
-        if (getattr(part, name, None) or 0) < 0:
+    for name in _AGES.get(type(part), ()):
+        if (getattr(part, name) or 0) < 0:
             raise _refusal(part, name)
 
 
