A gateway that denies memory itself pauses before it tries another engine

What callers saw: a gateway that answered nobody for seconds.

Cause: since a prompt that is denied the memory of an engine is placed again at once, without the engine that denied it last. A gateway that is cut off grants all memory itself, so that its denials take no time: it went from engine to engine without running anything else.

Why it works: from one ask to the next there is at least the interval at which queued requests are placed, in which the event loop runs its other tasks.

--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -178,10 +178,13 @@
             )
             if not isinstance(found, Proposal):
                 return found
+            next_s = loop.time() + RETRY_INTERVAL_S
             if await self._is_granted(found):
                 self._confirm(placement_request, found, loop.time())
                 self._record_outcome(ranked, found.assignment, loop.time())
                 return found.assignment
+            # A denial by this gateway itself takes no time: others run meanwhile.
+            await asyncio.sleep(max(0.0, next_s - loop.time()))
             now_s = loop.time()
             asks_left -= now_s >= waiting.give_up_s
             if not asks_left:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -18,7 +18,11 @@
     Target,
 )
 from sorrelhoist.decisions.store_contact import StoreContact
-from sorrelhoist.gateway.dispatch import Dispatcher, PlacementRequest
+from sorrelhoist.gateway.dispatch import (
+    RETRY_INTERVAL_S,
+    Dispatcher,
+    PlacementRequest,
+)
 from sorrelhoist.gateway.ports import CallerRequest, PromptSize
 from sorrelhoist.gateway.state import GatewayState
 from tests.virtual_loop import run_virtual
@@ -180,6 +184,24 @@
     assert not state.loads.own_uses()
 
 
+@pytest.mark.parametrize("engines", [1, 2, 3, 8])
+def test_a_gateway_that_denies_memory_itself_goes_on_with_its_other_work(engines):
+    # Cut off from the others, it grants all memory, and its answers take no time: it
+    # tried one engine after the other without end in cartog-cut on pryce-mapiau-grown.
+    asked = []
+
+    async def acquire(address, tokens, limit_tokens):
+        asked.append(address)
+        assert len(asked) < 10_000
+        return False
+
+    found, waited_s, state = in_virtual_time(acquire, engines)
+    assert isinstance(found, Busy)
+    assert waited_s <= 3.0
+    assert len(asked) <= waited_s / RETRY_INTERVAL_S + 3
+    assert not state.loads.own_uses()
+
+
 def test_a_caller_that_leaves_while_memory_is_asked_for_leaves_no_load():
     async def acquire(address, tokens, limit_tokens):
         assert state.loads.own_uses()
