--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -107,6 +107,7 @@
         answer = await fleet.stream(wait_ms=WAIT_MS)
         assert answer.body == all_events(1, 5)
         assert answer.is_complete
+        assert answer.took_s < 1.0
 
     run_with_fleet(main, first=configuration(routes=routes(3)))
 
