--- /dev/null
+++ b/tests/platform/test_real_requests.py
@@ -0,0 +1,152 @@
+"""Requests of ordinary clients to a real process, within the operator's limits."""
+
+import asyncio
+
+import pytest
+
+from tests.platform.real_gateway import head, post, run_in_world
+
+pytestmark = pytest.mark.process
+
+LIMITS = {
+    "max_header_bytes": 65_536,
+    "max_body_bytes": 16 << 20,
+    "header_timeout_ms": 2000,
+    "idle_timeout_ms": 3000,
+}
+CHUNKED = ("Transfer-Encoding: chunked",)
+
+
+def chunked(*lines):
+    return head("/once/1", "POST", extra=CHUNKED) + b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+PROPER = {
+    "scheme in lower case": head(authorization="token key-1"),
+    "absolute form": head("http://example.test/look/1"),
+    "chunk extension": chunked(b"5;a=b", b"hello", b"0"),
+    "trailer": chunked(b"5", b"hello", b"0", b"X-Trailer: 1"),
+    "Latin-1 header": head(extra=["X-Name: @"]).replace(b"@", b"Ka\xe1p"),
+    "UTF-8 header": head(extra=["X-Name: @"]).replace(b"@", "Kašpárek".encode()),
+    "fractional deadline": head(wait_ms="3000.5"),
+    "pipelined": head(close=False) + head(),
+    "empty line first": b"\r\n" + head(),
+    "HTTP/1.0": head(version="1.0"),
+}
+
+
+@pytest.mark.parametrize("name", PROPER)
+def test_a_proper_request_is_served(tmp_path, name):
+    async def main(world):
+        gateway = await world.start()
+        reply = await gateway.call(PROPER[name])
+        assert set(reply.statuses) == {200}, reply
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_path_that_http_does_not_allow_is_answered(tmp_path):
+    async def main(world):
+        gateway = await world.start()
+        reply = await gateway.call(head("/look/@").replace(b"@", "š".encode()))
+        assert reply.status in (200, 400), reply
+
+    run_in_world(tmp_path, main)
+
+
+async def limited(world, **changes):
+    """Start a gateway and let it apply other limits for callers."""
+    gateway = await world.start()
+    world.configure(limits=LIMITS | changes)
+    await asyncio.sleep(1.0)
+    return gateway
+
+
+@pytest.mark.parametrize("size_bytes", (4_300_000, 8_000_000))
+@pytest.mark.parametrize("is_chunked", (False, True))
+def test_a_body_within_the_operators_limit_is_served(tmp_path, size_bytes, is_chunked):
+    async def main(world):
+        gateway = await limited(world)
+        body = b"x" * size_bytes
+        request = post(body=body)
+        if is_chunked:
+            request = chunked(b"%x" % size_bytes, body, b"0")
+        reply = await gateway.call(request, wait_s=8.0)
+        assert reply.status == 200, reply
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_head_within_the_operators_limit_is_served(tmp_path):
+    async def main(world):
+        gateway = await limited(world)
+        reply = await gateway.call(head(extra=["X-Long: " + "a" * 40_000]))
+        assert reply.status == 200, reply
+
+    run_in_world(tmp_path, main)
+
+
+@pytest.mark.parametrize("size_bytes", (2_000, 9_000_000))
+def test_a_body_over_the_operators_limit_gets_413(tmp_path, size_bytes):
+    async def main(world):
+        gateway = await limited(world, max_body_bytes=1_000)
+        reply = await gateway.call(post(body=b"x" * size_bytes), wait_s=8.0)
+        assert reply.status == 413, reply
+        assert not reply.was_reset
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_chunked_body_over_the_operators_limit_gets_413(tmp_path):
+    async def main(world):
+        gateway = await limited(world, max_body_bytes=1_000)
+        request = chunked(b"%x" % 9_000_000, b"x" * 9_000_000, b"0")
+        reply = await gateway.call(request, wait_s=8.0)
+        assert reply.status == 413, reply
+        assert not reply.was_reset
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_head_over_the_operators_limit_gets_431(tmp_path):
+    async def main(world):
+        gateway = await limited(world, max_header_bytes=4_096)
+        reply = await gateway.call(head(extra=["X-Long: " + "a" * 9_000]))
+        assert reply.status == 431, reply
+        assert not reply.was_reset
+
+    run_in_world(tmp_path, main)
+
+
+def test_half_a_head_ends_after_the_operators_timeout(tmp_path):
+    async def main(world):
+        gateway = await limited(world)
+        reply = await gateway.call(head()[:30], wait_s=4.0)
+        assert not reply.is_open
+        assert reply.status == 408, reply
+
+    run_in_world(tmp_path, main)
+
+
+def test_limits_that_change_apply_to_connections_that_are_open(tmp_path):
+    async def main(world):
+        gateway = await limited(world)
+        small = post(body=b"x" * 2_000, close=False)
+        call = gateway.call(small, small, pause_s=2.0, wait_s=5.0)
+        calling = asyncio.ensure_future(call)
+        await asyncio.sleep(0.7)
+        world.configure(limits=LIMITS | {"max_body_bytes": 1_000})
+        assert (await calling).statuses == [200, 413]
+
+    run_in_world(tmp_path, main)
+
+
+def test_an_idle_connection_is_kept_for_the_operators_timeout(tmp_path):
+    async def main(world):
+        gateway = await limited(world, idle_timeout_ms=2000)
+        reply = await gateway.call(head(close=False), head(), pause_s=1.6)
+        assert reply.statuses == [200, 200], reply
+        reply = await gateway.call(head(close=False), wait_s=4.0)
+        assert not reply.is_open
+
+    run_in_world(tmp_path, main)
