Stand-ins of the tests read and write header values as bytes

The stand-in for endpoints decoded header values as UTF-8 and closed the connection on a Latin-1 one: the test of a Latin-1 header failed whatever the gateway sent. Reply.statuses took answers from the starts of lines; the second answer on a kept connection begins behind the body of the first, on the same line, and wasn't counted, so that two tests of kept connections failed with both answers there. Both now read what is on the wire; what the tests ask for is unchanged.

--- a/tests/platform/real_gateway.py
+++ b/tests/platform/real_gateway.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -64,8 +65,8 @@
     @property
     def statuses(self):
         """Status of each answer, without those of 1xx."""
-        lines = self.data.split(b"\r\n")
-        found = [int(line[9:12]) for line in lines if line.startswith(b"HTTP/1.1 ")]
+        # An answer begins where the body of the one before it ends, on the same line.
+        found = map(int, re.findall(rb"HTTP/1\.1 ([0-9]{3}) ", self.data))
         return [status for status in found if status >= 200]
 
     @property
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -54,7 +54,9 @@
         elif isinstance(event, h11.Data):
             body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage):
-            headers = {n.decode().lower(): v.decode() for n, v in start.headers}
+            headers = {
+                n.decode().lower(): v.decode("latin-1") for n, v in start.headers
+            }
             now_s = asyncio.get_running_loop().time()
             method, target = start.method.decode(), start.target.decode()
             return ReceivedRequest(method, target, headers, body, now_s)
@@ -87,7 +89,7 @@
     lines = [f"HTTP/1.1 {status} x"] + [f"{n}: {v}" for n, v in headers]
     if length:
         lines.append(f"Content-Length: {len(body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
 @attrs.define(eq=False)
