The scheme of an API key is compared without case

Callers that sent 'authorization: token KEY' got 401, although the names of schemes are case-insensitive (RFC 9110, 11.1).

--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -30,7 +30,7 @@
 LEAVING_HEADER = "Server-Leaving"
 PAUSE_HEADER = "Retry-After"
 ORDER_PATH = "/order"
-KEY_SCHEME = "Token "
+KEY_SCHEME = "token"
 
 # Hop-by-hop headers, and headers that only the gateway may set.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -79,17 +79,13 @@
         request_id = headers.get(REQUEST_ID_HEADER, "")
         if not request_id:
             raise InvalidRequestError(f"There is no {REQUEST_ID_HEADER}.")
-        authorization = headers.get("Authorization", "")
-        key = None
-        if authorization.startswith(KEY_SCHEME):
-            key = authorization[len(KEY_SCHEME) :].strip()
         return CallerRequest(
             request_id=request_id,
             method=method,
             path=path,
             host=headers.get("Host", ""),
             headers=headers,
-            key=key,
+            key=_decode_key(headers.get("Authorization", "")),
             wait_s=_decode_wait_s(headers.get(DEADLINE_HEADER)),
             resume_after=headers.get(RESUME_HEADER, ""),
             size=_decode_size(headers.get(TOKEN_COUNT_HEADER)),
@@ -248,6 +244,20 @@
     return frozenset(name.strip() for name in named)
 
 
+def _decode_key(authorization: str) -> str | None:
+    """Decode an API key.
+
+    Examples
+    --------
+    >>> _decode_key("Token key-1"), _decode_key("TOKEN  key-1"), _decode_key("Basic a")
+    ('key-1', 'key-1', None)
+    """
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != KEY_SCHEME:
+        return None
+    return key.strip()
+
+
 def _decode_wait_s(text: str | None) -> float | None:
     if text is None:
         return None
