A deadline may be a decimal fraction, and none of another form passes

X-Deadline-Ms: 3000.5 got 400, since the header was read with int(). That function also took what is no number for a caller, such as 1_0, and a negative deadline became 0.

--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import math
+import re
 
 from tornado.httputil import HTTPHeaders
 
@@ -62,6 +63,8 @@
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 
+_MILLISECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+
 MAX_LOGGED, MAX_LOGGED_CHARS = 100, 40
 """Number and length of malformed header values that are logged."""
 
@@ -259,14 +262,20 @@
 
 
 def _decode_wait_s(text: str | None) -> float | None:
+    """Decode how long the caller waits, in seconds.
+
+    Examples
+    --------
+    >>> _decode_wait_s("3000.5"), _decode_wait_s(None)
+    (3.0005, None)
+    """
     if text is None:
         return None
-    try:
-        return max(0, int(text)) / 1000
-    except (ValueError, OverflowError) as error:
+    if _MILLISECONDS.fullmatch(text) is None or math.isinf(float(text)):
         raise InvalidRequestError(
-            f"{DEADLINE_HEADER} is no number: {text!r:.40}."
-        ) from error
+            f"{DEADLINE_HEADER} is no number of milliseconds: {text!r:.40}."
+        )
+    return float(text) / 1000
 
 
 def _decode_size(text: str | None) -> PromptSize | None:
@@ -292,7 +301,8 @@
 
 
 def _token_count(text: str) -> int:
-    count = int(text)
+    digits = text.strip()
+    count = int(digits) if digits.isascii() and digits.isdigit() else -1
     if not 0 <= count <= MAX_TOKENS:
         raise ValueError(f"not a number from 0 to {MAX_TOKENS}")
     return count
