Callers are read by the parser that writes to endpoints

Callers saw 400 for a chunk extension or a trailer, 404 for the absolute form of a target, and a connection that closed without an answer for a path with bytes over 0x7f. With limits of the operator that differ from the defaults, bodies of 4.3 and 8 MB were reset and heads of 40 kB closed where they are allowed, and larger ones than allowed were served; half a head stayed open for longer than header_timeout_ms.

Tornado's HTTPServer read requests and h11 wrote them: what one of them takes the other may not, what Tornado rejects doesn't pass through the gateway's refusals, and its limits are fixed when the server is made. HttpServer and HttpConnection replace it, with h11 over an IOStream, for callers, readiness probes and metrics. Each check of a size or a time asks for the limits of the configuration in force, also for a request that is being read. A rejection has a status and a text, is logged as caller_rejected with the request id, and counted by status. Afterwards the connection is read on for a bounded time: closed at once, it would be reset under the answer. A body of more than max_body_bytes, or one for which there is no memory, is refused without waiting for its end.

Content-Length beside Transfer-Encoding, CONNECT, and a host or target that isn't valid get 400. An exchange that fails before the answer has begun is answered with 502 instead of a closed connection, and its log line has the request id. accept() without descriptors left is tried again after 0.1 s.

--- a/src/sorrelhoist/exceptions.py
+++ b/src/sorrelhoist/exceptions.py
@@ -76,6 +76,46 @@
     default_remedy = "Correct the request."
 
 
+class HeadersTooLargeError(InvalidRequestError):
+    """The headers of a request, or the trailers of its body, are over the limit."""
+
+    kind = "headers_too_large"
+    http_status = 431
+    default_remedy = "Send fewer or shorter headers."
+
+
+class BodyTooLargeError(InvalidRequestError):
+    """The body of a request is over the limit."""
+
+    kind = "body_too_large"
+    http_status = 413
+    default_remedy = "Send a shorter body."
+
+
+class RequestTimeoutError(InvalidRequestError):
+    """A request was not sent to its end in time."""
+
+    kind = "request_timeout"
+    http_status = 408
+    default_remedy = "Send the whole request without pauses."
+
+
+class UnsupportedTransferError(InvalidRequestError):
+    """The body of a request has a transfer coding other than chunks."""
+
+    kind = "unsupported_transfer"
+    http_status = 501
+    default_remedy = "Send the body with a length or in chunks."
+
+
+class UnsupportedVersionError(InvalidRequestError):
+    """A request has another version of HTTP."""
+
+    kind = "unsupported_version"
+    http_status = 505
+    default_remedy = "Use HTTP/1.1."
+
+
 class UnknownModelError(InvalidRequestError):
     """A request names a model that is not available to its workspace."""
 
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -11,10 +11,10 @@
 from typing import Any
 
 import attrs
-from tornado.httpserver import HTTPServer
 
 from ..decisions.routes import CallerLimits
 from .dispatch import Dispatcher
+from .http_server import HttpServer, serve
 from .memory import MemoryKeeper
 from .metrics import GatewayMetrics, MetricsLoader
 from .parts import GatewayParts
@@ -25,9 +25,9 @@
 from .server import (
     CallerDelegate,
     StatusDelegate,
+    caller_limits,
     limit_send_buffer,
     readiness,
-    serve,
 )
 from .sockets import Sockets, open_socket
 from .state import GatewayState
@@ -135,7 +135,7 @@
     @asynccontextmanager
     async def _serving(
         self,
-    ) -> AsyncIterator[tuple[CallerDelegate, PeerExchange, list[HTTPServer]]]:
+    ) -> AsyncIterator[tuple[CallerDelegate, PeerExchange, list[HttpServer]]]:
         """Listen on all addresses until the context exits."""
         loop = asyncio.get_running_loop()
         metrics = GatewayMetrics()
@@ -169,8 +169,8 @@
 
     def _listen(
         self, front: CallerDelegate, metrics_text: Callable[[], bytes]
-    ) -> list[HTTPServer]:
-        addresses, limits = self.addresses, CallerLimits()
+    ) -> list[HttpServer]:
+        addresses = self.addresses
         operator_pages = StatusDelegate(_operator_answers(front.parts, metrics_text))
         metrics_address = f"{addresses.host}:{addresses.metrics_port}"
         front_socket = self._socket(addresses.front)
@@ -178,9 +178,9 @@
             limit_send_buffer(front_socket)
         ready = StatusDelegate(readiness(self.state))
         return [
-            serve(front, front_socket, limits),
-            serve(ready, self._socket(addresses.ready), limits),
-            serve(operator_pages, self._socket(metrics_address), limits),
+            serve(front, front_socket, caller_limits(self.state)),
+            serve(ready, self._socket(addresses.ready), CallerLimits),
+            serve(operator_pages, self._socket(metrics_address), CallerLimits),
         ]
 
     def _socket(self, address: str) -> socket.socket:
@@ -188,7 +188,7 @@
 
 
 async def _drain(
-    front: CallerDelegate, servers: list[HTTPServer], stop_at_s: float
+    front: CallerDelegate, servers: list[HttpServer], stop_at_s: float
 ) -> None:
     """Wait until all that was accepted is answered, and stop listening before the end.
 
@@ -213,7 +213,7 @@
         await asyncio.sleep(DRAIN_POLL_S)
 
 
-async def _close_connections(servers: list[HTTPServer]) -> None:
+async def _close_connections(servers: list[HttpServer]) -> None:
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(CLOSE_TIMEOUT_S):
             for server in servers:
--- a/src/sorrelhoist/gateway/caller.py
+++ b/src/sorrelhoist/gateway/caller.py
@@ -2,44 +2,28 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from collections import deque
 
-from tornado.http1connection import HTTP1Connection
-from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
 from ..decisions.memory.account import MemoryAccount
+from .http_connection import NO_CONTENT, REASON_PHRASES, HttpConnection
 from .upstream import AnswerHead
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Makes the next close a reset. A caller that takes the end of the connection for the
-end of the answer would otherwise take a truncated answer for a complete one."""
-
 PIECE_BYTES = 64
 """Counted for each piece of data that is held, besides its content."""
 
-REASON_PHRASES = {
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    422: "Unprocessable Content",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
 
 class CallerConnection:
-    """Send one answer on a connection of Tornado's HTTP server.
+    """Send one answer on the connection of a caller.
 
     Parts of the body are written at once. While the connection doesn't take them, they
     are held here and counted in the account of the request.
 
     Parameters
     ----------
-    connection : tornado.http1connection.HTTP1Connection
+    connection : HttpConnection
     is_chunked : bool
         Whether the caller's protocol marks the end of a body of unknown length; if it
         doesn't, the end of the connection is the end of the body.
@@ -48,7 +32,7 @@
         Why the gateway disconnected the caller, if it did.
     """
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    def __init__(self, connection: HttpConnection) -> None:
         self._connection = connection
         self.has_begun = False
         self.should_close = False
@@ -63,12 +47,26 @@
         self._drained: asyncio.Future[None] | None = None
 
     async def begin(self, head: AnswerHead, headers: HTTPHeaders) -> None:
-        """Send the status and the headers."""
-        self.has_begun = True
+        """Send the status and the headers.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If they can't be sent to a caller.
+        """
+        if self._connection.is_bodiless(head.status):
+            # The length is that of the body which the endpoint has left out.
+            length = head.headers.get("Content-Length")
+            headers.pop("Content-Length", None)
+            if length is not None and head.status != NO_CONTENT:
+                headers["Content-Length"] = length
+        self._send_head(head.status, head.reason, headers)
+
+    def _send_head(self, status: int, reason: str, headers: HTTPHeaders) -> None:
         if self.should_close:
             headers["Connection"] = "close"
-        line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
-        await self._connection.write_headers(line, headers)
+        self._connection.send_head(status, reason, headers)
+        self.has_begun = True
 
     def write(self, data: bytes) -> None:
         """Send a part of the body, or hold it until the caller has read what precedes.
@@ -89,10 +87,8 @@
             self._count_unread()
 
     def _write_now(self, data: bytes) -> None:
-        written = self._connection.write(data)
-        if written.done():
-            written.result()
-        else:
+        written = self._connection.send_data(data)
+        if written is not None:
             self._being_written = len(data)
             written.add_done_callback(self._on_written)
 
@@ -136,14 +132,7 @@
 
     def abort(self) -> None:
         """Close the connection, so that a truncated answer doesn't look complete."""
-        stream = self._connection.stream
-        if stream is None or stream.closed():
-            return
-        if not self.is_chunked:
-            stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-        stream.close()
+        self._connection.abort(is_reset=not self.is_chunked)
 
     def cut(self, reason: str) -> None:
         """Close the connection and drop what is held for it."""
@@ -157,12 +146,20 @@
 
     async def answer(self, status: int, headers: HTTPHeaders, text: str) -> None:
         """Send an answer of the gateway itself; ignore a caller that disconnected."""
+        with contextlib.suppress(StreamClosedError):
+            self.send_answer(status, headers, text)
+
+    def send_answer(self, status: int, headers: HTTPHeaders, text: str) -> None:
+        """Send an answer of the gateway itself at once.
+
+        Raises
+        ------
+        StreamClosedError
+            If the connection is closed.
+        """
         body = (text + "\n").encode()
         headers["Content-Type"] = "text/plain"
         headers["Content-Length"] = str(len(body))
-        head = AnswerHead(status, REASON_PHRASES.get(status, "Unknown"), headers)
-        with contextlib.suppress(StreamClosedError):
-            await self.begin(head, headers)
-            self.write(body)
-            await self.drained()
-            self.finish()
+        self._send_head(status, REASON_PHRASES.get(status, "Unknown"), headers)
+        self._connection.send_data(body)
+        self.finish()
--- /dev/null
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -0,0 +1,562 @@
+"""One HTTP connection of a client: requests are read, and answers written, with h11."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import h11
+from tornado.httputil import HTTPHeaders, HTTPInputError
+from tornado.iostream import IOStream, StreamClosedError
+
+from ..decisions.caller_timeouts import (
+    Answered,
+    Answering,
+    Closing,
+    Idle,
+    Overdue,
+    Phase,
+    ReadingBody,
+    ReadingHead,
+    find_overdue,
+)
+from ..decisions.request_target import parse_target
+from ..decisions.routes import CallerLimits
+from ..exceptions import (
+    BodyTooLargeError,
+    HeadersTooLargeError,
+    InvalidRequestError,
+    RequestTimeoutError,
+    UnsupportedTransferError,
+    UnsupportedVersionError,
+)
+
+READ_BYTES = 65_536
+"""Bytes of one read."""
+
+MAX_READS = 4
+"""Reads of one connection before others have their turn."""
+
+MAX_AHEAD_BYTES = READ_BYTES
+"""Bytes of further requests that are read while a request is served."""
+
+MAX_EVENT_BYTES = 1 << 40
+"""Bound of h11 for incomplete heads; the limits of the operator are checked here."""
+
+LINGER_S = 2.0
+"""Time for which a connection is read after an answer to a request that wasn't read to
+its end. If it were closed at once, the reset could destroy the answer."""
+
+LINGER_BYTES = 64 * 1024 * 1024
+"""Bytes that are discarded in this time."""
+
+FLUSH_S = 10.0
+"""Time that a client has to take the end of the last answer."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Makes the next close a reset. A client that takes the end of the connection for the
+end of the answer would otherwise take a truncated answer for a complete one."""
+
+NO_CONTENT, NOT_MODIFIED = 204, 304
+
+REASON_PHRASES = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
+}
+
+
+@attrs.frozen(kw_only=True)
+class RequestHead:
+    """Head of a request.
+
+    Parameters
+    ----------
+    method, path : str
+        The path is in origin form, with the query.
+    version : str
+        Such as ``"1.1"``.
+    headers : tornado.httputil.HTTPHeaders
+        Each character of a value stands for one byte of it (Latin-1). The host is that
+        of the target if it names one.
+    body_bytes : int or None
+        Length of the body, None if it isn't declared.
+    """
+
+    method: str
+    path: str
+    version: str
+    headers: HTTPHeaders
+    body_bytes: int | None
+
+
+class RequestHandler(Protocol):
+    """Handles one request."""
+
+    def head_received(self, head: RequestHead) -> None:
+        """Process the head; the body follows."""
+
+    def data_received(self, data: bytes) -> None:
+        """Process a part of the body."""
+
+    def body_received(self) -> None:
+        """Answer the request, which is complete."""
+
+    def rejected(self, error: InvalidRequestError, headers: HTTPHeaders) -> None:
+        """Answer a request that isn't valid or over a limit; its rest is not read.
+
+        Parameters
+        ----------
+        error : InvalidRequestError
+        headers : tornado.httputil.HTTPHeaders
+            Headers of the request as far as they are known.
+        """
+
+    def connection_closed(self) -> None:
+        """Stop handling the request: its connection is closed."""
+
+
+class RequestDelegate(Protocol):
+    """Creates the handlers of the requests of a server."""
+
+    def start_request(self, connection: "HttpConnection") -> RequestHandler:
+        """Return the handler of one request."""
+
+
+_CONTINUE = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+
+
+class HttpConnection:
+    """Read the requests of one connection one after the other, and write their answers.
+
+    While a request is served the connection is read on, so that its end is noticed.
+
+    Parameters
+    ----------
+    stream : tornado.iostream.IOStream
+    delegate : RequestDelegate
+    limits : callable
+        Returns the limits that apply now.
+    on_close : callable
+        Called with the connection when it is closed.
+    """
+
+    def __init__(
+        self,
+        stream: IOStream,
+        delegate: RequestDelegate,
+        limits: Callable[[], CallerLimits],
+        on_close: Callable[["HttpConnection"], None],
+    ) -> None:
+        self.stream = stream
+        self._delegate = delegate
+        self._limits = limits
+        self._on_closed = on_close
+        self._phase: Phase = Idle(_now_s())
+        self._protocol = _new_protocol()
+        self._handler: RequestHandler | None = None
+        self._headers = HTTPHeaders()
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._ahead = bytearray()
+        self._is_reading = False
+        self._is_advancing = False
+        self._is_discarding = False
+        self._discarded_bytes = 0
+        self._unsent = b""
+        self._last_write: asyncio.Future[None] | None = None
+        self._is_lingering = False
+        self._is_bodiless = False
+
+    def start(self) -> None:
+        """Read requests until the connection is closed."""
+        self.stream.set_close_callback(self._on_close)
+        self._read()
+
+    def check_time(self, now_s: float) -> None:
+        """End the connection if the client has let it wait too long."""
+        limits = self._limits()
+        match find_overdue(self._phase, limits, now_s):
+            case Overdue.HEAD:
+                time_s = limits.header_timeout_s
+                reason = f"The headers were not complete within {time_s:g} s."
+                self._reject(RequestTimeoutError(reason))
+            case Overdue.BODY:
+                reason = "The rest of the body did not arrive."
+                self._reject(RequestTimeoutError(reason))
+            case Overdue.REQUEST | Overdue.CLOSE:
+                self.stream.close()
+
+    # Reading
+
+    def _read(self) -> None:
+        """Read what has arrived, and go on when more arrives."""
+        for turn in range(MAX_READS + 1):
+            is_full = len(self._ahead) >= MAX_AHEAD_BYTES
+            if self._is_reading or is_full or self.stream.closed():
+                return
+            try:
+                read = asyncio.ensure_future(
+                    self.stream.read_bytes(READ_BYTES, partial=True)
+                )
+            except StreamClosedError:
+                return
+            if not read.done() or turn == MAX_READS:
+                self._is_reading = True
+                read.add_done_callback(self._on_read)
+                return
+            self._take(read)
+
+    def _on_read(self, read: asyncio.Future[bytes]) -> None:
+        self._is_reading = False
+        self._take(read)
+        self._read()
+
+    def _take(self, read: asyncio.Future[bytes]) -> None:
+        if read.cancelled() or read.exception() is not None or self.stream.closed():
+            return  # The close callback has been called or follows.
+        data = read.result()
+        if self._is_discarding or isinstance(self._phase, Closing):
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > LINGER_BYTES:
+                self.stream.close()
+        elif isinstance(self._phase, Answering | Answered):
+            self._ahead += data
+        else:
+            now_s = _now_s()
+            self._receive(data, now_s)
+            self._advance(now_s)
+
+    def _receive(self, data: bytes, now_s: float) -> None:
+        match self._phase:
+            case Idle():
+                # Clients may send empty lines before a request.
+                data = data.lstrip(b"\r\n")
+                if not data:
+                    return
+                self._phase = ReadingHead(now_s)
+            case ReadingBody():
+                self._phase = ReadingBody(now_s)
+        self._received_bytes += len(data)
+        self._protocol.receive_data(data)
+
+    def _advance(self, now_s: float) -> None:
+        """Process what was received, as far as that is possible now."""
+        if self._is_advancing:
+            return  # The loop below goes on: this is a call from inside of it.
+        self._is_advancing = True
+        try:
+            while self._step(now_s):
+                pass
+        finally:
+            self._is_advancing = False
+
+    def _step(self, now_s: float) -> bool:
+        """Process one event; return whether there may be another."""
+        match self._phase:
+            case ReadingHead() | ReadingBody():
+                try:
+                    return self._process_event(now_s)
+                except h11.RemoteProtocolError as error:
+                    self._reject(_rejection(error))
+                except InvalidRequestError as error:
+                    self._reject(error)
+                return True
+            case Answered():
+                return self._next_request(now_s)
+            case _:
+                return False
+
+    def _process_event(self, now_s: float) -> bool:
+        event = self._protocol.next_event()
+        match event:
+            case h11.Request():
+                self._process_head(event, now_s)
+            case h11.Data():
+                assert self._handler is not None
+                self._body_bytes += len(event.data)
+                self._check_body_size(self._body_bytes)
+                self._handler.data_received(event.data)
+            case h11.EndOfMessage():
+                assert self._handler is not None
+                self._phase = Answering()
+                self._handler.body_received()
+            case _:
+                self._check_incomplete()
+                return False
+        return True
+
+    def _process_head(self, request: h11.Request, now_s: float) -> None:
+        unread_bytes = len(self._protocol.trailing_data[0])
+        self._headers = _read_headers(request)
+        self._check_head_size(self._received_bytes - unread_bytes)
+        head = _read_head(request, self._headers)
+        self._is_bodiless = head.method == "HEAD"
+        self._check_body_size(head.body_bytes or 0)
+        self._phase = ReadingBody(now_s)
+        self._handler = self._delegate.start_request(self)
+        self._handler.head_received(head)
+        is_waiting = self._protocol.they_are_waiting_for_100_continue
+        if is_waiting and head.version != "1.0" and self._is_reading_body:
+            self._write(self._protocol.send(_CONTINUE) or b"")
+
+    def _check_incomplete(self) -> None:
+        """Check the size of a head, chunk header or trailer that is not complete."""
+        if isinstance(self._phase, ReadingHead):
+            self._check_head_size(self._received_bytes)
+        else:
+            self._check_head_size(len(self._protocol.trailing_data[0]))
+
+    def _check_head_size(self, size_bytes: int) -> None:
+        limit_bytes = self._limits().max_header_bytes
+        if size_bytes > limit_bytes:
+            raise HeadersTooLargeError(f"The headers exceed {limit_bytes} bytes.")
+
+    def _check_body_size(self, size_bytes: int) -> None:
+        limit_bytes = self._limits().max_body_bytes
+        if size_bytes > limit_bytes:
+            raise BodyTooLargeError(f"The body exceeds {limit_bytes} bytes.")
+
+    @property
+    def _is_reading_body(self) -> bool:
+        return isinstance(self._phase, ReadingBody)
+
+    def discard_body(self) -> None:
+        """Let the request be answered now, although its body was not read to its end.
+
+        The connection is closed after the answer.
+        """
+        self._is_discarding = True
+        self._phase = Answering()
+
+    def _reject(self, error: InvalidRequestError) -> None:
+        self.discard_body()
+        if self._handler is None:
+            self._handler = self._delegate.start_request(self)
+        with contextlib.suppress(StreamClosedError):
+            self._handler.rejected(error, self._headers)
+
+    # Answers
+
+    def is_bodiless(self, status: int) -> bool:
+        """Return whether the answer has no body, whatever its headers say."""
+        return self._is_bodiless or status in (NO_CONTENT, NOT_MODIFIED)
+
+    def send_head(self, status: int, reason: str, headers: HTTPHeaders) -> None:
+        """Send the status and the headers of an answer, together with its first data.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If they can't be written; another answer may be sent instead.
+        """
+        fields = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in headers.get_all()
+        ]
+        if self._is_discarding:
+            fields.append((b"Connection", b"close"))
+        response = h11.Response(
+            status_code=status, reason=reason.encode("latin-1"), headers=fields
+        )
+        self._is_bodiless = self.is_bodiless(status)
+        self._unsent = self._protocol.send(response) or b""
+
+    def send_data(self, data: bytes) -> asyncio.Future[None] | None:
+        """Send a part of the body.
+
+        Returns
+        -------
+        asyncio.Future or None
+            Done when the connection has taken it; None if it has already.
+
+        Raises
+        ------
+        StreamClosedError
+            If the connection is closed.
+        """
+        if self._is_bodiless or not data:
+            return None
+        return self._write(self._protocol.send(h11.Data(data)) or b"")
+
+    def _write(self, data: bytes) -> asyncio.Future[None] | None:
+        unsent, self._unsent = self._unsent, b""
+        if unsent and len(data) < READ_BYTES:
+            data = unsent + data
+        elif unsent:
+            self.stream.write(unsent)
+        write = self.stream.write(data)
+        if write.done():
+            write.result()
+            return None
+        return write
+
+    def finish(self) -> None:
+        """Complete the answer, and go on with the next request.
+
+        Raises
+        ------
+        StreamClosedError
+            If the connection is closed.
+        """
+        end = self._protocol.send(h11.EndOfMessage()) or b""
+        if self._unsent or end:
+            self._last_write = self._write(end)
+        self._handler = None
+        self._phase = Answered()
+        now_s = _now_s()
+        self._advance(now_s)
+
+    def send_answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Send a whole answer.
+
+        Raises
+        ------
+        StreamClosedError
+            If the connection is closed.
+        """
+        headers["Content-Length"] = str(len(body))
+        self.send_head(status, REASON_PHRASES.get(status, "Unknown"), headers)
+        self.send_data(body)
+        self.finish()
+
+    def _next_request(self, now_s: float) -> bool:
+        if self.stream.closed():
+            return False
+        rest = self._protocol.trailing_data[0] + self._ahead
+        self._ahead.clear()
+        if self._is_discarding or self._protocol.our_state is not h11.DONE:
+            self._close_gently(now_s, self._is_discarding or bool(rest))
+            return False
+        self._protocol = _new_protocol()
+        self._headers = HTTPHeaders()
+        self._received_bytes = self._body_bytes = 0
+        self._is_bodiless = False
+        self._phase = Idle(now_s)
+        self._receive(rest, now_s)
+        self._read()
+        return not isinstance(self._phase, Idle)
+
+    # Closing
+
+    def _close_gently(self, now_s: float, is_rest_expected: bool) -> None:
+        """Close the connection once the client has the answer."""
+        self._phase = Closing(now_s + (LINGER_S if is_rest_expected else FLUSH_S))
+        self._is_lingering = is_rest_expected
+        if self._last_write is None:
+            self._on_flushed(None)
+        else:
+            self._last_write.add_done_callback(self._on_flushed)
+
+    def _on_flushed(self, write: asyncio.Future[None] | None) -> None:
+        if self.stream.closed():
+            return
+        if not self._is_lingering:
+            self.stream.close()
+            return
+        with contextlib.suppress(OSError):
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        self._read()
+
+    def abort(self, is_reset: bool = False) -> None:
+        """Close the connection at once.
+
+        Parameters
+        ----------
+        is_reset : bool
+            Whether the client must be able to tell this from the end of an answer
+            whose end is that of its connection.
+        """
+        if self.stream.closed():
+            return
+        if is_reset:
+            self.stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self.stream.close()
+
+    def _on_close(self) -> None:
+        self._on_closed(self)
+        handler, self._handler = self._handler, None
+        if handler is not None:
+            handler.connection_closed()
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _new_protocol() -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_EVENT_BYTES)
+
+
+def _rejection(error: h11.RemoteProtocolError) -> InvalidRequestError:
+    # The rest of the text is what the client sent, such as its key.
+    reason = str(error).partition(": bytearray")[0]
+    message = f"The request can't be read: {reason}."
+    if error.error_status_hint == UnsupportedTransferError.http_status:
+        return UnsupportedTransferError(message)
+    return InvalidRequestError(message)
+
+
+def _read_headers(request: h11.Request) -> HTTPHeaders:
+    headers = HTTPHeaders()
+    for name, value in request.headers.raw_items():
+        try:
+            headers.add(name.decode("latin-1"), value.decode("latin-1"))
+        except HTTPInputError as error:
+            message = f"The header {name.decode('latin-1')} has a control character."
+            raise InvalidRequestError(message) from error
+    return headers
+
+
+def _read_head(request: h11.Request, headers: HTTPHeaders) -> RequestHead:
+    """Check the parts of a head that h11 leaves to its users."""
+    if not request.http_version.startswith(b"1."):
+        version = request.http_version.decode("ascii")
+        raise UnsupportedVersionError(f"HTTP/{version} is not supported.")
+    length = headers.get("Content-Length")
+    if length is not None and "Transfer-Encoding" in headers:
+        # Of two servers one may go by the length and one by the chunks, and take a part
+        # of the body for another request.
+        raise InvalidRequestError(
+            "Content-Length and Transfer-Encoding exclude each other."
+        )
+    method = request.method.decode("ascii")
+    try:
+        target = parse_target(
+            method, request.target.decode("ascii"), headers.get("Host", "")
+        )
+    except ValueError as error:
+        raise InvalidRequestError(f"{error}.".capitalize()) from error
+    headers["Host"] = target.host
+    return RequestHead(
+        method=method,
+        path=target.path,
+        version=request.http_version.decode("ascii"),
+        headers=headers,
+        body_bytes=_body_bytes(request, headers),
+    )
+
+
+def _body_bytes(request: h11.Request, headers: HTTPHeaders) -> int | None:
+    """Return the length of the body, or None if it isn't known before its end."""
+    if "Transfer-Encoding" in headers:
+        return None
+    # h11 has reduced lengths that are repeated to one.
+    lengths = (value for name, value in request.headers if name == b"content-length")
+    return int(next(lengths, b"0"))
--- /dev/null
+++ b/src/sorrelhoist/gateway/http_server.py
@@ -0,0 +1,159 @@
+"""An HTTP server on a listening socket."""
+
+import asyncio
+import errno
+import logging
+import socket
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+
+from ..decisions.routes import CallerLimits
+from .http_connection import READ_BYTES, HttpConnection, RequestDelegate
+
+logger = logging.getLogger(__name__)
+
+MAX_ACCEPTS = 64
+"""Connections that are accepted before those that are open have their turn."""
+
+ACCEPT_PAUSE_S = 0.1
+"""Time until connections are accepted again after the process ran out of descriptors or
+memory for them."""
+
+ACCEPT_LOG_INTERVAL_S = 5.0
+"""Shortest time between two log lines about this."""
+
+CHECK_INTERVAL_S = 0.25
+"""Interval at which the timeouts of all connections are checked."""
+
+_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class HttpServer:
+    """Accept connections and check their timeouts.
+
+    Parameters
+    ----------
+    listener : socket.socket
+        Non-blocking; closed by `stop`.
+    delegate : RequestDelegate
+    limits : callable
+        Returns the limits that apply now.
+    """
+
+    def __init__(
+        self,
+        listener: socket.socket,
+        delegate: RequestDelegate,
+        limits: Callable[[], CallerLimits],
+    ) -> None:
+        self._listener = listener
+        self._delegate = delegate
+        self._limits = limits
+        self._connections: set[HttpConnection] = set()
+        self._resume: asyncio.TimerHandle | None = None
+        self._check: asyncio.TimerHandle | None = None
+        self._shortage_logged_s = float("-inf")
+        self._is_listening = False
+
+    def start(self) -> None:
+        """Accept connections."""
+        self._is_listening = True
+        self._resume = None
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._listener.fileno(), self._on_acceptable)
+
+    def stop(self) -> None:
+        """Accept the connections that wait, and stop listening.
+
+        Connections in the accept queue would be reset otherwise, and their requests
+        with them.
+        """
+        if not self._is_listening:
+            return
+        self._is_listening = False
+        if self._resume is not None:
+            self._resume.cancel()
+        asyncio.get_running_loop().remove_reader(self._listener.fileno())
+        while self._accept() is None:
+            pass
+        self._listener.close()
+
+    async def close_all_connections(self) -> None:
+        """Close all connections, and wait until their requests know."""
+        if self._check is not None:
+            self._check.cancel()
+        while self._connections:
+            for connection in list(self._connections):
+                connection.abort()
+            await asyncio.sleep(0)
+
+    def _on_acceptable(self) -> None:
+        for _ in range(MAX_ACCEPTS):
+            error = self._accept()
+            if error is None:
+                continue
+            if error.errno in _SHORTAGES:
+                self._pause(error)
+            return
+
+    def _accept(self) -> OSError | None:
+        """Accept one connection; return why there is none."""
+        try:
+            connection, _ = self._listener.accept()
+        except ConnectionAbortedError:
+            return None
+        except OSError as error:
+            return error
+        connection.setblocking(False)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = IOStream(connection, read_chunk_size=READ_BYTES)
+        opened = HttpConnection(
+            stream, self._delegate, self._limits, self._connections.discard
+        )
+        self._connections.add(opened)
+        opened.start()
+        if self._check is None:
+            self._check_later()
+        return None
+
+    def _pause(self, error: OSError) -> None:
+        """Accept no connections for a while: an event loop would spin otherwise."""
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener.fileno())
+        self._resume = loop.call_later(ACCEPT_PAUSE_S, self.start)
+        now_s = loop.time()
+        if now_s - self._shortage_logged_s >= ACCEPT_LOG_INTERVAL_S:
+            self._shortage_logged_s = now_s
+            logger.error(
+                "connections can't be accepted",
+                extra={
+                    "event": "accept_failed",
+                    "reason": str(error),
+                    "connections": len(self._connections),
+                    "pause_s": ACCEPT_PAUSE_S,
+                },
+            )
+
+    def _check_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._check = loop.call_later(CHECK_INTERVAL_S, self._check_times)
+
+    def _check_times(self) -> None:
+        self._check = None
+        now_s = asyncio.get_running_loop().time()
+        for connection in list(self._connections):
+            connection.check_time(now_s)
+        if self._connections:
+            self._check_later()
+
+
+def serve(
+    delegate: RequestDelegate,
+    listener: socket.socket,
+    limits: Callable[[], CallerLimits],
+) -> HttpServer:
+    """Start an HTTP server on a listening socket."""
+    server = HttpServer(listener, delegate, limits)
+    server.start()
+    return server
--- a/src/sorrelhoist/gateway/metrics.py
+++ b/src/sorrelhoist/gateway/metrics.py
@@ -112,6 +112,8 @@
         Retries that the budget allowed or denied, by service and outcome.
     callers_cut : Counter
         Callers that were disconnected for what was held for them, by reason.
+    callers_rejected : Counter
+        Requests that were rejected before their admission, by status.
     placement_wait : Histogram
         Duration of each placement in seconds, with the time in the queue.
     first_event : Histogram
@@ -133,6 +135,7 @@
     failures: Counter = _counter("sorrelhoist_gateway_failed_attempts")
     retries: Counter = _counter("sorrelhoist_gateway_retries")
     callers_cut: Counter = _counter("sorrelhoist_gateway_callers_cut")
+    callers_rejected: Counter = _counter("sorrelhoist_gateway_callers_rejected")
     placement_wait: Histogram = _histogram("sorrelhoist_gateway_placement_wait_seconds")
     first_event: Histogram = _histogram("sorrelhoist_gateway_first_event_seconds")
     # Without the suffix of the unit, which the exporter adds, the boundaries of this
--- a/src/sorrelhoist/gateway/ports.py
+++ b/src/sorrelhoist/gateway/ports.py
@@ -102,6 +102,9 @@
 class Dialect(Protocol):
     """Protocol between the gateway and the callers and endpoints of a deployment."""
 
+    def request_id(self, headers: HTTPHeaders) -> str:
+        """Return the id of a request, or an empty string."""
+
     def read_request(
         self, method: str, path: str, headers: HTTPHeaders, body: bytes
     ) -> CallerRequest:
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -1,25 +1,21 @@
 """HTTP servers of a gateway: for callers, readiness probes, metrics and state dumps."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections.abc import Callable
-from typing import Any
 
 import attrs
-from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    RequestStartLine,
-    ResponseStartLine,
-)
+import h11
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
 
 from ..decisions.routes import CallerLimits
 from ..exceptions import InvalidRequestError
 from .caller import CallerConnection
 from .exchange import Exchange
+from .http_connection import HttpConnection, RequestHandler, RequestHead
 from .parts import GatewayParts
 from .state import GatewayState, boot_time_s
 
@@ -28,14 +24,12 @@
 SEND_BUFFER_BYTES = 256 * 1024
 """What the kernel buffers for a caller where memory is limited; otherwise it may be
 4 MB for each. At 100 Mbit/s and a delay of 1 ms 25 kB are enough."""
-
-IDLE_TIMEOUT_FACTOR = 1.25
-"""Idle connections are kept open for this multiple of the limit that callers know."""
+OUTCOME_UNKNOWN = "the gateway failed; whether the request has run is not known"
 
 
 @attrs.define(eq=False, repr=False)
-class CallerDelegate(HTTPServerConnectionDelegate):
-    """Create a delegate for each request of a caller.
+class CallerDelegate:
+    """Create a handler for each request of a caller.
 
     Parameters
     ----------
@@ -52,31 +46,27 @@
 
     parts: GatewayParts
     running: set[asyncio.Task] = attrs.field(factory=set)
-    reading: set[HTTPMessageDelegate] = attrs.field(factory=set)
+    reading: set[RequestHandler] = attrs.field(factory=set)
     received_s: float = float("-inf")
-    connections: set[Any] = attrs.field(factory=set)
+    connections: set[HttpConnection] = attrs.field(factory=set)
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is read or served."""
         return not (self.running or self.reading)
 
-    def start_request(
-        self, server_conn: object, request_conn: Any
-    ) -> HTTPMessageDelegate:
-        """Return the delegate that reads one request."""
-        return _CallerRequestDelegate(self, request_conn)
-
-    def on_close(self, server_conn: object) -> None:
-        """Do nothing: no state is kept for a connection."""
+    def start_request(self, connection: HttpConnection) -> RequestHandler:
+        """Return the handler of one request."""
+        return _CallerRequest(self, connection)
 
 
 @attrs.define(eq=False, repr=False)
-class _CallerRequestDelegate(HTTPMessageDelegate):
+class _CallerRequest:
+    """Handle one request of a caller."""
+
     front: CallerDelegate
-    connection: Any
-    start: RequestStartLine | None = None
-    headers: HTTPHeaders = attrs.field(factory=HTTPHeaders)
+    connection: HttpConnection
+    head: RequestHead | None = None
     received_s: float = 0.0
     body: list[bytes] = attrs.field(factory=list)
     body_bytes: int = 0
@@ -87,20 +77,20 @@
     def __attrs_post_init__(self) -> None:
         self.caller = CallerConnection(self.connection)
 
-    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
-        self.start = start_line
-        self.headers = headers
+    def head_received(self, head: RequestHead) -> None:
+        self.head = head
+        self.caller.is_chunked = head.version != "1.0"
         self.received_s = asyncio.get_running_loop().time()
-        declared_bytes = _declared_bytes(headers)
-        self.is_refused = not self.front.parts.memory.open(self.caller, declared_bytes)
+        memory = self.front.parts.memory
+        self.is_refused = not memory.open(self.caller, head.body_bytes or 0)
         self.front.received_s = self.received_s
         self.front.reading.add(self)
+        if self.is_refused and head.body_bytes != 0:
+            self._answer_now()
 
-    def data_received(self, chunk: bytes) -> None:
-        if self.is_refused:
-            return  # Read to its end, so that the caller gets the refusal.
-        self.body.append(chunk)
-        self.body_bytes += len(chunk)
+    def data_received(self, data: bytes) -> None:
+        self.body.append(data)
+        self.body_bytes += len(data)
         account = self.caller.account
         if account is not None and self.body_bytes > account.request_bytes:
             account.hold_request(self.body_bytes)
@@ -108,42 +98,61 @@
                 self.is_refused = True
                 self.body.clear()
                 self.front.parts.memory.close(self.caller)
+                self._answer_now()
+
+    def _answer_now(self) -> None:
+        """Refuse the request without its body, which isn't held."""
+        self.connection.discard_body()
+        self.body_received()
 
-    def finish(self) -> None:
-        assert self.start is not None
+    def body_received(self) -> None:
         self.front.reading.discard(self)
-        # Tornado reports a closed connection to the delegate only while it reads.
-        self.connection.set_close_callback(self.on_connection_close)
-        self.work = asyncio.ensure_future(self._serve(self.start))
+        self.work = asyncio.ensure_future(self._serve())
         self.front.running.add(self.work)
         self.front.connections.add(self.connection)
         self.work.add_done_callback(self._on_done)
 
-    def on_connection_close(self) -> None:
+    def rejected(self, error: InvalidRequestError, headers: HTTPHeaders) -> None:
+        parts = self.front.parts
+        self.front.reading.discard(self)
+        self.body.clear()
+        parts.memory.close(self.caller)
+        request_id = parts.dialect.request_id(headers)
+        status = error.http_status
+        logger.info(
+            "caller rejected",
+            extra={
+                "event": "caller_rejected",
+                "outcome": str(status),
+                "reason": str(error),
+                "request_id": request_id,
+            },
+        )
+        parts.metrics.callers_rejected.add(1, {"status": str(status)})
+        answer_headers = parts.dialect.refusal_headers(request_id)
+        self.caller.send_answer(status, answer_headers, str(error))
+
+    def connection_closed(self) -> None:
         self.front.reading.discard(self)
         if self.work is not None:
             self.work.cancel()
         else:
             self.front.parts.memory.close(self.caller)
 
-    async def _serve(self, start: RequestStartLine) -> None:
-        parts = self.front.parts
-        caller = self.caller
+    async def _serve(self) -> None:
+        parts, caller, head = self.front.parts, self.caller, self.head
+        assert head is not None
         caller.should_close = parts.state.is_stopping
-        caller.is_chunked = start.version != "HTTP/1.0"
         if caller.account is not None:
             caller.account.is_receiving = False
         body = b"".join(self.body)
         self.body.clear()
         try:
             request = parts.dialect.read_request(
-                start.method, start.path, self.headers, body
+                head.method, head.path, head.headers, body
             )
         except InvalidRequestError as error:
-            logger.info(
-                "invalid request", extra={"event": "invalid", "reason": str(error)}
-            )
-            await caller.answer(400, HTTPHeaders(), str(error))
+            self.rejected(error, head.headers)
             return
         exchange = Exchange(
             request=request,
@@ -156,21 +165,31 @@
 
     def _on_done(self, work: asyncio.Task) -> None:
         self.front.running.discard(work)
-        self.front.parts.memory.close(self.caller)
         self.front.connections.discard(self.connection)
-        if not work.cancelled() and work.exception() is not None:
-            logger.error(
-                "exchange failed",
-                exc_info=work.exception(),
-                extra={"event": "internal_error"},
-            )
-            self.caller.abort()
-
+        error = None if work.cancelled() else work.exception()
+        if error is not None and not isinstance(error, StreamClosedError):
+            self._report(error)
+        self.front.parts.memory.close(self.caller)
 
-def _declared_bytes(headers: HTTPHeaders) -> int:
-    """Return the length of a body as its headers declare it, or 0."""
-    length = headers.get("Content-Length", "")
-    return int(length) if length.isascii() and length.isdigit() else 0
+    def _report(self, error: BaseException) -> None:
+        """Log an error of the gateway itself, and answer the request if possible."""
+        assert self.head is not None
+        dialect = self.front.parts.dialect
+        request_id = dialect.request_id(self.head.headers)
+        logger.error(
+            "exchange failed",
+            exc_info=error,
+            extra={"event": "internal_error", "request_id": request_id},
+        )
+        if self.caller.has_begun:
+            self.caller.abort()
+            return
+        self.caller.should_close = True
+        headers = dialect.refusal_headers(request_id)
+        try:
+            self.caller.send_answer(502, headers, OUTCOME_UNKNOWN)
+        except (StreamClosedError, h11.LocalProtocolError):
+            self.caller.abort()
 
 
 def limit_send_buffer(listener: socket.socket) -> None:
@@ -179,7 +198,7 @@
 
 
 @attrs.define(eq=False, repr=False)
-class StatusDelegate(HTTPServerConnectionDelegate):
+class StatusDelegate:
     """Answer GET requests with a status and a body.
 
     Parameters
@@ -190,31 +209,36 @@
 
     answer: Callable[[str], tuple[int, bytes]]
 
-    def start_request(
-        self, server_conn: object, request_conn: Any
-    ) -> HTTPMessageDelegate:
-        """Return the delegate that reads one request."""
-        return _StatusRequestDelegate(self.answer, request_conn)
-
-    def on_close(self, server_conn: object) -> None:
-        """Do nothing: no state is kept for a connection."""
+    def start_request(self, connection: HttpConnection) -> RequestHandler:
+        """Return the handler of one request."""
+        return _StatusRequest(self.answer, connection)
 
 
 @attrs.define(eq=False, repr=False)
-class _StatusRequestDelegate(HTTPMessageDelegate):
+class _StatusRequest:
+    """Handle one request for a status."""
+
     answer: Callable[[str], tuple[int, bytes]]
-    connection: Any
+    connection: HttpConnection
     path: str = "/"
 
-    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
-        self.path = start_line.path
+    def head_received(self, head: RequestHead) -> None:
+        self.path = head.path
 
-    def finish(self) -> None:
+    def data_received(self, data: bytes) -> None:
+        """Ignore the body."""
+
+    def body_received(self) -> None:
         status, body = self.answer(self.path)
-        headers = HTTPHeaders({"Content-Length": str(len(body))})
-        line = ResponseStartLine("HTTP/1.1", status, "OK" if status == 200 else "-")
-        self.connection.write_headers(line, headers, body)
-        self.connection.finish()
+        with contextlib.suppress(StreamClosedError):
+            self.connection.send_answer(status, HTTPHeaders(), body)
+
+    def rejected(self, error: InvalidRequestError, headers: HTTPHeaders) -> None:
+        text = f"{error}\n".encode()
+        self.connection.send_answer(error.http_status, HTTPHeaders(), text)
+
+    def connection_closed(self) -> None:
+        """Do nothing: the answer was sent at once."""
 
 
 def readiness(state: GatewayState) -> Callable[[str], tuple[int, bytes]]:
@@ -228,18 +252,11 @@
     return answer
 
 
-def serve(
-    delegate: HTTPServerConnectionDelegate,
-    listener: socket.socket,
-    limits: CallerLimits,
-) -> HTTPServer:
-    """Start an HTTP server on a listening socket."""
-    server = HTTPServer(
-        delegate,
-        idle_connection_timeout=limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR,
-        max_header_size=limits.max_header_bytes * 2,
-        max_body_size=limits.max_body_bytes,
-        max_buffer_size=limits.max_body_bytes + 2 * limits.max_header_bytes,
-    )
-    server.add_sockets([listener])
-    return server
+def caller_limits(state: GatewayState) -> Callable[[], CallerLimits]:
+    """Return the function that returns the limits of the configuration in force."""
+    defaults = CallerLimits()
+
+    def limits() -> CallerLimits:
+        return defaults if state.table is None else state.table.limits
+
+    return limits
--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -75,11 +75,15 @@
     def __init__(self) -> None:
         self._logged_values: set[tuple[str, str]] = set()
 
+    def request_id(self, headers: HTTPHeaders) -> str:
+        """Return the id of a request, or an empty string."""
+        return headers.get(REQUEST_ID_HEADER, "")
+
     def read_request(
         self, method: str, path: str, headers: HTTPHeaders, body: bytes
     ) -> CallerRequest:
         """Decode a caller's request."""
-        request_id = headers.get(REQUEST_ID_HEADER, "")
+        request_id = self.request_id(headers)
         if not request_id:
             raise InvalidRequestError(f"There is no {REQUEST_ID_HEADER}.")
         return CallerRequest(
@@ -222,7 +226,7 @@
 
     def refusal_headers(self, request_id: str) -> HTTPHeaders:
         """Return the headers of an answer that the gateway generates itself."""
-        return HTTPHeaders({REQUEST_ID_HEADER: request_id})
+        return HTTPHeaders({REQUEST_ID_HEADER: request_id} if request_id else {})
 
 
 def _encode_helper(helper: Helper) -> str:
