Header values pass the gateway as bytes

A request with a byte over 0x7f in a header, in Latin-1 or UTF-8, ended with a closed connection and "exchange failed" in the log: values were decoded as Latin-1 when they were read, and h11 encodes text as ASCII when it is written. They are encoded as Latin-1 on both sides now, so that the bytes stay what they were, event ids included. Workspace names that aren't ASCII are sent in UTF-8, and API keys compared so. A control character in the head of an endpoint's answer, and a process without descriptors for the connection to an endpoint, count as failures of the attempt and no longer end the exchange.

--- a/src/sorrelhoist/decisions/event_stream.py
+++ b/src/sorrelhoist/decisions/event_stream.py
@@ -94,7 +94,7 @@
     for line in event.split(b"\n"):
         name, _, value = line.partition(b":")
         if name.strip() == b"id":
-            return value.strip().decode("ascii", "replace")
+            return value.strip().decode("latin-1")
     return ""
 
 
@@ -112,6 +112,6 @@
     False
     """
     new_id = event_id(event.replace(b"\r\n", b"\n").partition(_END)[0])
-    if new_id.isdigit() and last_id.isdigit():
+    if new_id.isdecimal() and last_id.isdecimal():
         return int(new_id) > int(last_id)
     return bool(last_id) and new_id not in ("", last_id)
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -12,7 +12,7 @@
 
 import attrs
 import h11
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..decisions.forwarding import Broken, Failure, NotSent
@@ -101,9 +101,12 @@
         self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Start sending a request; the answer may arrive before all of it is sent."""
+        fields = [
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
+        ]
         try:
             data = self._protocol.send(
-                h11.Request(method=method, target=path, headers=headers)
+                h11.Request(method=method, target=path, headers=fields)
             )
             content = self._protocol.send(h11.Data(body)) or b"" if body else b""
             end = self._protocol.send(h11.EndOfMessage()) or b""
@@ -141,8 +144,11 @@
         if not isinstance(event, h11.Response):
             raise ExchangeError(Broken(f"no answer but {type(event).__name__}"))
         headers = HTTPHeaders()
-        for name, value in event.headers.raw_items():
-            headers.add(name.decode("latin-1"), value.decode("latin-1"))
+        try:
+            for name, value in event.headers.raw_items():
+                headers.add(name.decode("latin-1"), value.decode("latin-1"))
+        except HTTPInputError as error:
+            raise ExchangeError(Broken(f"garbled: {error}")) from error
         return AnswerHead(event.status_code, event.reason.decode("latin-1"), headers)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -231,7 +237,10 @@
         If the connection can't be established.
     """
     host, _, port = address.rpartition(":")
-    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:  # no descriptors left
+        raise ExchangeError(NotSent(f"no socket: {error}")) from error
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     stream = IOStream(connection)
--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -118,7 +118,7 @@
         forwarded.append((DEADLINE_HEADER, str(max(1, int(send.wait_s * 1000)))))
         forwarded.append((EXPECTED_ENDPOINT_HEADER, send.endpoint.endpoint_id))
         if send.workspace is not None:
-            forwarded.append((WORKSPACE_HEADER, send.workspace.name))
+            forwarded.append((WORKSPACE_HEADER, _encode_text(send.workspace.name)))
         if send.resume_after:
             forwarded.append((RESUME_HEADER, send.resume_after))
         if send.engine_priority is not None:
@@ -262,7 +262,21 @@
     scheme, _, key = authorization.partition(" ")
     if scheme.lower() != KEY_SCHEME:
         return None
-    return key.strip()
+    key = key.strip()
+    if key.isascii():
+        return key
+    return key.encode("latin-1").decode("utf-8", "replace")
+
+
+def _encode_text(text: str) -> str:
+    r"""Return text in UTF-8, each byte as the character that stands for it in a header.
+
+    Examples
+    --------
+    >>> _encode_text("hule930"), _encode_text("Ka\u0161p").encode("latin-1")
+    ('hule930', b'Ka\xc5\xa1p')
+    """
+    return text if text.isascii() else text.encode().decode("latin-1")
 
 
 def _decode_wait_s(text: str | None) -> float | None:
