Connections of callers are read without a future for each read

The first version of HttpConnection read through Tornado's IOStream, which creates a future for each read and tries to read before there is anything. SocketStream passes on what arrives. It also sees the end of a connection while further requests wait in it.

--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import contextlib
+import re
 import socket
-import struct
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 import h11
-from tornado.httputil import HTTPHeaders, HTTPInputError
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
 
 from ..decisions.caller_timeouts import (
     Answered,
@@ -33,12 +33,7 @@
     UnsupportedTransferError,
     UnsupportedVersionError,
 )
-
-READ_BYTES = 65_536
-"""Bytes of one read."""
-
-MAX_READS = 4
-"""Reads of one connection before others have their turn."""
+from .socket_stream import READ_BYTES, SocketStream
 
 MAX_AHEAD_BYTES = READ_BYTES
 """Bytes of further requests that are read while a request is served."""
@@ -56,10 +51,6 @@
 FLUSH_S = 10.0
 """Time that a client has to take the end of the last answer."""
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Makes the next close a reset. A client that takes the end of the connection for the
-end of the answer would otherwise take a truncated answer for a complete one."""
-
 NO_CONTENT, NOT_MODIFIED = 204, 304
 
 REASON_PHRASES = {
@@ -137,6 +128,7 @@
         """Return the handler of one request."""
 
 
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
 
 
@@ -147,7 +139,7 @@
 
     Parameters
     ----------
-    stream : tornado.iostream.IOStream
+    connection : socket.socket
     delegate : RequestDelegate
     limits : callable
         Returns the limits that apply now.
@@ -157,12 +149,12 @@
 
     def __init__(
         self,
-        stream: IOStream,
+        connection: socket.socket,
         delegate: RequestDelegate,
         limits: Callable[[], CallerLimits],
         on_close: Callable[["HttpConnection"], None],
     ) -> None:
-        self.stream = stream
+        self.stream = SocketStream(connection, self._on_data, self._on_close)
         self._delegate = delegate
         self._limits = limits
         self._on_closed = on_close
@@ -173,7 +165,6 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._ahead = bytearray()
-        self._is_reading = False
         self._is_advancing = False
         self._is_discarding = False
         self._discarded_bytes = 0
@@ -184,8 +175,7 @@
 
     def start(self) -> None:
         """Read requests until the connection is closed."""
-        self.stream.set_close_callback(self._on_close)
-        self._read()
+        self.stream.start()
 
     def check_time(self, now_s: float) -> None:
         """End the connection if the client has let it wait too long."""
@@ -203,54 +193,31 @@
 
     # Reading
 
-    def _read(self) -> None:
-        """Read what has arrived, and go on when more arrives."""
-        for turn in range(MAX_READS + 1):
-            is_full = len(self._ahead) >= MAX_AHEAD_BYTES
-            if self._is_reading or is_full or self.stream.closed():
-                return
-            try:
-                read = asyncio.ensure_future(
-                    self.stream.read_bytes(READ_BYTES, partial=True)
-                )
-            except StreamClosedError:
-                return
-            if not read.done() or turn == MAX_READS:
-                self._is_reading = True
-                read.add_done_callback(self._on_read)
-                return
-            self._take(read)
-
-    def _on_read(self, read: asyncio.Future[bytes]) -> None:
-        self._is_reading = False
-        self._take(read)
-        self._read()
-
-    def _take(self, read: asyncio.Future[bytes]) -> None:
-        if read.cancelled() or read.exception() is not None or self.stream.closed():
-            return  # The close callback has been called or follows.
-        data = read.result()
-        if self._is_discarding or isinstance(self._phase, Closing):
+    def _on_data(self, data: bytes) -> None:
+        phase = type(self._phase)
+        if self._is_discarding or phase is Closing:
             self._discarded_bytes += len(data)
             if self._discarded_bytes > LINGER_BYTES:
                 self.stream.close()
-        elif isinstance(self._phase, Answering | Answered):
+        elif phase is Answering:
             self._ahead += data
+            if len(self._ahead) >= MAX_AHEAD_BYTES:
+                self.stream.pause()
         else:
             now_s = _now_s()
             self._receive(data, now_s)
             self._advance(now_s)
 
     def _receive(self, data: bytes, now_s: float) -> None:
-        match self._phase:
-            case Idle():
-                # Clients may send empty lines before a request.
-                data = data.lstrip(b"\r\n")
-                if not data:
-                    return
-                self._phase = ReadingHead(now_s)
-            case ReadingBody():
-                self._phase = ReadingBody(now_s)
+        phase = type(self._phase)
+        if phase is Idle:
+            # Clients may send empty lines before a request.
+            data = data.lstrip(b"\r\n")
+            if not data:
+                return
+            self._phase = ReadingHead(now_s)
+        elif phase is ReadingBody:
+            self._phase = ReadingBody(now_s)
         self._received_bytes += len(data)
         self._protocol.receive_data(data)
 
@@ -267,39 +234,41 @@
 
     def _step(self, now_s: float) -> bool:
         """Process one event; return whether there may be another."""
-        match self._phase:
-            case ReadingHead() | ReadingBody():
-                try:
-                    return self._process_event(now_s)
-                except h11.RemoteProtocolError as error:
-                    self._reject(_rejection(error))
-                except InvalidRequestError as error:
-                    self._reject(error)
-                return True
-            case Answered():
-                return self._next_request(now_s)
-            case _:
-                return False
+        phase = type(self._phase)
+        if phase is Answered:
+            return self._next_request(now_s)
+        if phase not in (ReadingHead, ReadingBody):
+            return False
+        try:
+            return self._process_event(now_s)
+        except h11.RemoteProtocolError as error:
+            self._reject(_rejection(error))
+        except InvalidRequestError as error:
+            self._reject(error)
+        return True
 
     def _process_event(self, now_s: float) -> bool:
-        event = self._protocol.next_event()
-        match event:
-            case h11.Request():
-                self._process_head(event, now_s)
-            case h11.Data():
-                assert self._handler is not None
-                self._body_bytes += len(event.data)
-                self._check_body_size(self._body_bytes)
-                self._handler.data_received(event.data)
-            case h11.EndOfMessage():
-                assert self._handler is not None
-                self._phase = Answering()
-                self._handler.body_received()
-            case _:
-                self._check_incomplete()
-                return False
+        event: Any = self._protocol.next_event()
+        kind = type(event)
+        if kind is h11.Data:
+            self._process_data(event.data)
+        elif kind is h11.Request:
+            self._process_head(event, now_s)
+        elif kind is h11.EndOfMessage:
+            assert self._handler is not None
+            self._phase = Answering()
+            self._handler.body_received()
+        else:
+            self._check_incomplete()
+            return False
         return True
 
+    def _process_data(self, data: bytes) -> None:
+        assert self._handler is not None
+        self._body_bytes += len(data)
+        self._check_body_size(self._body_bytes)
+        self._handler.data_received(data)
+
     def _process_head(self, request: h11.Request, now_s: float) -> None:
         unread_bytes = len(self._protocol.trailing_data[0])
         self._headers = _read_headers(request)
@@ -399,11 +368,7 @@
             data = unsent + data
         elif unsent:
             self.stream.write(unsent)
-        write = self.stream.write(data)
-        if write.done():
-            write.result()
-            return None
-        return write
+        return self.stream.write(data)
 
     def finish(self) -> None:
         """Complete the answer, and go on with the next request.
@@ -448,7 +413,7 @@
         self._is_bodiless = False
         self._phase = Idle(now_s)
         self._receive(rest, now_s)
-        self._read()
+        self.stream.read()
         return not isinstance(self._phase, Idle)
 
     # Closing
@@ -470,7 +435,7 @@
             return
         with contextlib.suppress(OSError):
             self.stream.socket.shutdown(socket.SHUT_WR)
-        self._read()
+        self.stream.read()
 
     def abort(self, is_reset: bool = False) -> None:
         """Close the connection at once.
@@ -481,13 +446,7 @@
             Whether the client must be able to tell this from the end of an answer
             whose end is that of its connection.
         """
-        if self.stream.closed():
-            return
-        if is_reset:
-            self.stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-        self.stream.close()
+        self.stream.close(is_reset)
 
     def _on_close(self) -> None:
         self._on_closed(self)
@@ -515,12 +474,15 @@
 
 def _read_headers(request: h11.Request) -> HTTPHeaders:
     headers = HTTPHeaders()
-    for name, value in request.headers.raw_items():
-        try:
-            headers.add(name.decode("latin-1"), value.decode("latin-1"))
-        except HTTPInputError as error:
-            message = f"The header {name.decode('latin-1')} has a control character."
-            raise InvalidRequestError(message) from error
+    for raw_name, raw_value in request.headers.raw_items():
+        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
+        if _CONTROL.search(value):
+            raise InvalidRequestError(f"The header {name} has a control character.")
+        # h11 has checked the rest, which add() would do once more.
+        if name in headers:
+            headers.add(name, value)
+        else:
+            headers[name] = value
     return headers
 
 
--- a/src/sorrelhoist/gateway/http_server.py
+++ b/src/sorrelhoist/gateway/http_server.py
@@ -6,10 +6,8 @@
 import socket
 from collections.abc import Callable
 
-from tornado.iostream import IOStream
-
 from ..decisions.routes import CallerLimits
-from .http_connection import READ_BYTES, HttpConnection, RequestDelegate
+from .http_connection import HttpConnection, RequestDelegate
 
 logger = logging.getLogger(__name__)
 
@@ -105,11 +103,9 @@
             return None
         except OSError as error:
             return error
-        connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = IOStream(connection, read_chunk_size=READ_BYTES)
         opened = HttpConnection(
-            stream, self._delegate, self._limits, self._connections.discard
+            connection, self._delegate, self._limits, self._connections.discard
         )
         self._connections.add(opened)
         opened.start()
