--- a/src/sorrelhoist/platform/dialect.py
+++ b/src/sorrelhoist/platform/dialect.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import math
+import re
 
 from tornado.httputil import HTTPHeaders
 
@@ -30,7 +31,7 @@
 LEAVING_HEADER = "Server-Leaving"
 PAUSE_HEADER = "Retry-After"
 ORDER_PATH = "/order"
-KEY_SCHEME = "Token "
+KEY_SCHEME = "token"
 
 # Hop-by-hop headers, and headers that only the gateway may set.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -62,6 +63,8 @@
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 
+_MILLISECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+
 MAX_LOGGED, MAX_LOGGED_CHARS = 100, 40
 """Number and length of malformed header values that are logged."""
 
@@ -72,24 +75,24 @@
     def __init__(self) -> None:
         self._logged_values: set[tuple[str, str]] = set()
 
+    def request_id(self, headers: HTTPHeaders) -> str:
+        """Return the id of a request, or an empty string."""
+        return headers.get(REQUEST_ID_HEADER, "")
+
     def read_request(
         self, method: str, path: str, headers: HTTPHeaders, body: bytes
     ) -> CallerRequest:
         """Decode a caller's request."""
-        request_id = headers.get(REQUEST_ID_HEADER, "")
+        request_id = self.request_id(headers)
         if not request_id:
             raise InvalidRequestError(f"There is no {REQUEST_ID_HEADER}.")
-        authorization = headers.get("Authorization", "")
-        key = None
-        if authorization.startswith(KEY_SCHEME):
-            key = authorization[len(KEY_SCHEME) :].strip()
         return CallerRequest(
             request_id=request_id,
             method=method,
             path=path,
             host=headers.get("Host", ""),
             headers=headers,
-            key=key,
+            key=_decode_key(headers.get("Authorization", "")),
             wait_s=_decode_wait_s(headers.get(DEADLINE_HEADER)),
             resume_after=headers.get(RESUME_HEADER, ""),
             size=_decode_size(headers.get(TOKEN_COUNT_HEADER)),
@@ -115,7 +118,7 @@
         forwarded.append((DEADLINE_HEADER, str(max(1, int(send.wait_s * 1000)))))
         forwarded.append((EXPECTED_ENDPOINT_HEADER, send.endpoint.endpoint_id))
         if send.workspace is not None:
-            forwarded.append((WORKSPACE_HEADER, send.workspace.name))
+            forwarded.append((WORKSPACE_HEADER, _encode_text(send.workspace.name)))
         if send.resume_after:
             forwarded.append((RESUME_HEADER, send.resume_after))
         if send.engine_priority is not None:
@@ -223,7 +226,7 @@
 
     def refusal_headers(self, request_id: str) -> HTTPHeaders:
         """Return the headers of an answer that the gateway generates itself."""
-        return HTTPHeaders({REQUEST_ID_HEADER: request_id})
+        return HTTPHeaders({REQUEST_ID_HEADER: request_id} if request_id else {})
 
 
 def _encode_helper(helper: Helper) -> str:
@@ -248,15 +251,49 @@
     return frozenset(name.strip() for name in named)
 
 
+def _decode_key(authorization: str) -> str | None:
+    """Decode an API key.
+
+    Examples
+    --------
+    >>> _decode_key("Token key-1"), _decode_key("TOKEN  key-1"), _decode_key("Basic a")
+    ('key-1', 'key-1', None)
+    """
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != KEY_SCHEME:
+        return None
+    key = key.strip()
+    if key.isascii():
+        return key
+    return key.encode("latin-1").decode("utf-8", "replace")
+
+
+def _encode_text(text: str) -> str:
+    r"""Return text in UTF-8, each byte as the character that stands for it in a header.
+
+    Examples
+    --------
+    >>> _encode_text("hule930"), _encode_text("Ka\u0161p").encode("latin-1")
+    ('hule930', b'Ka\xc5\xa1p')
+    """
+    return text if text.isascii() else text.encode().decode("latin-1")
+
+
 def _decode_wait_s(text: str | None) -> float | None:
+    """Decode how long the caller waits, in seconds.
+
+    Examples
+    --------
+    >>> _decode_wait_s("3000.5"), _decode_wait_s(None)
+    (3.0005, None)
+    """
     if text is None:
         return None
-    try:
-        return max(0, int(text)) / 1000
-    except (ValueError, OverflowError) as error:
+    if _MILLISECONDS.fullmatch(text) is None or math.isinf(float(text)):
         raise InvalidRequestError(
-            f"{DEADLINE_HEADER} is no number: {text!r:.40}."
-        ) from error
+            f"{DEADLINE_HEADER} is no number of milliseconds: {text!r:.40}."
+        )
+    return float(text) / 1000
 
 
 def _decode_size(text: str | None) -> PromptSize | None:
@@ -282,7 +319,8 @@
 
 
 def _token_count(text: str) -> int:
-    count = int(text)
+    digits = text.strip()
+    count = int(digits) if digits.isascii() and digits.isdigit() else -1
     if not 0 <= count <= MAX_TOKENS:
         raise ValueError(f"not a number from 0 to {MAX_TOKENS}")
     return count
