Signals are recorded from the first statement until the end

Callers saw: connections in the accept queue reset by a process that a SIGTERM ended during its start; processes ended by SIGHUP, exit code -1, during the start and after the drain, with nothing logged.

Cause: handlers belonged to the event loop. Until it ran, and once it was closed, SIGHUP, SIGTERM and SIGINT had their default action.

deploy/gateway.py now records them in its first statements, before any import but signal and time. SignalInbox takes them over and wakes the loop by a socket pair of its own, so that closing the loop changes no handler. At the very end they are ignored, which the interpreter's finalisation keeps. A stop signal during the start is a planned stop once the loop runs, with its grace counted from the signal; a reload during the start is done then. Each signal and the end of the process are logged.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -3,18 +3,41 @@
 Neither needs what `site` adds to the path, so the interpreter may start with ``-S``.
 """
 
-import sys
-from pathlib import Path
+import signal
+import time
+
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+received: list[tuple[int, float]] = []
+
+
+def record(number, frame):
+    """Record a signal: until the gateway runs, its default action would end all."""
+    received.append((number, time.monotonic()))
+
+
+for number in SIGNALS:
+    signal.signal(number, record)
+
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 CHECKOUT = Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(CHECKOUT / "src"), str(CHECKOUT / "target" / "deps")]
 
-if len(sys.argv) > 1:
-    from sorrelhoist.platform.main import gateway
+from sorrelhoist.node.signal_inbox import SignalInbox  # noqa: E402
+
+try:
+    if len(sys.argv) > 1:
+        from sorrelhoist.platform.main import gateway
 
-    gateway()
-else:
-    # Without arguments the parser isn't imported: callers wait for the start.
-    from sorrelhoist.platform.start import start
+        gateway(obj=SignalInbox(received))
+    else:
+        # Without arguments the parser isn't imported: callers wait for the start.
+        from sorrelhoist.platform.start import start
 
-    start()
+        start(signals=SignalInbox(received))
+finally:
+    # The end of the interpreter restores the default action of handlers alone.
+    for number in SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import logging
-import signal
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
@@ -14,6 +13,7 @@
 from tornado.httpserver import HTTPServer
 
 from ..decisions.routes import CallerLimits
+from ..node.signal_inbox import RELOAD_SIGNAL, SignalInbox
 from .dispatch import Dispatcher
 from .memory import MemoryKeeper
 from .metrics import GatewayMetrics, MetricsLoader
@@ -91,6 +91,7 @@
         Reloads the settings.
     sockets : mapping of str to socket
         Listening sockets that are open already; the others are opened.
+    signals : SignalInbox
     """
 
     state: GatewayState
@@ -101,16 +102,15 @@
     follow: Callable[[PeerExchange], Coroutine[Any, Any, None]]
     reload: Callable[[], None]
     sockets: Sockets = attrs.field(factory=dict)
+    signals: SignalInbox = attrs.field(factory=SignalInbox)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain the running requests."""
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         async with self._serving() as (front, exchange, servers):
             with (
+                self.signals.watched(lambda: self._act_on_signals(stop)),
                 running(self.follow(exchange)) as following,
                 running(exchange.run()),
                 running(exchange.freshness.run()),
@@ -122,7 +122,8 @@
                 await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
                 if following.done():
                     following.result()
-                stop_at_s = loop.time() + self.grace_s - EXIT_MARGIN_S
+                stopped_s = self.signals.stop_s or loop.time()
+                stop_at_s = stopped_s + self.grace_s - EXIT_MARGIN_S
                 count = len(front.running)
                 logger.info("stopping", extra={"event": "stop", "running": count})
                 self.state.stopping_s = loop.time()
@@ -132,6 +133,16 @@
         count = len(front.running)
         logger.info("stopped", extra={"event": "stopped", "running": count})
 
+    def _act_on_signals(self, stop: asyncio.Event) -> None:
+        for number in self.signals.take():
+            logger.info(
+                "signal received", extra={"event": "signal", "signal": number.name}
+            )
+            if number == RELOAD_SIGNAL and not stop.is_set():
+                self.reload()
+        if self.signals.stop_s is not None:
+            stop.set()
+
     @asynccontextmanager
     async def _serving(
         self,
--- a/src/sorrelhoist/platform/main.py
+++ b/src/sorrelhoist/platform/main.py
@@ -4,6 +4,7 @@
 
 import click
 
+from ..node.signal_inbox import SignalInbox
 from .start import check_settings, start
 
 
@@ -15,10 +16,11 @@
     help="Settings file of the platform; else SORRELHOIST_SETTINGS names it.",
 )
 @click.option("--check", is_flag=True, help="Check the settings and end.")
-def gateway(path: Path | None, check: bool) -> None:
+@click.pass_obj
+def gateway(signals: SignalInbox | None, path: Path | None, check: bool) -> None:
     """Forward callers' requests on the users' platform."""
     if check:
         check_settings(path)
         click.echo("the settings can be used")
     else:
-        start(path)
+        start(path, signals)
--- a/src/sorrelhoist/platform/process.py
+++ b/src/sorrelhoist/platform/process.py
@@ -17,6 +17,7 @@
 from ..gateway.sockets import Sockets
 from ..gateway.state import GatewayState
 from ..node.logs import configure_logging
+from ..node.signal_inbox import SignalInbox
 from .dialect import PlatformDialect
 from .settings import PlatformSettings, load_settings
 from .source import PlatformSource
@@ -74,7 +75,7 @@
             self.reload()
 
 
-def run(settings: PlatformSettings, sockets: Sockets) -> None:
+def run(settings: PlatformSettings, sockets: Sockets, signals: SignalInbox) -> None:
     """Run the gateway until it receives a stop signal.
 
     Parameters
@@ -82,6 +83,7 @@
     settings : PlatformSettings
     sockets : mapping of str to socket
         Listening sockets that are open already.
+    signals : SignalInbox
     """
     configure_logging("INFO", settings.node_id, "gateway")
     state = GatewayState(
@@ -123,5 +125,14 @@
         follow=follow,
         reload=watch.reload,
         sockets=sockets,
+        signals=signals,
+    )
+    try:
+        asyncio.run(process.run())
+    except Exception:
+        logger.critical("process failed", exc_info=True, extra={"event": "exit"})
+        raise
+    logger.info(
+        "process ends",
+        extra={"event": "exit", "stop_signal": signals.stop_s is not None},
     )
-    asyncio.run(process.run())
--- a/src/sorrelhoist/platform/start.py
+++ b/src/sorrelhoist/platform/start.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from ..node.signal_inbox import SignalInbox
 from .listen import listening_early
 
 if TYPE_CHECKING:
@@ -16,24 +17,27 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def start(path: Path | None = None) -> None:
+def start(path: Path | None = None, signals: SignalInbox | None = None) -> None:
     """Run a gateway until it receives a stop signal.
 
     Parameters
     ----------
     path : Path or None
         Settings file; None for the one that the environment names.
+    signals : SignalInbox or None
+        Signals that were recorded since the process began.
 
     Raises
     ------
     SystemExit
         If the settings can't be used; the reason is printed.
     """
-    with listening_early(path) as sockets:
+    signals = signals or SignalInbox()
+    with signals.recording(), listening_early(path) as sockets:
         settings = check_settings(path)
         from .process import run
 
-        run(settings, sockets)
+        run(settings, sockets, signals)
 
 
 def check_settings(path: Path | None = None) -> "PlatformSettings":
--- a/tests/platform/test_real_start.py
+++ b/tests/platform/test_real_start.py
@@ -21,9 +21,11 @@
     async def main(world):
         gateway = world.gateway().start()
         await asyncio.sleep(delay_s)
+        gateway.write_settings(**{"grace_period_s = 8": "grace_period_s = 9"})
         gateway.signal(RELOAD)
         await gateway.wait_ready()
         assert (await gateway.call(head())).status == 200
+        assert [one["signal"] for one in gateway.events("signal")] == ["SIGHUP"]
 
     run_in_world(tmp_path, main)
 
