Background tasks that fail are logged and started again

Operators saw: a process that ended by itself in the middle of a run (FAULT), or one that went on without reports, permits or memory checks, unseen.

Cause: Gateway.run raised whatever its follower raised, and one part of the follower that failed cancelled the others and closed the store's client; the tasks beside it could end without a line. A configuration with a huge version was adopted, and none was newer from then on.

All background tasks now run under one supervisor: an exception is logged with its traceback, counted, and the task starts again after a pause that grows from 0.1 to 5 s. The parts of the follower are supervised one by one and keep their state; a topic whose records failed is read anew from the newest of each key. A record of an endpoint or gateway that can't be applied is skipped, a configuration that can't be applied lets the age grow as in an outage. The version is a whole number up to 2**53, or the record is malformed.

--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager
+from contextlib import AbstractContextManager, asynccontextmanager
 from typing import Any
 
 import attrs
@@ -18,7 +18,7 @@
 from .memory import MemoryKeeper
 from .metrics import GatewayMetrics, MetricsLoader
 from .parts import GatewayParts
-from .peer_exchange import PeerExchange, running
+from .peer_exchange import PeerExchange
 from .ports import Dialect
 from .reservations import Reserver
 from .resource_watch import watch_resources
@@ -31,6 +31,7 @@
 )
 from .sockets import Sockets, open_socket
 from .state import GatewayState
+from .supervision import supervised
 
 logger = logging.getLogger(__name__)
 
@@ -111,17 +112,17 @@
         async with self._serving() as (front, exchange, servers):
             with (
                 self.signals.watched(lambda: self._act_on_signals(stop)),
-                running(self.follow(exchange)) as following,
-                running(exchange.run()),
-                running(exchange.freshness.run()),
-                running(exchange.permits.run()),
-                running(front.parts.memory.run()),
-                running(watch_resources(self.state, lambda: front.connections)),
+                self._supervised("follower", lambda: self.follow(exchange)),
+                self._supervised("reports", exchange.run),
+                self._supervised("freshness", exchange.freshness.run),
+                self._supervised("permits", exchange.permits.run),
+                self._supervised("memory", front.parts.memory.run),
+                self._supervised(
+                    "resources",
+                    lambda: watch_resources(self.state, lambda: front.connections),
+                ),
             ):
-                stopped = asyncio.ensure_future(stop.wait())
-                await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
-                if following.done():
-                    following.result()
+                await stop.wait()
                 stopped_s = self.signals.stop_s or loop.time()
                 stop_at_s = stopped_s + self.grace_s - EXIT_MARGIN_S
                 count = len(front.running)
@@ -133,6 +134,11 @@
         count = len(front.running)
         logger.info("stopped", extra={"event": "stopped", "running": count})
 
+    def _supervised(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> AbstractContextManager[asyncio.Task]:
+        return supervised(name, run, self.state.task_failures)
+
     def _act_on_signals(self, stop: asyncio.Event) -> None:
         for number in self.signals.take():
             logger.info(
@@ -171,7 +177,7 @@
             "started", extra={"event": "start", "addresses": str(self.addresses)}
         )
         try:
-            with running(loader.run()):
+            with self._supervised("metrics", loader.run):
                 yield front, exchange, servers
         finally:
             for server in servers:
--- a/src/sorrelhoist/gateway/metrics_export.py
+++ b/src/sorrelhoist/gateway/metrics_export.py
@@ -42,8 +42,9 @@
         "held_back": state.update_rate.held_back,
     },
     "sorrelhoist_gateway_memory_asks": lambda state: state.memory_asks,
+    "sorrelhoist_gateway_task_failures": lambda state: state.task_failures,
 }
-"""Counters of the state, by name; their values by outcome."""
+"""Counters of the state, by name; their values by outcome, or by task."""
 
 _TOTALS: dict[str, _Value] = {
     "sorrelhoist_store_restorations": lambda state: state.store_restorations,
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -131,6 +131,8 @@
         What the other gateways have left.
     is_withdrawn : bool
         Whether this gateway is not ready, since it is short of resources.
+    task_failures : Counter
+        Unexpected exceptions of background tasks, by task.
     """
 
     node_id: str
@@ -200,6 +202,7 @@
     health: GatewayHealth = attrs.field(factory=GatewayHealth)
     fleet_headroom: FleetHeadroom = attrs.field(factory=FleetHeadroom)
     is_withdrawn: bool = False
+    task_failures: Counter[str] = attrs.field(factory=Counter)
     stopping_s: float | None = None
     _shortest_pauses_ms: dict[str, float] = attrs.field(factory=dict, init=False)
 
@@ -494,5 +497,6 @@
             "early_refusals": self.early_refusals,
             "memory_asks": dict(self.memory_asks),
             "is_withdrawn": self.is_withdrawn,
+            "task_failures": dict(self.task_failures),
             "health": attrs.asdict(self.health),
         }
--- a/src/sorrelhoist/platform/process.py
+++ b/src/sorrelhoist/platform/process.py
@@ -16,6 +16,7 @@
 from ..gateway.peer_exchange import PeerExchange
 from ..gateway.sockets import Sockets
 from ..gateway.state import GatewayState
+from ..gateway.supervision import supervise
 from ..node.logs import configure_logging
 from ..node.signal_inbox import SignalInbox
 from .dialect import PlatformDialect
@@ -107,7 +108,7 @@
     async def follow(exchange: PeerExchange) -> None:
         async with asyncio.TaskGroup() as group:
             group.create_task(PlatformSource(settings, state, exchange).run())
-            group.create_task(watch.run())
+            group.create_task(supervise("settings", watch.run, state.task_failures))
 
     addresses = Addresses(
         host=settings.address,
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -4,6 +4,8 @@
 import contextlib
 import json
 import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from ..decisions.directory import Endpoint
@@ -13,6 +15,7 @@
 from ..exceptions import PlatformError
 from ..gateway.peer_exchange import PeerExchange
 from ..gateway.state import GatewayState, boot_time_s
+from ..gateway.supervision import supervise
 from .settings import PlatformSettings
 from .store import KeyedRecord, Records, StoreClient
 from .topic_poller import TopicPoller
@@ -106,6 +109,7 @@
         self._freshness.on_directory_update = self._directory_updated
         self._peers_read = asyncio.Event()
         self._own_entry_due = asyncio.Event()
+        self._own_entry_written = asyncio.Event()
         self._operator = TopicPoller(
             self._store,
             OPERATOR_TOPIC,
@@ -139,17 +143,35 @@
         )
 
     async def run(self) -> None:
-        """Poll all topics until cancelled."""
+        """Poll all topics until cancelled; a part that fails is started again."""
+        parts = {
+            "configuration": self._operator.run,
+            "directory": self._endpoints.run,
+            "own entry": self._renew_own_entry,
+            "peers": self._poll_peers,
+            "versions of peers": self._ask_peers,
+            "outages": self._follow_outages,
+        }
+        failures = self._state.task_failures
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._operator.run())
-                group.create_task(self._endpoints.run())
-                group.create_task(self._poll_peers())
-                group.create_task(self._ask_peers())
-                group.create_task(self._follow_outages())
+                for name, run in parts.items():
+                    group.create_task(supervise(name, run, failures))
         finally:
             self._store.close()
 
+    @contextmanager
+    def _skipping(self, record: KeyedRecord) -> Iterator[None]:
+        """Log and skip a record that can't be applied; the others hold."""
+        try:
+            yield
+        except Exception:
+            self._state.task_failures["record"] += 1
+            logger.exception(
+                "record could not be applied; skipped",
+                extra={"event": "record_failed", "key": record.key},
+            )
+
     def _store_restored(self, former_era: int, era: int) -> None:
         """Read all topics again at once: their positions are void."""
         logger.warning(
@@ -438,6 +460,10 @@
         return "applied"
 
     def _apply_registration(self, record: KeyedRecord, is_logged: bool = True) -> None:
+        with self._skipping(record):
+            self._register(record, is_logged)
+
+    def _register(self, record: KeyedRecord, is_logged: bool) -> None:
         now_s = asyncio.get_running_loop().time()
         directory = self._state.directory
         if record.value is None:
@@ -529,20 +555,23 @@
     # Peers
 
     async def _poll_peers(self) -> None:
-        """Register this gateway, then poll the list of gateways.
+        """Poll the list of gateways once this gateway is in it.
 
         The own entry is written first, so that gateways that start at the same time
         don't miss each other.
         """
-        await self._write_own_entry()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._peers.run())
-            while True:
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(PEER_RENEWAL_INTERVAL_S):
-                        await self._own_entry_due.wait()
-                self._own_entry_due.clear()
-                await self._write_own_entry()
+        await self._own_entry_written.wait()
+        await self._peers.run()
+
+    async def _renew_own_entry(self) -> None:
+        """Write the own entry at the start, when it is due, and at intervals."""
+        while True:
+            self._own_entry_due.clear()
+            await self._write_own_entry()
+            self._own_entry_written.set()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PEER_RENEWAL_INTERVAL_S):
+                    await self._own_entry_due.wait()
 
     def _replace_peers(self, batch: Records, is_restored: bool) -> None:
         """Apply the list; write the own entry if an older copy lacks it."""
@@ -588,6 +617,10 @@
                     await asyncio.sleep(RENEWAL_BACKOFF_S)
 
     def _apply_peer(self, record: KeyedRecord) -> None:
+        with self._skipping(record):
+            self._register_peer(record)
+
+    def _register_peer(self, record: KeyedRecord) -> None:
         if record.value is None:
             self._exchange.drop_peer(record.key)
             return
--- a/src/sorrelhoist/platform/topic_poller.py
+++ b/src/sorrelhoist/platform/topic_poller.py
@@ -98,7 +98,19 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Read until cancelled."""
+        """Read until cancelled.
+
+        After an unexpected exception, the next run begins with the newest record of
+        each key: the one that led to it may have been replaced by then.
+        """
+        try:
+            await self._read_all()
+        except Exception:
+            self.position = None
+            self._partial.clear()
+            raise
+
+    async def _read_all(self) -> None:
         while True:
             if self.position is not None and self.is_confirmed():
                 self._was_confirmed = True
--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -32,7 +32,7 @@
 MAX_TIME_MS = 86_400_000.0
 """Longest time in a record: a day."""
 
-MAX_UNIX_MS = 2**53
+MAX_WHOLE_NUMBER = 2**53
 """Largest whole number that all writers of JSON represent exactly."""
 
 MAX_PORT = 65_535
@@ -96,7 +96,7 @@
         for route in routes:
             by_prefix.setdefault((route.host, route.path_prefix), route)
         return RouteTable(
-            version=int(fields["version"]),
+            version=_whole_number(fields["version"], 0, MAX_WHOLE_NUMBER),
             routes=by_prefix,
             services={
                 service["name"]: _service(service) for service in fields["backends"]
@@ -225,7 +225,7 @@
             capacity=max(1, _capacity(fields)),
             is_leaving=state == "draining",
             cold_until_s=now_s + cold_ms / 1000 if cold_ms > 0 else 0.0,
-            born_ms=_whole_number(fields.get("born", 0), 0, MAX_UNIX_MS),
+            born_ms=_whole_number(fields.get("born", 0), 0, MAX_WHOLE_NUMBER),
         )
 
 
