--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -4,21 +4,21 @@
 import contextlib
 import json
 import logging
-import signal
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager
+from contextlib import AbstractContextManager, asynccontextmanager
 from typing import Any
 
 import attrs
 
 from ..decisions.routes import CallerLimits
+from ..node.signal_inbox import RELOAD_SIGNAL, SignalInbox
 from .dispatch import Dispatcher
 from .http_server import HttpServer, serve
 from .memory import MemoryKeeper
 from .metrics import GatewayMetrics, MetricsLoader
 from .parts import GatewayParts
-from .peer_exchange import PeerExchange, running
+from .peer_exchange import PeerExchange
 from .ports import Dialect
 from .reservations import Reserver
 from .resource_watch import watch_resources
@@ -31,6 +31,7 @@
 )
 from .sockets import Sockets, open_socket
 from .state import GatewayState
+from .supervision import supervised
 
 logger = logging.getLogger(__name__)
 
@@ -91,6 +92,7 @@
         Reloads the settings.
     sockets : mapping of str to socket
         Listening sockets that are open already; the others are opened.
+    signals : SignalInbox
     """
 
     state: GatewayState
@@ -101,28 +103,28 @@
     follow: Callable[[PeerExchange], Coroutine[Any, Any, None]]
     reload: Callable[[], None]
     sockets: Sockets = attrs.field(factory=dict)
+    signals: SignalInbox = attrs.field(factory=SignalInbox)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain the running requests."""
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         async with self._serving() as (front, exchange, servers):
             with (
-                running(self.follow(exchange)) as following,
-                running(exchange.run()),
-                running(exchange.freshness.run()),
-                running(exchange.permits.run()),
-                running(front.parts.memory.run()),
-                running(watch_resources(self.state, lambda: front.connections)),
+                self.signals.watched(lambda: self._act_on_signals(stop)),
+                self._supervised("follower", lambda: self.follow(exchange)),
+                self._supervised("reports", exchange.run),
+                self._supervised("freshness", exchange.freshness.run),
+                self._supervised("permits", exchange.permits.run),
+                self._supervised("memory", front.parts.memory.run),
+                self._supervised(
+                    "resources",
+                    lambda: watch_resources(self.state, lambda: front.connections),
+                ),
             ):
-                stopped = asyncio.ensure_future(stop.wait())
-                await asyncio.wait({stopped, following}, return_when="FIRST_COMPLETED")
-                if following.done():
-                    following.result()
-                stop_at_s = loop.time() + self.grace_s - EXIT_MARGIN_S
+                await stop.wait()
+                stopped_s = self.signals.stop_s or loop.time()
+                stop_at_s = stopped_s + self.grace_s - EXIT_MARGIN_S
                 count = len(front.running)
                 logger.info("stopping", extra={"event": "stop", "running": count})
                 self.state.stopping_s = loop.time()
@@ -132,6 +134,21 @@
         count = len(front.running)
         logger.info("stopped", extra={"event": "stopped", "running": count})
 
+    def _supervised(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> AbstractContextManager[asyncio.Task]:
+        return supervised(name, run, self.state.task_failures)
+
+    def _act_on_signals(self, stop: asyncio.Event) -> None:
+        for number in self.signals.take():
+            logger.info(
+                "signal received", extra={"event": "signal", "signal": number.name}
+            )
+            if number == RELOAD_SIGNAL and not stop.is_set():
+                self.reload()
+        if self.signals.stop_s is not None:
+            stop.set()
+
     @asynccontextmanager
     async def _serving(
         self,
@@ -160,7 +177,7 @@
             "started", extra={"event": "start", "addresses": str(self.addresses)}
         )
         try:
-            with running(loader.run()):
+            with self._supervised("metrics", loader.run):
                 yield front, exchange, servers
         finally:
             for server in servers:
