An error of the gateway itself is answered

Callers got a closed connection, with nothing in it, when the handling of their request raised an exception that nobody expected, such as one for a header that can't be written: a traceback "exchange failed" in the log without a request id.

Exchange.run now answers 503 if the request wasn't sent to an endpoint, so that a caller can go elsewhere, and 502 if it may have run. An answer that has begun is broken off as before. The log line has the request id.

Evidence: test_an_error_of_the_gateway_itself_is_answered fails without the change of exchange.py, in both cases with a connection that closes.

--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -1,6 +1,7 @@
 """Handling of one request: admission, placement, attempts, retries and refusal."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, closing, contextmanager
 
@@ -56,6 +57,8 @@
 
 _SIGN_BIT = 1 << 63
 
+logger = logging.getLogger(__name__)
+
 
 @attrs.frozen
 class Refusal:
@@ -122,6 +125,8 @@
         except asyncio.CancelledError:
             self._log.write("caller gone", outcome=outcome)
             raise
+        except Exception as error:
+            outcome = await self._report_error(error)
         finally:
             if self.caller.cut_reason is not None:
                 outcome = "cut"
@@ -608,6 +613,28 @@
         self._record_stop("unknown", is_sent=True)
         return Refusal(504, STOPPED_UNKNOWN)
 
+    async def _report_error(self, error: Exception) -> str:
+        """Answer a request whose handling failed here."""
+        logger.error(
+            "exchange failed",
+            exc_info=error,
+            extra={
+                "event": "internal_error",
+                "request_id": self.request.request_id,
+            },
+        )
+        if self.caller.has_begun:
+            self.caller.abort()
+            return "broken off"
+        reason = "the gateway failed"
+        if self._admitted is None:
+            return await self._refuse(self._local_refusal(reason))
+        match give_up(self._admitted.progress, reason):
+            case RefuseNotRun():
+                return await self._refuse(self._local_refusal(reason))
+            case _:
+                return await self._refuse(Refusal(502, reason))
+
     async def _refuse(self, refused: Refusal) -> str:
         self._log.write(
             "refused",
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -447,3 +447,20 @@
         assert "i-full" in fleet.state.faults.worst(9, time.monotonic())
 
     run_with_fleet(main)
+
+
+@pytest.mark.parametrize(
+    ("step", "status"), (("endpoint_headers", 503), ("caller_headers", 502))
+)
+def test_an_error_of_the_gateway_itself_is_answered(monkeypatch, step, status):
+    def fails(*arguments):
+        raise ValueError("unexpected")
+
+    async def main(fleet):
+        endpoint = await fleet.add(whole(), service="app")
+        monkeypatch.setattr(type(fleet.gateway.dialect), step, fails)
+        answer = await fleet.fetch("/once/1", "POST")
+        assert (answer.status, answer.is_complete) == (status, True)
+        assert len(endpoint.requests) == (status == 502)
+
+    run_with_fleet(main)
