--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Sequence
-
-from tornado.httpserver import HTTPServer
+from typing import Protocol
 
 from ..decisions.planned_stop import PlannedStop
 from .server import CallerDelegate
@@ -23,8 +22,18 @@
 """Longest wait for the connections to be closed, within `EXIT_MARGIN_S`."""
 
 
+class Server(Protocol):
+    """An HTTP server that is drained."""
+
+    def stop(self) -> None:
+        """Stop listening."""
+
+    async def close_all_connections(self) -> None:
+        """Close all connections."""
+
+
 async def drain(
-    front: CallerDelegate, servers: Sequence[HTTPServer], stop: PlannedStop
+    front: CallerDelegate, servers: Sequence[Server], stop: PlannedStop
 ) -> None:
     """Wait until all that was read is answered, then close the connections.
 
@@ -35,7 +44,7 @@
     Parameters
     ----------
     front : CallerDelegate
-    servers : sequence of HTTPServer
+    servers : sequence of Server
     stop : PlannedStop
     """
     loop = asyncio.get_running_loop()
@@ -66,7 +75,7 @@
         await asyncio.sleep(DRAIN_POLL_S)
 
 
-async def _close_connections(servers: Sequence[HTTPServer]) -> None:
+async def _close_connections(servers: Sequence[Server]) -> None:
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(CLOSE_TIMEOUT_S):
             for server in servers:
