Answers that end after their head without a frame aren't complete

Callers of plain calls got a 200 with Content-Length: 0 where an endpoint sent its whole head without a length or chunks and closed: the end of the connection counted as the end of an empty body. Now a success of that form is taken as broken off: it is tried elsewhere where it may be, else 502.

Each answer is cut after each of its bytes, by a close and by a reset, for calls, streams, resumed streams, HEAD, heads behind 1xx, trailers, chunks, HTTP/1.0 endpoints and callers. Before, the four cases 'no frame-closed' and '1.0 without a frame-closed' (both caller versions) failed, at the cut behind the head; no other cut gave a 2xx that looks complete, and no 503 or 429.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -418,8 +418,16 @@
         is_last = progress.runs + 1 >= progress.max_endpoints
         if head.status >= 500 and progress.may_repeat and not is_last:
             return Failed(head.status)
+        has_content = head.has_content(self.admitted.request.method)
+        is_empty = has_content and not body and not head.is_framed
+        if is_empty and head.status < 300:
+            # It ends like one whose endpoint died after the head.
+            return Broken("the answer ended before its content")
         headers = self._caller_headers(head)
-        headers["Content-Length"] = str(len(body))
+        if has_content:
+            headers["Content-Length"] = str(len(body))
+        elif head.status != 204 and "Content-Length" in head.headers:
+            headers["Content-Length"] = head.headers["Content-Length"]
         self.log.write("answered", outcome="answered", status=head.status)
         await self.caller.begin(head, headers)
         if account is not None:
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -43,9 +43,11 @@
 USER_TIMEOUT_MS = 3_000
 """TCP closes a connection whose sent data is unacknowledged for this long."""
 
-
 EVENT_STREAM = "text/event-stream"
 
+STATUSES_WITHOUT_CONTENT = (204, 304)
+"""Statuses of answers that end with their head (RFC 9110)."""
+
 
 class ExchangeError(Exception):
     """An exchange ended without a complete answer.
@@ -73,6 +75,10 @@
         """Whether the answer says where it ends, other than by its connection."""
         return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
 
+    def has_content(self, method: str) -> bool:
+        """Whether a body follows, by the status and the method of the request."""
+        return method != "HEAD" and self.status not in STATUSES_WITHOUT_CONTENT
+
     @property
     def may_be_stream(self) -> bool:
         """Whether the answer is a success with events, or doesn't say what it holds."""
