Faults of one request end neither its server nor its answer

A HEAD request over a limit would have had a body in its rejection, which h11 refuses to write: the connection hung. An exception in the handler of a request was passed to the event loop and left its connection open. Both are answered or closed, and logged.

--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import re
 import socket
 from collections.abc import Callable
@@ -35,6 +36,8 @@
 )
 from .socket_stream import READ_BYTES, SocketStream
 
+logger = logging.getLogger(__name__)
+
 MAX_AHEAD_BYTES = READ_BYTES
 """Bytes of further requests that are read while a request is served."""
 
@@ -245,6 +248,12 @@
             self._reject(_rejection(error))
         except InvalidRequestError as error:
             self._reject(error)
+        except StreamClosedError:
+            return False
+        except Exception:
+            logger.exception("request failed", extra={"event": "internal_error"})
+            self.stream.close()
+            return False
         return True
 
     def _process_event(self, now_s: float) -> bool:
@@ -270,11 +279,11 @@
         self._handler.data_received(data)
 
     def _process_head(self, request: h11.Request, now_s: float) -> None:
+        self._is_bodiless = request.method == b"HEAD"
         unread_bytes = len(self._protocol.trailing_data[0])
         self._headers = _read_headers(request)
         self._check_head_size(self._received_bytes - unread_bytes)
         head = _read_head(request, self._headers)
-        self._is_bodiless = head.method == "HEAD"
         self._check_body_size(head.body_bytes or 0)
         self._phase = ReadingBody(now_s)
         self._handler = self._delegate.start_request(self)
--- a/src/sorrelhoist/gateway/http_server.py
+++ b/src/sorrelhoist/gateway/http_server.py
@@ -137,11 +137,11 @@
 
     def _check_times(self) -> None:
         self._check = None
+        if self._connections:
+            self._check_later()
         now_s = asyncio.get_running_loop().time()
         for connection in list(self._connections):
             connection.check_time(now_s)
-        if self._connections:
-            self._check_later()
 
 
 def serve(
--- a/tests/gateway/test_app.py
+++ b/tests/gateway/test_app.py
@@ -81,3 +81,21 @@
         assert found["contact_age_s"] < 5.0
 
     run_with_fleet(main)
+
+
+def test_an_internal_error_is_answered_and_its_log_line_has_the_request_id(
+    monkeypatch, caplog
+):
+    async def fails(self):
+        raise RuntimeError("a fault of the gateway")
+
+    async def main(fleet):
+        monkeypatch.setattr("sorrelhoist.gateway.exchange.Exchange.run", fails)
+        answer = await fleet.fetch("/once/1", "POST", b"deposit", request_id="r-9")
+        assert (answer.status, answer.is_complete) == (502, True)
+        assert answer.headers["x-attempt-id"] == "r-9"
+        (line,) = (one for one in caplog.records if one.message == "exchange failed")
+        assert line.request_id == "r-9"
+        assert fleet.state.memory.held_bytes == 0
+
+    run_with_fleet(main)
