A port that another process holds ends no gateway

Callers saw: no gateway, or connections in the accept queue reset, since the process ended during its start with OSError 98, exit code 1, also for the port of metrics alone.

Cause: all sockets were opened in one sequence, and the first error ended the process. Of the 16 ports for other gateways only the first was tried.

Each port is now opened by a task of its own that tries until it is free: callers' and probes' ports every 0.1 s, metrics every 5 s, messages of gateways on the first free port of the range. The entry in the store names that port; gateways learn it from there and from the source of messages. The gateway isn't ready before callers are served, and a stop before that ends it without a drain. A socket for messages that was lost is opened again.

--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -5,8 +5,8 @@
 import json
 import logging
 import socket
-from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import AbstractContextManager, asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
+from contextlib import AbstractContextManager, asynccontextmanager, contextmanager
 from typing import Any
 
 import attrs
@@ -19,6 +19,7 @@
 from .metrics import GatewayMetrics, MetricsLoader
 from .parts import GatewayParts
 from .peer_exchange import PeerExchange
+from .port_wait import PortPurpose, open_datagram_socket, open_when_free
 from .ports import Dialect
 from .reservations import Reserver
 from .resource_watch import watch_resources
@@ -51,6 +52,11 @@
 CLOSE_TIMEOUT_S = 0.1
 """Longest wait for the connections to be closed, within `EXIT_MARGIN_S`."""
 
+CALLERS_PORT = PortPurpose("callers", "callers are not served until then", retry_s=0.1)
+READY_PORT = PortPurpose("readiness", "the gateway gets no callers", retry_s=0.1)
+METRICS_PORT = PortPurpose("metrics", "callers are served without", retry_s=5.0)
+PEERS_PORT = PortPurpose("other gateways", "callers are served without", retry_s=2.0)
+
 DUMP_PATH = "/dump"
 
 
@@ -63,7 +69,10 @@
     host : str
     front, ready : str
         ``IP:PORT``.
-    peer_port, metrics_port : int
+    peer_port, peer_port_count : int
+        The first of the ports for messages of other gateways, and their number; the
+        first free one is used.
+    metrics_port : int
     """
 
     host: str
@@ -71,6 +80,12 @@
     ready: str
     peer_port: int
     metrics_port: int
+    peer_port_count: int = 1
+
+    @property
+    def peer_ports(self) -> range:
+        """Ports for messages of other gateways."""
+        return range(self.peer_port, self.peer_port + self.peer_port_count)
 
 
 @attrs.frozen(kw_only=True)
@@ -122,15 +137,19 @@
                     lambda: watch_resources(self.state, lambda: front.connections),
                 ),
             ):
-                await stop.wait()
+                with self._opening(front, servers) as callers_served:
+                    # Ports that are free are opened before a stop is looked at.
+                    await asyncio.sleep(0)
+                    await stop.wait()
                 stopped_s = self.signals.stop_s or loop.time()
                 stop_at_s = stopped_s + self.grace_s - EXIT_MARGIN_S
                 count = len(front.running)
                 logger.info("stopping", extra={"event": "stop", "running": count})
                 self.state.stopping_s = loop.time()
-                await _drain(front, servers, stop_at_s)
-                # The interpreter takes a while to end; nobody would read a request.
-                await _close_connections(servers)
+                if callers_served.is_set():
+                    await _drain(front, servers, stop_at_s)
+                    # The interpreter takes a while to end; nobody would read a request.
+                    await _close_connections(servers)
         count = len(front.running)
         logger.info("stopped", extra={"event": "stopped", "running": count})
 
@@ -153,7 +172,10 @@
     async def _serving(
         self,
     ) -> AsyncIterator[tuple[CallerDelegate, PeerExchange, list[HTTPServer]]]:
-        """Listen on all addresses until the context exits."""
+        """Make the parts of the gateway; close what was opened when the context exits.
+
+        The servers are added to the list as their ports are opened.
+        """
         loop = asyncio.get_running_loop()
         metrics = GatewayMetrics()
         parts = GatewayParts(
@@ -168,40 +190,81 @@
         front = CallerDelegate(parts)
         exchange = PeerExchange(self.state, self.boot_ms)
         exchange.permits.on_granted = parts.dispatcher.retry_queued
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: exchange, local_addr=(self.addresses.host, self.addresses.peer_port)
-        )
-        loader = MetricsLoader(self.state, metrics)
-        servers = self._listen(front, loader.text)
+        servers: list[HTTPServer] = []
         logger.info(
             "started", extra={"event": "start", "addresses": str(self.addresses)}
         )
         try:
-            with self._supervised("metrics", loader.run):
+            with self._supervised(
+                "peer port", lambda: self._exchange_messages(exchange)
+            ):
                 yield front, exchange, servers
         finally:
             for server in servers:
                 server.stop()
-            transport.close()
 
-    def _listen(
-        self, front: CallerDelegate, metrics_text: Callable[[], bytes]
-    ) -> list[HTTPServer]:
+    async def _exchange_messages(self, exchange: PeerExchange) -> None:
+        host, ports = self.addresses.host, self.addresses.peer_ports
+        opened = await open_when_free(
+            lambda: open_datagram_socket(host, ports),
+            f"{host}:{ports[0]}-{ports[-1]}",
+            PEERS_PORT,
+        )
+        await exchange.exchange_on(opened)
+
+    @contextmanager
+    def _opening(
+        self, front: CallerDelegate, servers: list[HTTPServer]
+    ) -> Iterator[asyncio.Event]:
+        """Open each port and serve it as soon as it is free, until the context exits.
+
+        Returns
+        -------
+        asyncio.Event
+            Set once callers are served.
+        """
         addresses, limits = self.addresses, CallerLimits()
-        operator_pages = StatusDelegate(_operator_answers(front.parts, metrics_text))
+        callers_served = asyncio.Event()
+        loader = MetricsLoader(self.state, front.parts.metrics)
+        operator_pages = StatusDelegate(_operator_answers(front.parts, loader.text))
+        answer_probe = readiness(self.state)
+        ready = StatusDelegate(
+            lambda path: (
+                answer_probe(path)
+                if callers_served.is_set()
+                else (503, b"the port for callers is not open\n")
+            )
+        )
         metrics_address = f"{addresses.host}:{addresses.metrics_port}"
-        front_socket = self._socket(addresses.front)
-        if self.state.limits.memory_bytes is not None:
-            limit_send_buffer(front_socket)
-        ready = StatusDelegate(readiness(self.state))
-        return [
-            serve(front, front_socket, limits),
-            serve(ready, self._socket(addresses.ready), limits),
-            serve(operator_pages, self._socket(metrics_address), limits),
-        ]
-
-    def _socket(self, address: str) -> socket.socket:
-        return self.sockets.get(address) or open_socket(address)
+
+        async def serve_callers() -> None:
+            listener = await self._socket(addresses.front, CALLERS_PORT)
+            if self.state.limits.memory_bytes is not None:
+                limit_send_buffer(listener)
+            servers.append(serve(front, listener, limits))
+            callers_served.set()
+
+        async def serve_probes() -> None:
+            listener = await self._socket(addresses.ready, READY_PORT)
+            servers.append(serve(ready, listener, limits))
+
+        async def serve_metrics() -> None:
+            listener = await self._socket(metrics_address, METRICS_PORT)
+            servers.append(serve(operator_pages, listener, limits))
+
+        with (
+            self._supervised("callers' port", serve_callers),
+            self._supervised("readiness port", serve_probes),
+            self._supervised("metrics port", serve_metrics),
+            self._supervised("metrics", loader.run),
+        ):
+            yield callers_served
+
+    async def _socket(self, address: str, purpose: PortPurpose) -> socket.socket:
+        opened = self.sockets.get(address)
+        if opened is not None:
+            return opened
+        return await open_when_free(lambda: open_socket(address), address, purpose)
 
 
 async def _drain(
--- a/src/sorrelhoist/gateway/peer_exchange.py
+++ b/src/sorrelhoist/gateway/peer_exchange.py
@@ -4,7 +4,8 @@
 import contextlib
 import logging
 import math
-from collections.abc import Coroutine, Iterable, Iterator
+import socket
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
@@ -84,6 +85,10 @@
         self.memory_grants = MemoryGrants(state, self._send_to, self.permits.issuers)
         state.listed_peers = lambda: len(self._peers)
         state.acquire_memory = self.memory_grants.acquire
+        self.port: int | None = None
+        """Port on which reports are received, once it is open."""
+        self.on_port_opened: Callable[[], None] = lambda: None
+        self._lost = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         state.on_long_placed = self._on_long_placed
 
@@ -91,6 +96,31 @@
         """Keep the transport for sending."""
         self._transport = transport
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop sending until there is a transport again."""
+        self._transport = None
+        self._lost.set()
+
+    async def exchange_on(self, opened: socket.socket) -> None:
+        """Exchange messages on a datagram socket until cancelled.
+
+        Raises
+        ------
+        PeerError
+            If the socket was lost.
+        """
+        self._lost.clear()
+        self.port = opened.getsockname()[1]
+        self.on_port_opened()
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, sock=opened
+        )
+        try:
+            await self._lost.wait()
+        finally:
+            transport.close()
+        raise PeerError("The socket for messages of other gateways was lost.")
+
     def add_peer(self, node_id: str, address: PeerAddress) -> None:
         """Add a gateway that gets reports, or update its address."""
         if node_id != self._state.node_id:
--- a/src/sorrelhoist/platform/process.py
+++ b/src/sorrelhoist/platform/process.py
@@ -115,6 +115,7 @@
         front=settings.front_address,
         ready=settings.ready_address,
         peer_port=settings.peer_port,
+        peer_port_count=settings.peer_port_count,
         metrics_port=settings.metrics_port,
     )
     process = Gateway(
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -33,7 +33,9 @@
     node_id, role, failure_domain, address : str
     front_address, ready_address : str
         ``IP:PORT``; empty where the role serves no callers.
-    peer_port, metrics_port : int
+    peer_port, peer_port_count : int
+        The first of the ports for messages between gateways, and their number.
+    metrics_port : int
     store_address : str
         ``IP:PORT`` of the platform's store.
     revoke_s : float
@@ -60,6 +62,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    peer_port_count: int = 1
     limits: ResourceLimits = ResourceLimits()
     overload_parts: OverloadParts = frozenset()
 
@@ -91,6 +94,7 @@
         front_address=front_address,
         ready_address=ready_address,
         peer_port=int(fields["port_range"][0]),
+        peer_port_count=_peer_port_count(fields["port_range"]),
         metrics_port=METRICS_PORT,
         store_address=fields["provider"]["addr"],
         revoke_s=bounds["revoke_ms"] / 1000,
@@ -103,6 +107,11 @@
     )
 
 
+def _peer_port_count(port_range: list) -> int:
+    first, last = int(port_range[0]), int(port_range[-1])
+    return max(1, last - first + 1)
+
+
 def _decode_overload(names: str) -> OverloadParts:
     return parse_parts(name.strip() for name in names.split(",") if name.strip())
 
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -110,6 +110,7 @@
         self._peers_read = asyncio.Event()
         self._own_entry_due = asyncio.Event()
         self._own_entry_written = asyncio.Event()
+        exchange.on_port_opened = self._own_entry_due.set
         self._operator = TopicPoller(
             self._store,
             OPERATOR_TOPIC,
@@ -596,7 +597,8 @@
         self._peers_read.set()
 
     def _own_entry(self) -> bytes:
-        own = {"host": self._settings.address, "port": self._settings.peer_port}
+        port = self._exchange.port or self._settings.peer_port
+        own = {"host": self._settings.address, "port": port}
         return json.dumps(own).encode()
 
     async def _write_own_entry(self) -> None:
--- a/tests/platform/test_real_start.py
+++ b/tests/platform/test_real_start.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 
 import pytest
 
-from tests.platform.real_gateway import RELOAD, STOP, head, run_in_world
+from tests.platform.real_gateway import RELOAD, STOP, exchange, head, run_in_world
 
 pytestmark = pytest.mark.process
 
@@ -14,6 +15,7 @@
 # The interpreter itself needs a few hundredths of a second before its first line.
 DELAYS_S = (0.1, 0.2, 0.3, 0.5)
 METRICS_PORT = 9464
+METRICS = b"GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 
 @pytest.mark.parametrize("delay_s", DELAYS_S)
@@ -65,6 +67,12 @@
         yield
 
 
+def listed_port(world):
+    """Port of the first gateway's newest entry in the store."""
+    entries = [v for k, v in world.store.topics["keyed.gateways"] if k == "g1"]
+    return json.loads(entries[-1])["port"]
+
+
 def test_a_gateway_serves_while_its_metrics_port_is_held_by_another(tmp_path):
     async def main(world):
         gateway = world.gateway()
@@ -72,6 +80,13 @@
             gateway.start()
             await gateway.wait_ready()
             assert (await gateway.call(head())).status == 200
+            (line,) = gateway.events("port_unavailable")
+            assert line["address"].endswith(f":{METRICS_PORT}")
+            assert line["remedy"]
+        # The port is tried again every 5 s.
+        async with asyncio.timeout(8.0):
+            while (await exchange(gateway.ip, METRICS_PORT, METRICS)).status != 200:
+                await asyncio.sleep(0.1)
 
     run_in_world(tmp_path, main)
 
@@ -83,6 +98,54 @@
             gateway.start()
             await gateway.wait_ready()
             assert (await gateway.call(head())).status == 200
+            assert listed_port(world) == gateway.peer + 1
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_gateway_serves_without_peers_until_one_of_their_ports_is_free(tmp_path):
+    async def main(world):
+        gateway = world.gateway()
+        with contextlib.ExitStack() as stack:
+            for number in range(16):
+                port = gateway.peer + number
+                stack.enter_context(held(gateway.ip, port, socket.SOCK_DGRAM))
+            gateway.start()
+            await gateway.wait_ready()
+            assert (await gateway.call(head())).status == 200
+            assert gateway.events("port_unavailable")
+        async with asyncio.timeout(5.0):
+            while not gateway.events("port"):
+                await asyncio.sleep(0.05)
+        assert listed_port(world) == gateway.peer
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_stop_while_the_port_for_callers_is_held_ends_the_process_at_once(tmp_path):
+    async def main(world):
+        gateway = world.gateway()
+        with held(gateway.ip, gateway.front):
+            gateway.start()
+            async with asyncio.timeout(10.0):
+                while not gateway.events("port_unavailable"):
+                    await asyncio.sleep(0.02)
+            assert not await gateway.is_ready()
+            gateway.signal(STOP)
+            assert await gateway.exit_code(2.0) == 0
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_gateway_waits_for_an_address_that_its_host_does_not_have(tmp_path):
+    async def main(world):
+        gateway = world.gateway(ip="203.0.113.9").start()
+        async with asyncio.timeout(10.0):
+            while len(gateway.events("port_unavailable")) < 4:
+                assert gateway.is_running
+                await asyncio.sleep(0.05)
+        gateway.signal(STOP)
+        assert await gateway.exit_code(2.0) == 0
 
     run_in_world(tmp_path, main)
 
