Settings: defaults of bounds, files being replaced, and reloads

Operators saw: a start that ended with exit code 2 for a file without a bound of a contract that isn't in force, without port_range, or that was just being written; a reload that changed nothing but the revocation bound; and "KeyError('ip')" as the reason.

Only node, ip, zone, listen.front and provider.addr end a start, with an error that names the field and what to set. Other fields that are missing have defaults; those of an odd type or size are refused by name. A start waits up to 2 s for a file that can be used, and ends at once with 0 if it is stopped meanwhile. A reload applies grace, retry bounds and resource limits; changes that need a restart are logged as such.

--- a/src/sorrelhoist/decisions/memory/budget.py
+++ b/src/sorrelhoist/decisions/memory/budget.py
@@ -70,8 +70,17 @@
 
     def __attrs_post_init__(self) -> None:
         self._base = None
-        if self.limit_bytes is not None:
-            self._base = ProgramBase(limit_bytes=self.limit_bytes)
+        self.set_limit(self.limit_bytes)
+
+    def set_limit(self, limit_bytes: int | None) -> None:
+        """Set the memory limit of the process from now on."""
+        self.limit_bytes = limit_bytes
+        if limit_bytes is None:
+            self._base = None
+        elif self._base is None:
+            self._base = ProgramBase(limit_bytes=limit_bytes)
+        else:
+            self._base.limit_bytes = limit_bytes
 
     @property
     def base_bytes(self) -> float | None:
--- a/src/sorrelhoist/decisions/retries.py
+++ b/src/sorrelhoist/decisions/retries.py
@@ -264,6 +264,15 @@
         for service in {*services, *self._budgets}:
             self.shared.set_process_share(self.budget(service), processes, now_s)
 
+    def change_shared(self, shared: SharedRetryBudget, now_s: float) -> None:
+        """Use other bounds from now on; what was earned or saved up stays."""
+        self.shared = shared
+        for budget in self._budgets.values():
+            budget.ratio = shared.ratio / 2
+            budget.earned_ttl_s = shared.window_s
+        if self.processes is not None:
+            self.share_among(self.processes, (), now_s)
+
     def dump(self) -> dict:
         """Return the budgets by service as plain data for the state dump."""
         return {
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -88,7 +88,7 @@
         return range(self.peer_port, self.peer_port + self.peer_port_count)
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class Gateway:
     """One gateway process, with its state, dialect and addresses.
 
@@ -164,7 +164,10 @@
                 "signal received", extra={"event": "signal", "signal": number.name}
             )
             if number == RELOAD_SIGNAL and not stop.is_set():
-                self.reload()
+                try:
+                    self.reload()
+                except Exception:
+                    logger.exception("reload failed", extra={"event": "reload"})
         if self.signals.stop_s is not None:
             stop.set()
 
@@ -205,6 +208,13 @@
 
     async def _exchange_messages(self, exchange: PeerExchange) -> None:
         host, ports = self.addresses.host, self.addresses.peer_ports
+        if not ports:
+            logger.warning(
+                "no ports for other gateways in the settings; serving without their "
+                "reports",
+                extra={"event": "no_peer_ports"},
+            )
+            return
         opened = await open_when_free(
             lambda: open_datagram_socket(host, ports),
             f"{host}:{ports[0]}-{ports[-1]}",
@@ -245,6 +255,12 @@
             callers_served.set()
 
         async def serve_probes() -> None:
+            if not addresses.ready:
+                logger.warning(
+                    "no address for probes in the settings; serving without",
+                    extra={"event": "no_ready_address"},
+                )
+                return
             listener = await self._socket(addresses.ready, READY_PORT)
             servers.append(serve(ready, listener, limits))
 
--- a/src/sorrelhoist/platform/process.py
+++ b/src/sorrelhoist/platform/process.py
@@ -34,23 +34,36 @@
 
 MS_PER_S = 1000
 
+RELOADED_FIELDS = {
+    "revoke_s",
+    "grace_s",
+    "retry_ratio",
+    "retry_slack",
+    "retry_window_s",
+    "limits",
+}
+"""Settings that take effect in a running process."""
+
 
 @attrs.define(eq=False, repr=False)
 class SettingsWatcher:
     """Reloads the settings file when it changes.
 
-    Only `PlatformSettings.revoke_s` takes effect in the running process; other changes
-    are logged and need a restart.
+    Bounds and limits take effect in the running process; a change of another field is
+    logged and needs a restart.
 
     Parameters
     ----------
     settings : PlatformSettings
         Settings as last loaded.
     state : GatewayState
+    gateway : Gateway or None
+        Its grace period follows the settings.
     """
 
     settings: PlatformSettings
     state: GatewayState
+    gateway: Gateway | None = None
 
     def reload(self) -> None:
         """Reload the file; if it is invalid, log that and keep the settings."""
@@ -65,9 +78,25 @@
             return
         before, after = attrs.asdict(self.settings), attrs.asdict(loaded)
         changed = sorted(name for name in after if after[name] != before[name])
-        logger.info("settings changed", extra={"event": "reload", "fields": changed})
+        restart = sorted(set(changed) - RELOADED_FIELDS)
+        logger.log(
+            logging.WARNING if restart else logging.INFO,
+            "settings changed; restart to apply some"
+            if restart
+            else "settings changed",
+            extra={"event": "reload", "fields": changed, "need_restart": restart},
+        )
         self.settings = loaded
+        self._apply(loaded, time.monotonic())
+
+    def _apply(self, loaded: PlatformSettings, now_s: float) -> None:
         self.state.contact.revoke_s = loaded.revoke_s
+        self.state.shared_retries = shared_retries(loaded)
+        self.state.retries.change_shared(self.state.shared_retries, now_s)
+        self.state.limits = loaded.limits
+        self.state.memory.set_limit(loaded.limits.memory_bytes)
+        if self.gateway is not None:
+            self.gateway.grace_s = loaded.grace_s
 
     async def run(self) -> None:
         """Poll the file until cancelled."""
@@ -76,6 +105,15 @@
             self.reload()
 
 
+def shared_retries(settings: PlatformSettings) -> SharedRetryBudget:
+    """Return the retry budget of all gateways together."""
+    return SharedRetryBudget(
+        ratio=settings.retry_ratio,
+        slack=settings.retry_slack,
+        window_s=settings.retry_window_s,
+    )
+
+
 def run(settings: PlatformSettings, sockets: Sockets, signals: SignalInbox) -> None:
     """Run the gateway until it receives a stop signal.
 
@@ -91,11 +129,7 @@
         node_id=settings.node_id,
         failure_domain=settings.failure_domain,
         contact=StoreContact(settings.revoke_s),
-        shared_retries=SharedRetryBudget(
-            ratio=settings.retry_ratio,
-            slack=settings.retry_slack,
-            window_s=settings.retry_window_s,
-        ),
+        shared_retries=shared_retries(settings),
         rng=random.Random(f"{settings.node_id} {time.time_ns()}"),
         limits=settings.limits,
         overload_parts=settings.overload_parts,
@@ -129,6 +163,7 @@
         sockets=sockets,
         signals=signals,
     )
+    watch.gateway = process
     try:
         asyncio.run(process.run())
     except Exception:
--- a/src/sorrelhoist/platform/settings.py
+++ b/src/sorrelhoist/platform/settings.py
@@ -10,7 +10,7 @@
 from ..decisions.resource_limits import ResourceLimits
 from ..exceptions import SettingsError
 from .decode_errors import DECODE_ERRORS
-from .listen import decode_addresses, settings_path
+from .listen import MAX_PORT, decode_addresses, settings_path
 
 METRICS_PORT = 9464
 """Also stated in ``deploy/system.toml``; the default port of OpenTelemetry's
@@ -19,6 +19,17 @@
 BYTES_PER_MB = 1_000_000
 BYTES_PER_S_PER_MBPS = 125_000
 
+DEFAULT_REVOKE_MS = 5000.0
+DEFAULT_GRACE_S = 8.0
+DEFAULT_RETRY_RATIO, DEFAULT_RETRY_SLACK, DEFAULT_RETRY_WINDOW_S = 0.2, 100.0, 10.0
+"""Bounds where the settings have none: the values of the platform's own example."""
+
+MAX_BOUND = 1e9
+"""Largest number that a bound may be, whatever its unit."""
+
+MAX_PEER_PORTS = 64
+"""Number of ports of the range that are tried."""
+
 OVERLOAD_VARIABLE = "SORRELHOIST_OVERLOAD"
 """Environment variable with the parts of overload control in use, separated by commas.
 """
@@ -79,37 +90,79 @@
     try:
         fields = tomllib.loads(path.read_text())
         return _decode(fields)
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error.message}", error.remedy) from error
     except (OSError, *DECODE_ERRORS) as error:
         raise SettingsError(f"{path}: {error!r}.") from error
 
 
 def _decode(fields: dict) -> PlatformSettings:
-    bounds = fields["bounds"]
+    bounds = _table(fields, "bounds")
     front_address, ready_address = decode_addresses(fields)
+    if not front_address:
+        raise _missing("listen.front", "the address for callers, IP:PORT")
+    first_port, port_count = _decode_ports(fields.get("port_range"))
     return PlatformSettings(
-        node_id=fields["node"],
-        role=fields["role"],
-        failure_domain=fields["zone"],
-        address=fields["ip"],
+        node_id=_text(fields, "node", "the name of this host"),
+        role=str(fields.get("role", "")),
+        failure_domain=_text(fields, "zone", "the failure domain of this host"),
+        address=_text(fields, "ip", "the address of this host"),
         front_address=front_address,
         ready_address=ready_address,
-        peer_port=int(fields["port_range"][0]),
-        peer_port_count=_peer_port_count(fields["port_range"]),
+        peer_port=first_port,
+        peer_port_count=port_count,
         metrics_port=METRICS_PORT,
-        store_address=fields["provider"]["addr"],
-        revoke_s=bounds["revoke_ms"] / 1000,
-        grace_s=float(bounds["grace_period_s"]),
-        retry_ratio=float(bounds["retry_ratio"]),
-        retry_slack=float(bounds["retry_slack"]),
-        retry_window_s=float(bounds["retry_window_s"]),
+        store_address=_text(
+            _table(fields, "provider"), "addr", "the store's IP:PORT", "provider."
+        ),
+        revoke_s=(_bound(bounds, "revoke_ms", 0.0) or DEFAULT_REVOKE_MS) / 1000,
+        grace_s=_bound(bounds, "grace_period_s", DEFAULT_GRACE_S),
+        retry_ratio=_bound(bounds, "retry_ratio", DEFAULT_RETRY_RATIO),
+        retry_slack=_bound(bounds, "retry_slack", DEFAULT_RETRY_SLACK),
+        retry_window_s=_bound(bounds, "retry_window_s", DEFAULT_RETRY_WINDOW_S)
+        or DEFAULT_RETRY_WINDOW_S,
         limits=_decode_limits(fields),
         overload_parts=_decode_overload(os.environ.get(OVERLOAD_VARIABLE, "")),
     )
 
 
-def _peer_port_count(port_range: list) -> int:
+def _missing(name: str, meaning: str) -> SettingsError:
+    return SettingsError(f"{name} is missing.", f"Set {name}: {meaning}.")
+
+
+def _table(fields: dict, name: str) -> dict:
+    table = fields.get(name, {})
+    if not isinstance(table, dict):
+        raise SettingsError(f"{name} must be a table, not {table!r:.40}.")
+    return table
+
+
+def _text(fields: dict, name: str, meaning: str, prefix: str = "") -> str:
+    value = fields.get(name)
+    if value is None or value == "":
+        raise _missing(prefix + name, meaning)
+    if not isinstance(value, str):
+        raise SettingsError(f"{prefix}{name} must be text, not {value!r:.40}.")
+    return value
+
+
+def _bound(bounds: dict, name: str, default: float) -> float:
+    """Return a bound; a contract that is not in force may leave its own out."""
+    value = bounds.get(name, default)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not (is_number and 0 <= value <= MAX_BOUND):
+        raise SettingsError(f"bounds.{name} must be a number, not {value!r:.40}.")
+    return float(value)
+
+
+def _decode_ports(port_range: list | None) -> tuple[int, int]:
+    """Return the first of the ports between gateways, and their number, perhaps 0."""
+    if port_range is None or port_range == []:
+        return 0, 0
     first, last = int(port_range[0]), int(port_range[-1])
-    return max(1, last - first + 1)
+    if not 0 < first <= last <= MAX_PORT:
+        raise SettingsError(f"port_range must hold two ports, not {port_range!r:.40}.")
+    return first, min(last - first + 1, MAX_PEER_PORTS)
 
 
 def _decode_overload(names: str) -> OverloadParts:
@@ -117,7 +170,7 @@
 
 
 def _decode_limits(fields: dict) -> ResourceLimits:
-    limits = fields.get("limits", {})
+    limits = _table(fields, "limits")
     share, cores = limits.get("cpu_share"), limits.get("cpu_cores", 1)
     memory_mb, link_mbps = limits.get("memory_mb"), limits.get("link_mbps")
     return ResourceLimits(
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -568,7 +568,9 @@
         """Write the own entry at the start, when it is due, and at intervals."""
         while True:
             self._own_entry_due.clear()
-            await self._write_own_entry()
+            # Without ports for other gateways there is nothing to tell them.
+            if self._settings.peer_port:
+                await self._write_own_entry()
             self._own_entry_written.set()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(PEER_RENEWAL_INTERVAL_S):
--- a/src/sorrelhoist/platform/start.py
+++ b/src/sorrelhoist/platform/start.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,11 @@
 
 EXIT_BAD_SETTINGS = 2
 
+SETTINGS_WAIT_S = 2.0
+"""Time for which a start waits for a settings file that can be used."""
+
+SETTINGS_POLL_S = 0.05
+
 
 def start(path: Path | None = None, signals: SignalInbox | None = None) -> None:
     """Run a gateway until it receives a stop signal.
@@ -34,12 +40,40 @@
     """
     signals = signals or SignalInbox()
     with signals.recording(), listening_early(path) as sockets:
-        settings = check_settings(path)
+        settings = _settings_when_written(path, signals)
+        if settings is None:
+            return
         from .process import run
 
         run(settings, sockets, signals)
 
 
+def _settings_when_written(
+    path: Path | None, signals: SignalInbox
+) -> "PlatformSettings | None":
+    """Return the settings; wait for a short time while the file can't be used.
+
+    The platform may be about to replace it.
+
+    Returns
+    -------
+    PlatformSettings or None
+        None if the process is to end before there are any.
+    """
+    from ..exceptions import SettingsError
+    from .settings import load_settings
+
+    end_s = time.monotonic() + SETTINGS_WAIT_S
+    while time.monotonic() < end_s:
+        try:
+            return load_settings(path)
+        except SettingsError:
+            if signals.is_stop_received:
+                return None
+            time.sleep(SETTINGS_POLL_S)
+    return check_settings(path)
+
+
 def check_settings(path: Path | None = None) -> "PlatformSettings":
     """Return the settings in a file.
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -2,7 +2,7 @@
 
 from sorrelhoist.decisions.store_contact import StoreContact
 from sorrelhoist.gateway.state import GatewayState
-from sorrelhoist.platform.process import SettingsWatcher
+from sorrelhoist.platform.process import SettingsWatcher, shared_retries
 from sorrelhoist.platform.settings import load_settings
 from tests.platform.test_settings import TEXT
 
@@ -30,3 +30,30 @@
     path.write_text("broken")
     watcher.reload()
     assert watcher.state.contact.revoke_s == 5.0
+
+
+def test_other_bounds_and_limits_take_effect_on_reload(tmp_path, monkeypatch):
+    path, watcher = make_watcher(tmp_path, monkeypatch)
+    state = watcher.state
+    state.retries.shared = shared_retries(watcher.settings)
+    state.retries.share_among(1, ["a"], now_s=0.0)
+    text = TEXT.replace("retry_slack = 102", "retry_slack = 20")
+    path.write_text(text + "[limits]\nmemory_mb = 552\n")
+    watcher.reload()
+    assert state.retries.budget("a").max_balance == 10.0
+    assert state.memory.limit_bytes == 552_000_000
+    path.write_text(TEXT)
+    watcher.reload()
+    assert state.memory.budget_bytes is None
+
+
+def test_a_file_that_is_being_written_keeps_the_settings(tmp_path, monkeypatch):
+    path, watcher = make_watcher(tmp_path, monkeypatch)
+    changed = TEXT.replace("revoke_ms = 5000", "revoke_ms = 3000")
+    for length in range(0, len(changed) - 30, 7):
+        path.write_text(changed[:length])
+        watcher.reload()
+        assert watcher.state.contact.revoke_s == 5.0
+    path.write_text(changed)
+    watcher.reload()
+    assert watcher.state.contact.revoke_s == 3.0
--- a/tests/platform/test_real_start.py
+++ b/tests/platform/test_real_start.py
@@ -57,6 +57,35 @@
     run_in_world(tmp_path, main)
 
 
+def test_a_settings_file_that_is_being_replaced_does_not_end_the_start(tmp_path):
+    async def main(world):
+        gateway = world.gateway()
+        gateway.write_settings()
+        text = gateway.settings_path.read_text()
+        gateway.settings_path.write_text("")
+        gateway.start()
+        await asyncio.sleep(0.5)
+        gateway.settings_path.write_text(text[: len(text) // 2])
+        await asyncio.sleep(0.3)
+        gateway.settings_path.write_text(text)
+        await gateway.wait_ready()
+        assert (await gateway.call(head())).status == 200
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_stop_while_there_are_no_settings_ends_the_process_at_once(tmp_path):
+    async def main(world):
+        gateway = world.gateway()
+        gateway.settings_path.write_text("")
+        gateway.start()
+        await asyncio.sleep(0.5)
+        gateway.signal(STOP)
+        assert await gateway.exit_code(1.0) == 0
+
+    run_in_world(tmp_path, main)
+
+
 @contextlib.contextmanager
 def held(ip, port, kind=socket.SOCK_STREAM):
     """Hold a port, as another process does."""
