--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -110,6 +110,7 @@
         self._peers_read = asyncio.Event()
         self._own_entry_due = asyncio.Event()
         self._own_entry_written = asyncio.Event()
+        exchange.on_port_opened = self._own_entry_due.set
         self._operator = TopicPoller(
             self._store,
             OPERATOR_TOPIC,
@@ -567,7 +568,9 @@
         """Write the own entry at the start, when it is due, and at intervals."""
         while True:
             self._own_entry_due.clear()
-            await self._write_own_entry()
+            # Without ports for other gateways there is nothing to tell them.
+            if self._settings.peer_port:
+                await self._write_own_entry()
             self._own_entry_written.set()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(PEER_RENEWAL_INTERVAL_S):
@@ -596,7 +599,8 @@
         self._peers_read.set()
 
     def _own_entry(self) -> bytes:
-        own = {"host": self._settings.address, "port": self._settings.peer_port}
+        port = self._exchange.port or self._settings.peer_port
+        own = {"host": self._settings.address, "port": port}
         return json.dumps(own).encode()
 
     async def _write_own_entry(self) -> None:
