--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -61,7 +61,7 @@
         """Return a request's deadline, moved into the grace period."""
         return min(deadline_s, self.cut_at_s)
 
-    def latest_start_s(self, expected_s: float, deadline_s: float) -> float:
+    def latest_start_s(self, expected_s: float, deadline_s: float) -> float | None:
         """Return until when a request may be sent to an endpoint.
 
         Parameters
@@ -69,18 +69,24 @@
         expected_s : float
             Time within which its work most likely ends.
         deadline_s : float
-            Its deadline; one that ends by itself before the cut always fits.
+
+        Returns
+        -------
+        float or None
+            None if its deadline ends it before the cut.
         """
         if self.is_closing:
             return self.began_s
         if deadline_s < self.cut_at_s:
-            return deadline_s
+            return None
         return self.cut_at_s - expected_s
 
     def fits(self, expected_s: float, deadline_s: float, now_s: float) -> bool:
         """Return whether a request that is sent now can be expected to end in time."""
+        if self.is_closing or now_s >= self.cut_at_s:
+            return False
         latest_s = self.latest_start_s(expected_s, deadline_s)
-        return now_s <= latest_s and now_s < self.cut_at_s and not self.is_closing
+        return latest_s is None or now_s <= latest_s
 
     def left_s(self, now_s: float) -> float:
         """Return the time until all requests that still run are given up."""
--- a/src/sorrelhoist/decisions/work_times.py
+++ b/src/sorrelhoist/decisions/work_times.py
@@ -21,6 +21,10 @@
 BUCKET_GROWTH = 1.1
 """Ratio of the bounds of a bucket: a quantile is overestimated by less than this."""
 
+RATIO_AGE_S = 0.05
+"""Time for which a computed ratio is used again: many requests may be refused at once
+by a gateway that stops."""
+
 MAX_EXPONENT = 60.0
 """Largest exponent of a weight, after which all weights are scaled down."""
 
@@ -175,6 +179,7 @@
     def __init__(self) -> None:
         self._seen: dict[str, DecayingQuantile] = {}
         self._running: dict[str, tuple[Work, float]] = {}
+        self._ratios: dict[str, tuple[float, float]] = {}
 
     def began(self, request_id: str, work: Work, now_s: float) -> None:
         """Record that a request was sent to an endpoint."""
@@ -200,24 +205,32 @@
         Requests that have been running for longer than those that ended count with the
         time so far.
         """
-        seen = self._seen.get(work.route) or DecayingQuantile()
+        ratio, computed_s = self._ratios.get(work.route, (0.0, float("-inf")))
+        if now_s - computed_s >= RATIO_AGE_S:
+            ratio = self._ratio(work.route, now_s)
+            self._ratios[work.route] = ratio, now_s
+        return ratio * work.nominal_s
+
+    def _ratio(self, route: str, now_s: float) -> float:
+        seen = self._seen.get(route) or DecayingQuantile()
         ratio = seen.quantile(WORK_QUANTILE, now_s) or 0.0
         older = [
             age
             for other, began_s in self._running.values()
-            if other.route == work.route
+            if other.route == route
             and (age := (now_s - began_s) / other.nominal_s) > ratio
         ]
         if older:
             ratio = seen.quantile(WORK_QUANTILE, now_s, older) or ratio
         if seen.weight(now_s) < MIN_OBSERVATIONS:
             ratio = max(1.0, ratio)
-        return ratio * work.nominal_s
+        return ratio
 
     def retain(self, routes: Iterable[str]) -> None:
         """Drop the observations of routes that are not in the configuration."""
         kept = set(routes)
         self._seen = {name: seen for name, seen in self._seen.items() if name in kept}
+        self._ratios.clear()
 
     def dump(self, now_s: float) -> dict[str, dict[str, float]]:
         """Return the ratios of measured to nominal times by route, as plain data."""
