A peer whose clock was set back in a restart is heard again

Callers saw nothing directly; gateways placed requests without the load of one peer, for as long as its clock had been set back.

Cause: reports are ordered by the start of their process on the wall clock, then by number. A process that started with an earlier clock than the one before it on its host was taken for out of date for good.

A report of another process that has expired (2 s) no longer counts in this order. In a running gateway the wall clock is used for nothing else but log lines and the seed of the random numbers.

Evidence: a test of reports and of updates failed before at 2.5 s after the last report of the former process, and passes.

--- a/src/sorrelhoist/decisions/placement/load_tracker.py
+++ b/src/sorrelhoist/decisions/placement/load_tracker.py
@@ -287,7 +287,7 @@
         now_s: float,
     ) -> bool:
         """Record a peer's report; return False if it is older than the last one."""
-        known = self._peers.get(node_id)
+        known = self._known_peer(node_id, boot_ms, now_s)
         if known is not None and (known.boot_ms, known.sequence) >= (boot_ms, sequence):
             return False
         if known is None or known.boot_ms != boot_ms:
@@ -322,7 +322,7 @@
         bool
             False if the last report of the peer is newer.
         """
-        known = self._peers.get(node_id)
+        known = self._known_peer(node_id, boot_ms, now_s)
         if known is None or known.boot_ms < boot_ms:
             known = self._peers[node_id] = _PeerReport({}, -1, boot_ms, now_s)
         if (known.boot_ms, known.sequence) >= (boot_ms, sequence):
@@ -336,6 +336,19 @@
                 known.updated[use.address] = sequence
         return True
 
+    def _known_peer(
+        self, node_id: str, boot_ms: int, now_s: float
+    ) -> _PeerReport | None:
+        """Return the last report of a peer that a newer one has to follow.
+
+        The peer's clock may be set back while it restarts. An expired report of
+        another process then says nothing about the order.
+        """
+        known = self._peers.get(node_id)
+        if known is None or known.boot_ms == boot_ms:
+            return known
+        return None if now_s - known.heard_s >= PEER_REPORT_TTL_S else known
+
     def peers_without_updates(self, now_s: float) -> int:
         """Return the number of live peers whose placements come by reports only."""
         return sum(
--- a/tests/decisions/placement/test_load_tracker.py
+++ b/tests/decisions/placement/test_load_tracker.py
@@ -1,5 +1,7 @@
 """Load of local placements and of peers' reports, which count until they expire."""
 
+import pytest
+
 from sorrelhoist.decisions.placement.load_tracker import (
     PEER_REPORT_TTL_S,
     EndpointUse,
@@ -43,6 +45,20 @@
     assert tracker.endpoint_use("a", now_s=1.0).streams == 0
 
 
+@pytest.mark.parametrize("method", ("peer_reported", "peer_updated"))
+def test_a_peer_whose_clock_was_set_back_in_a_restart_is_heard_again(method):
+    tracker = LoadTracker()
+    tracker.peer_reported("g2", 10_000, 9, [EndpointUse(address="a", streams=3)], 0.0)
+    hear = getattr(tracker, method)
+    after = [EndpointUse(address="a", streams=1)]
+    # Until the report expires, one of before the restart may still be on its way.
+    assert not hear("g2", 5_000, 1, after, 1.0)
+    assert hear("g2", 5_000, 2, after, 2.5)
+    assert tracker.endpoint_use("a", 2.5).streams == 1
+    hear("g2", 5_000, 1, [EndpointUse(address="a", streams=7)], 2.6)
+    assert tracker.endpoint_use("a", 2.6).streams == 1
+
+
 def test_the_report_of_a_silent_peer_expires():
     tracker = LoadTracker()
     report(tracker)
--- a/tests/platform/test_failing_follower.py
+++ b/tests/platform/test_failing_follower.py
@@ -1,6 +1,7 @@
 """Records and answers that fail in unexpected ways end no process."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -101,6 +102,22 @@
     run_in_world(tmp_path, main)
 
 
+def test_a_wall_clock_that_steps_changes_neither_readiness_nor_keys(monkeypatch):
+    async def main(fleet):
+        await fleet.add(whole(), service="app")
+        now = time.time
+        for step_s in (-86_400.0, 86_400.0, 3.0, -3.0, -now()):
+            monkeypatch.setattr(time, "time", lambda step_s=step_s: now() + step_s)
+            end_s = time.monotonic() + 1.0
+            while time.monotonic() < end_s:
+                assert (await fleet.fetch()).status == 200
+                assert await fleet.is_ready()
+                await asyncio.sleep(0.1)
+        assert not fleet.state.task_failures
+
+    run_with_fleet(main)
+
+
 @pytest.mark.parametrize(
     "answer",
     (
