Endpoints that die of themselves don't get common requests refused

Callers got 422 for a proper request for up to an hour: what all callers of a workspace ask of one path counts as one request, and two endpoints that died while it ran alone, or three while it ran among others, condemned it. Nothing could clear it, since it was refused everywhere.

A gateway now weighs what it knows to have completed in the last minutes against the deaths, also against those that others report; deaths within one second don't condemn; and one gateway lets a refused request through to one endpoint 20 s after the last death, then after 80 s and more. Deaths of other endpoints at the time no longer excuse a request: completions do.

Evidence: on a real process both cases of test_a_common_request_is_not_refused (endpoints die one by one, then all, and return) failed before with 422 among the answers.

--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -174,7 +174,8 @@
         if is_starting and not state.directory.is_read:
             return self._local_refusal("no endpoints yet", True, route.objective_s)
         fingerprint = _fingerprint(request)
-        if state.suspicions.is_condemned(fingerprint, self.received_s):
+        is_suspect = state.suspicions.is_condemned(fingerprint, self.received_s)
+        if is_suspect and not state.try_suspect(fingerprint, self.received_s):
             return Refusal(422, "endpoints died each time they ran this request")
         blame = state.blamed_part(request.shared_parts, self.received_s)
         is_trial = blame is not None and state.try_part_trial(blame, self.received_s)
@@ -198,7 +199,9 @@
             deadline_s=deadline_s,
             progress=Progress(
                 repeat=route.repeat,
-                max_endpoints=1 if is_trial else max(1, route.max_endpoints),
+                max_endpoints=1
+                if is_trial or is_suspect
+                else max(1, route.max_endpoints),
             ),
             is_trial=is_trial,
             splitter=EventSplitter(last_id=request.resume_after),
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -33,12 +33,12 @@
 from ..decisions.placement.pause_monitor import PassCorrections, PauseLogRate
 from ..decisions.placement.prefill_watch import PrefillWatch
 from ..decisions.report_rate import UpdateRate, settle_s
+from ..decisions.request_suspicion import RequestSuspicions
 from ..decisions.resource_limits import ResourceLimits
 from ..decisions.retries import ServiceRetries, SharedRetryBudget
 from ..decisions.routes import EngineCosts, RouteTable, Workspace
 from ..decisions.startup import Startup
 from ..decisions.store_contact import StoreContact
-from ..decisions.suspicion import SuspicionTable
 
 logger = logging.getLogger(__name__)
 
@@ -173,7 +173,11 @@
     listed_peers: Callable[[], int] = lambda: 0
     acquire_memory: Callable[[str, int, int], Awaitable[bool]] = _acquire_unchecked
     prefill_watches: dict[str, PrefillWatch] = attrs.field(factory=dict)
-    suspicions: SuspicionTable = attrs.field(factory=SuspicionTable)
+    suspicions: RequestSuspicions = attrs.field(
+        default=attrs.Factory(
+            lambda self: RequestSuspicions(self.node_id), takes_self=True
+        )
+    )
     part_suspicions: PartSuspicions = attrs.field(
         default=attrs.Factory(
             lambda self: PartSuspicions(self.node_id), takes_self=True
@@ -316,6 +320,11 @@
         gateways = [self.node_id, *self.loads.peers(now_s)]
         return self.part_suspicions.try_trial(blame, gateways, now_s)
 
+    def try_suspect(self, fingerprint: int, now_s: float) -> bool:
+        """Return whether to let a condemned request through as a trial."""
+        gateways = [self.node_id, *self.loads.peers(now_s)]
+        return self.suspicions.try_trial(fingerprint, gateways, now_s)
+
     def update_retry_share(self, now_s: float) -> None:
         """Set the retry budgets to this gateway's share among all gateways.
 
--- a/src/sorrelhoist/platform/process.py
+++ b/src/sorrelhoist/platform/process.py
@@ -9,8 +9,6 @@
 
 from ..decisions.retries import SharedRetryBudget
 from ..decisions.store_contact import StoreContact
-from ..decisions.suspicion import SuspicionTable
-from ..decisions.suspicion_evidence import SuspicionOptions
 from ..exceptions import SettingsError
 from ..gateway.app import Addresses, Gateway
 from ..gateway.peer_exchange import PeerExchange
@@ -23,9 +21,6 @@
 
 logger = logging.getLogger(__name__)
 
-DEATHS_TO_CONDEMN = 3
-"""Number of endpoints that a request may have crashed before it is refused."""
-
 SETTINGS_POLL_S = 2.0
 """Interval between two checks of the settings file, which may change without a
 signal."""
@@ -96,9 +91,6 @@
         rng=random.Random(f"{settings.node_id} {time.time_ns()}"),
         limits=settings.limits,
         overload_parts=settings.overload_parts,
-        suspicions=SuspicionTable(
-            SuspicionOptions(deaths_to_condemn=DEATHS_TO_CONDEMN)
-        ),
     )
     watch = SettingsWatcher(settings, state)
 
