Soak: signals in the first second, in series, held ports, kept connections

Also changes of the operator's limits and requests in odd but legal forms. Checked beside the former promises: no exit code but 0 and -9, no end without a signal, no connection that ends without an answer to a request that ran, no 400, 404, 413, 422 or 431 for a proper request.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,13 +5,14 @@
 
 import asyncio
 import signal
+import socket
 import tempfile
 import time
 from pathlib import Path
 
 import click
 
-from tests.soak.world import World
+from tests.soak.world import LIMITS, World
 
 RECOVERY_S = 12.0
 REQUEST_INTERVAL_S = 0.03
@@ -52,6 +53,67 @@
             return
 
 
+async def wait_end(process):
+    """Wait for the end of a process; return whether it came."""
+    for _ in range(100):
+        if process.running.poll() is not None:
+            return True
+        await asyncio.sleep(0.1)
+    return False
+
+
+async def signal_early(world, process, endpoint, duration_s):
+    """Restart a process and send it a signal in its first second."""
+    process.kill()
+    process.start()
+    await asyncio.sleep(world.rng.uniform(0.0, 1.0))
+    process.signal(world.rng.choice([signal.SIGHUP, signal.SIGTERM]))
+    await asyncio.sleep(0.5)
+    if process.is_end_asked and not await wait_end(process):
+        return
+    if process.running.poll() is not None:
+        process.start()
+
+
+async def signal_in_series(world, process, endpoint, duration_s):
+    """Stop a process, and send it signals until it is gone."""
+    process.signal(signal.SIGTERM)
+    while process.running.poll() is None:
+        process.signal(world.rng.choice([signal.SIGHUP, signal.SIGTERM]))
+        await asyncio.sleep(world.rng.uniform(0.0, 0.5))
+    process.start()
+
+
+async def hold_port(world, process, endpoint, duration_s):
+    """Start a process while another socket holds one of its ports for a second."""
+    process.kill()
+    number = world.rng.choice([process.front, process.ready])
+    with socket.socket() as held:
+        try:
+            held.bind((process.ip, number))
+        except OSError:  # connections of the former run linger there
+            process.start()
+            return
+        process.start()
+        await asyncio.sleep(1.0)
+
+
+async def keep_connections(world, process, endpoint, duration_s):
+    """Use connections until their process is gone."""
+    kept = [world.keep_connection(process, requests=30) for _ in range(4)]
+    await asyncio.gather(*kept)
+
+
+async def change_limits(world, process, endpoint, duration_s):
+    world.limits = world.rng.choice([{}, LIMITS, LIMITS | {"idle_timeout_ms": 1000}])
+    world.version += 1
+    world.configure()
+
+
+async def send_odd_requests(world, process, endpoint, duration_s):
+    await asyncio.gather(*(world.send_odd_request() for _ in range(6)))
+
+
 async def reload(world, process, endpoint, duration_s):
     process.signal(signal.SIGHUP)
 
@@ -134,6 +196,8 @@
         *(freeze, kill, terminate, reload, harm_store, restore_store),
         *(harm_link, sicken, replace, change_keys),
         *(name_limit, ask_for_pause, say_leaving),
+        *(signal_early, signal_in_series, hold_port),
+        *(keep_connections, change_limits, send_odd_requests),
     )
 }
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,6 +26,15 @@
 
 ROOT = Path(__file__).parents[2]
 REVOCATION_LIMIT_S = 5.0
+EXIT_CODES = (None, 0, -signal.SIGKILL)
+CALL_TIMEOUT_S = 4.0
+DENIALS = (400, 404, 413, 422, 431)
+LIMITS = {
+    "max_header_bytes": 65_536,
+    "max_body_bytes": 16 << 20,
+    "header_timeout_ms": 2000,
+    "idle_timeout_ms": 3000,
+}
 HEARTBEAT_S = 1.2
 COPIES_KEPT = 4
 """Copies of the store, one at each heartbeat: up to five seconds old."""
@@ -50,6 +59,24 @@
 addr = "127.0.0.1:{store}"
 """
 
+BASIC = b"Host: example.test\r\nX-Attempt-Id: ID\r\nX-Deadline-Ms: 3000\r\n"
+AUTHORIZED = BASIC + b"Authorization: Token KEY\r\n"
+KEPT = b"GET /look/1 HTTP/1.1\r\n" + AUTHORIZED + b"\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+ODD_REQUESTS = {
+    "absolute form": KEPT.replace(b"/look", b"http://example.test/look"),
+    "scheme in lower case": KEPT.replace(b"Token", b"token"),
+    "fractional deadline": KEPT.replace(b"3000", b"3000.5"),
+    "chunk extension": b"POST /look/1 HTTP/1.1\r\n" + AUTHORIZED + CHUNKED
+    + b"5;a=b\r\nhello\r\n0\r\n\r\n",
+    "trailer": b"POST /look/1 HTTP/1.1\r\n" + AUTHORIZED + CHUNKED
+    + b"5\r\nhello\r\n0\r\nX-Sum: 5\r\n\r\n",
+    "Latin-1 header": KEPT.replace(b"X-Dead", b"X-Name: Ka\xe1p\r\nX-Dead"),
+    "long header": KEPT.replace(b"X-Dead", b"X-A: " + b"a" * 15_000 + b"\r\nX-Dead"),
+    "empty line first": b"\r\n" + KEPT,
+    "names in lower case": KEPT.replace(b"X-Attempt-Id", b"x-attempt-id"),
+}  # fmt: skip
+
 
 @attrs.define(eq=False)
 class Process:
@@ -62,8 +89,17 @@
     environment: dict
     log: object
     running: subprocess.Popen | None = None
+    exits: list = attrs.field(factory=list)
+    """Exit codes of former runs."""
+
+    is_end_asked: bool = False
+    ended_alone: int = 0
+    disturbed_s: float = 0.0
+    """When it was last killed."""
 
     def start(self):
+        self.note_exit()
+        self.is_end_asked = False
         self.running = subprocess.Popen(
             [sys.executable, str(ROOT / "deploy" / "gateway.py")],
             stdout=self.log,
@@ -71,12 +107,21 @@
             env=self.environment,
         )
 
+    def note_exit(self):
+        """Note how the present run ended, if it did."""
+        if self.running is not None and self.running.poll() is not None:
+            self.exits.append(self.running.returncode)
+            self.ended_alone += not self.is_end_asked
+
     def signal(self, number):
         if self.running.poll() is None:
+            self.is_end_asked |= number == signal.SIGTERM
             self.running.send_signal(number)
 
     def kill(self):
+        self.disturbed_s = time.monotonic()
         self.signal(signal.SIGCONT)
+        self.is_end_asked = True
         if self.running.poll() is None:
             self.running.kill()
         self.running.wait()
@@ -126,6 +171,7 @@
     served: int = 0
     attempted: int = 0
     version: int = 1
+    limits: dict = attrs.field(factory=dict)
     keys: list = attrs.field(factory=lambda: ["key-0", "key-1"])
     processes: list = attrs.field(factory=list)
     endpoints: list = attrs.field(factory=list)
@@ -216,7 +262,9 @@
         self.store.put(
             "keyed.op",
             "config",
-            configuration(self.version, routes=routes, tenants=tenants),
+            configuration(
+                self.version, routes=routes, tenants=tenants, limits=self.limits
+            ),
         )
 
     def _script(self, endpoint):
@@ -280,8 +328,9 @@
         caller = Fleet(self.store, process.front, 0, None, None, None)
         self.attempted += 1
         method = "GET" if kind == "look" else "POST"
+        sent_s = time.monotonic()
         try:
-            async with asyncio.timeout(4.0):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
                 reader, writer = await caller.send(
                     f"/{kind}/1",
                     method,
@@ -294,9 +343,68 @@
                 answer = await read_answer(reader, writer)
         except (OSError, TimeoutError):
             return False
+        if not answer.status:
+            self._check_lost(kind, request_id, process, sent_s)
         self._check(kind, request_id, answer)
         return answer.status == 200 and answer.is_complete
 
+    async def send_odd_request(self):
+        """Send a request in an odd but legal form; no 4xx may answer it."""
+        request_id = self.rng.randbytes(8).hex()
+        self.attempted += 1
+        process = self.rng.choice(self.processes)
+        name = self.rng.choice(list(ODD_REQUESTS))
+        data = ODD_REQUESTS[name]
+        data = data.replace(b"ID", request_id.encode())
+        data = data.replace(b"KEY", self.rng.choice(self.keys).encode())
+        sent_s = time.monotonic()
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    process.ip, process.front
+                )
+                writer.write(data)
+                answer = await read_answer(reader, writer)
+        except (OSError, TimeoutError):
+            return
+        if not answer.status:
+            self._check_lost(name, request_id, process, sent_s)
+        if answer.status in DENIALS:
+            self.violations.append(f"denied: {answer.status} for {name}")
+        self._check(name, request_id, answer)
+
+    async def keep_connection(self, process, requests):
+        """Send requests on one connection until it is closed, or all are sent."""
+        try:
+            async with asyncio.timeout(requests * CALL_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    process.ip, process.front
+                )
+                for _ in range(requests):
+                    self.attempted += 1
+                    request_id, sent_s = self.rng.randbytes(8).hex(), time.monotonic()
+                    data = KEPT.replace(b"ID", request_id.encode())
+                    writer.write(data.replace(b"KEY", self.keys[-1].encode()))
+                    answer = await read_answer(reader, writer, keep_open=True)
+                    if not answer.status:
+                        self._check_lost("kept", request_id, process, sent_s)
+                    self._check("kept", request_id, answer)
+                    if not answer.is_complete or "close" in answer.headers.get(
+                        "connection", ""
+                    ):
+                        break
+                    await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+                writer.close()
+        except (OSError, TimeoutError):
+            pass
+
+    def _check_lost(self, kind, request_id, process, sent_s):
+        """Check a connection that ended without an answer: its request hasn't run."""
+        if process.disturbed_s >= sent_s or process.running.poll() == -signal.SIGKILL:
+            return
+        if any(run.request_id == request_id for run in self.runs):
+            self.violations.append(f"ran and lost: {kind} {request_id}")
+
     def _check(self, kind, request_id, answer):
         ran = [run for run in self.runs if run.request_id == request_id]
         if answer.status in (408, 421, 429, 503) and ran:
@@ -324,6 +432,14 @@
                 and run.at_s > key_revoked_at_s + REVOCATION_LIMIT_S
             ):
                 self.violations.append(f"ran with a key taken away: {run.request_id}")
+        for process in self.processes:
+            process.note_exit()
+            codes = [code for code in process.exits if code not in EXIT_CODES]
+            if codes or process.ended_alone:
+                self.violations.append(
+                    f"{process.name} ended: codes {codes}, "
+                    f"{process.ended_alone} times by itself"
+                )
         twice = [request_id for request_id, count in seen.items() if count > 1]
         self.violations += [f"ran twice: {request_id}" for request_id in twice]
 
