Idle connections make room for callers when descriptors run out

Callers waited in the accept queue for as long as the idle connections of others were kept, 19 s by default: with 60 free descriptors and 50 idle connections a real process answered none of ten requests within 4 s (test_a_gateway_without_free_descriptors_neither_spins_nor_ends, and test_without_descriptors_idle_connections_make_room_for_callers, which failed before). accept() fails while no descriptor is left, and nothing but a timeout freed one. The connections that have been idle longest are closed now; their clients have nothing outstanding.

--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -180,6 +180,10 @@
         """Read requests until the connection is closed."""
         self.stream.start()
 
+    def idle_s(self, now_s: float) -> float:
+        """Return the time since the last request, 0 while there is one."""
+        return now_s - self._phase.since_s if isinstance(self._phase, Idle) else 0.0
+
     def check_time(self, now_s: float) -> None:
         """End the connection if the client has let it wait too long."""
         limits = self._limits()
--- a/src/sorrelhoist/gateway/http_server.py
+++ b/src/sorrelhoist/gateway/http_server.py
@@ -18,6 +18,13 @@
 """Time until connections are accepted again after the process ran out of descriptors or
 memory for them."""
 
+MIN_EVICTABLE_IDLE_S = 1.0
+"""Time without a request from which a connection is closed to make room for others. Its
+client has nothing outstanding, and opens another one."""
+
+EVICTED_SHARE = 0.125
+"""Share of the connections that are closed at once, the longest idle ones."""
+
 ACCEPT_LOG_INTERVAL_S = 5.0
 """Shortest time between two log lines about this."""
 
@@ -91,9 +98,11 @@
             error = self._accept()
             if error is None:
                 continue
-            if error.errno in _SHORTAGES:
+            if error.errno not in _SHORTAGES:
+                return
+            if not self._evict_idle():
                 self._pause(error)
-            return
+                return
 
     def _accept(self) -> OSError | None:
         """Accept one connection; return why there is none."""
@@ -113,6 +122,19 @@
             self._check_later()
         return None
 
+    def _evict_idle(self) -> bool:
+        """Close the connections that have been idle longest; return whether any was."""
+        now_s = asyncio.get_running_loop().time()
+        idle = sorted(
+            (idle_s, number, connection)
+            for number, connection in enumerate(self._connections)
+            if (idle_s := connection.idle_s(now_s)) >= MIN_EVICTABLE_IDLE_S
+        )
+        count = max(1, int(len(self._connections) * EVICTED_SHARE))
+        for _, _, connection in idle[-count:]:
+            connection.abort()
+        return bool(idle)
+
     def _pause(self, error: OSError) -> None:
         """Accept no connections for a while: an event loop would spin otherwise."""
         loop = asyncio.get_running_loop()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders
 
 from sorrelhoist.decisions.routes import CallerLimits
+from sorrelhoist.gateway import http_server
 from sorrelhoist.gateway.caller import CallerConnection
 from sorrelhoist.gateway.http_server import serve
 from sorrelhoist.gateway.server import StatusDelegate, _StatusRequest
@@ -116,6 +117,24 @@
     run(main, wrap=lambda listener: ShortListener(listener, failures=3))
 
 
+def test_without_descriptors_idle_connections_make_room_for_callers(monkeypatch):
+    # Idle connections of a few callers kept all others out until they timed out.
+    monkeypatch.setattr(http_server, "MIN_EVICTABLE_IDLE_S", 0.1)
+
+    async def main(address, server, listener):
+        idle = [await asyncio.open_connection(*address) for _ in range(8)]
+        await asyncio.sleep(0.2)
+        listener.failures = listener.tries + 1
+        async with asyncio.timeout(http_server.ACCEPT_PAUSE_S / 2):
+            assert (await call(address, LAST, pause_s=0.0)).endswith(b"/b")
+        await asyncio.sleep(0.05)
+        assert [reader.at_eof() for reader, _ in idle].count(True) == 1
+        for _, writer in idle:
+            writer.close()
+
+    run(main, wrap=lambda listener: ShortListener(listener, failures=0))
+
+
 def test_connections_that_wait_are_accepted_when_the_server_stops():
     async def main(address, server, listener):
         clients = [socket.create_connection(address) for _ in range(5)]
