A watch of signals that ends leaves the later ones in place

No caller saw this: it concerns tests with several gateways in one process, of which the first one ends first.

The end of a watch now takes away its own descriptor and handlers only.

--- a/src/sorrelhoist/node/signal_inbox.py
+++ b/src/sorrelhoist/node/signal_inbox.py
@@ -62,7 +62,8 @@
         finally:
             self._is_open = False
             for number, handler in former.items():
-                signal.signal(number, handler)
+                if signal.getsignal(number) == self._record:
+                    signal.signal(number, handler)
 
     @contextmanager
     def watched(self, received: Callable[[], None]) -> Iterator[None]:
@@ -84,14 +85,16 @@
         with self.recording(), reader, writer:
             reader.setblocking(False)
             writer.setblocking(False)
-            former = signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+            signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
             loop.add_reader(reader, wake)
             try:
                 received()
                 yield
             finally:
                 loop.remove_reader(reader)
-                signal.set_wakeup_fd(former)
+                current = signal.set_wakeup_fd(-1)
+                if current not in (-1, writer.fileno()):
+                    signal.set_wakeup_fd(current, warn_on_full_buffer=False)
 
     def _record(self, number: int, frame: FrameType | None) -> None:
         self._received.append((number, time.monotonic()))
--- a/tests/node/test_signal_inbox.py
+++ b/tests/node/test_signal_inbox.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import time
+from contextlib import ExitStack
 
 from sorrelhoist.node.signal_inbox import SignalInbox
 
@@ -45,3 +46,17 @@
         asyncio.run(main())
         os.kill(os.getpid(), signal.SIGHUP)
         assert (taken, inbox.take()) == ([signal.SIGTERM], [signal.SIGHUP])
+
+
+def test_the_end_of_one_watch_leaves_another_one_awake():
+    first, second, woken = SignalInbox(), SignalInbox(), asyncio.Event()
+
+    async def main():
+        watch = ExitStack()
+        watch.enter_context(first.watched(lambda: None))
+        with second.watched(lambda: second.take() and woken.set()):
+            watch.close()
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.wait_for(woken.wait(), 5.0)
+
+    asyncio.run(main())
