A deadline of 0 ms is a deadline

Endpoints were handed the whole time of the route for a request whose caller sends X-Deadline-Ms: 0, since 0 counted as no deadline. The request is refused now without being sent; test_a_request_without_any_time_left_is_not_sent was answered with 200 before.

--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -281,9 +281,8 @@
         is_trial = blame is not None and state.try_part_trial(blame, self.received_s)
         if blame is not None and not is_trial:
             return self._part_refusal(blame)
-        deadline_s = self.received_s + min(
-            request.wait_s or route.timeout_s, route.timeout_s
-        )
+        wait_s = route.timeout_s if request.wait_s is None else request.wait_s
+        deadline_s = self.received_s + min(wait_s, route.timeout_s)
         if self.caller.account is not None:
             self.caller.account.request_id = request.request_id
             self.caller.account.due_s = deadline_s
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -214,6 +214,17 @@
 # Callers that disconnect, and deadlines
 
 
+def test_a_request_without_any_time_left_is_not_sent():
+    # A deadline of 0 counted as none: endpoints got the whole time of the route.
+    async def main(fleet):
+        endpoint = await fleet.add(whole(), service="app")
+        answer = await fleet.fetch(wait_ms=0)
+        assert answer.status in (503, 504)
+        assert not endpoint.requests
+
+    run_with_fleet(main)
+
+
 @pytest.mark.parametrize("path", ["/stream/1", "/look/1", "/once/1"])
 def test_a_caller_that_disconnects_cancels_its_request(path):
     async def main(fleet):
