Answers that a stop cuts don't look whole to HTTP/1.0 callers

At the end of a planned stop the connections were closed in an orderly way. Such connections are reset now; test_an_answer_that_a_stop_cuts_does_not_look_whole_to_http_1_0 saw an orderly end before.

--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -450,6 +450,11 @@
             self.stream.socket.shutdown(socket.SHUT_WR)
         self.stream.read()
 
+    def cut(self) -> None:
+        """Close the connection at once, so that no cut answer looks whole."""
+        is_unframed = self._protocol.their_http_version == b"1.0"
+        self.abort(is_reset=isinstance(self._phase, Answering) and is_unframed)
+
     def abort(self, is_reset: bool = False) -> None:
         """Close the connection at once.
 
--- a/src/sorrelhoist/gateway/http_server.py
+++ b/src/sorrelhoist/gateway/http_server.py
@@ -90,7 +90,7 @@
             self._check.cancel()
         while self._connections:
             for connection in list(self._connections):
-                connection.abort()
+                connection.cut()
             await asyncio.sleep(0)
 
     def _on_acceptable(self) -> None:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -263,3 +263,27 @@
         assert bool(delegate.errors) is (name == "X A")
 
     run(main, delegate=delegate)
+
+
+class _Unfinished(_StatusRequest):
+    def body_received(self):
+        self.connection.send_head(200, "OK", HTTPHeaders())
+        self.connection.send_data(b"the first part")
+
+
+def test_an_answer_that_a_stop_cuts_does_not_look_whole_to_http_1_0():
+    # The end of the connection is the end of the answer there.
+    class Unfinished:
+        def start_request(self, connection):
+            return _Unfinished(lambda path: (200, b""), connection)
+
+    async def main(address, server, listener):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET / HTTP/1.0\r\n\r\n")
+        assert b"the first part" in await reader.readuntil(b"part")
+        await server.close_all_connections()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+    run(main, delegate=Unfinished())
