Answers that a client has not taken are waited for

Readers of a large page with Connection: close, such as a state dump, got its beginning only: the end of an answer with a length writes nothing, so the connection was taken for flushed and closed while the rest of the body was unsent. And a client that sent many requests without reading grew the process: each was answered at once, and the answers were held.

Cause: the connection kept the future of its last write, which was set only if the end of an answer wrote something. It now asks the socket whether something is unsent: before it closes, and before the next request. A client that takes nothing is disconnected after the idle timeout, as before.

Evidence: test_a_large_last_answer_is_not_cut_when_its_connection_closes (end of 20 MB missing) and test_answers_that_a_client_does_not_read_do_not_pile_up (501 of 501 pages written, none read) failed before and pass.

--- a/src/sorrelhoist/decisions/caller_timeouts.py
+++ b/src/sorrelhoist/decisions/caller_timeouts.py
@@ -42,7 +42,9 @@
 
 @attrs.frozen
 class Answered:
-    """The answer to a request is complete."""
+    """The answer was complete at ``since_s``; the caller hasn't taken all of it."""
+
+    since_s: float
 
 
 @attrs.frozen
@@ -77,7 +79,7 @@
     """
     idle_s = limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR
     match phase:
-        case Idle(since_s=since_s) if now_s - since_s > idle_s:
+        case Idle(since_s) | Answered(since_s) if now_s - since_s > idle_s:
             return Overdue.REQUEST
         case ReadingHead(since_s=since_s) if now_s - since_s > limits.header_timeout_s:
             return Overdue.HEAD
--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -172,7 +172,6 @@
         self._is_discarding = False
         self._discarded_bytes = 0
         self._unsent = b""
-        self._last_write: asyncio.Future[None] | None = None
         self._is_lingering = False
         self._is_bodiless = False
 
@@ -202,7 +201,7 @@
             self._discarded_bytes += len(data)
             if self._discarded_bytes > LINGER_BYTES:
                 self.stream.close()
-        elif phase is Answering:
+        elif phase is Answering or phase is Answered:
             self._ahead += data
             if len(self._ahead) >= MAX_AHEAD_BYTES:
                 self.stream.pause()
@@ -389,10 +388,10 @@
         """
         end = self._protocol.send(h11.EndOfMessage()) or b""
         if self._unsent or end:
-            self._last_write = self._write(end)
+            self._write(end)
         self._handler = None
-        self._phase = Answered()
         now_s = _now_s()
+        self._phase = Answered(now_s)
         self._advance(now_s)
 
     def send_answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
@@ -411,9 +410,15 @@
     def _next_request(self, now_s: float) -> bool:
         if self.stream.closed():
             return False
+        is_last = self._is_discarding or self._protocol.our_state is not h11.DONE
+        unsent = self.stream.unsent
+        if unsent is not None and not is_last:
+            # Answers would pile up if further requests were processed.
+            unsent.add_done_callback(self._on_taken)
+            return False
         rest = self._protocol.trailing_data[0] + self._ahead
         self._ahead.clear()
-        if self._is_discarding or self._protocol.our_state is not h11.DONE:
+        if is_last:
             self._close_gently(now_s, self._is_discarding or bool(rest))
             return False
         self._protocol = _new_protocol()
@@ -425,16 +430,21 @@
         self.stream.read()
         return not isinstance(self._phase, Idle)
 
+    def _on_taken(self, unsent: asyncio.Future[None]) -> None:
+        if not self.stream.closed():
+            self._advance(_now_s())
+
     # Closing
 
     def _close_gently(self, now_s: float, is_rest_expected: bool) -> None:
         """Close the connection once the client has the answer."""
         self._phase = Closing(now_s + (LINGER_S if is_rest_expected else FLUSH_S))
         self._is_lingering = is_rest_expected
-        if self._last_write is None:
+        unsent = self.stream.unsent
+        if unsent is None:
             self._on_flushed(None)
         else:
-            self._last_write.add_done_callback(self._on_flushed)
+            unsent.add_done_callback(self._on_flushed)
 
     def _on_flushed(self, write: asyncio.Future[None] | None) -> None:
         if self.stream.closed():
--- a/src/sorrelhoist/gateway/socket_stream.py
+++ b/src/sorrelhoist/gateway/socket_stream.py
@@ -121,6 +121,11 @@
             self._drained.add_done_callback(_retrieve)
         return self._drained
 
+    @property
+    def unsent(self) -> asyncio.Future[None] | None:
+        """Done when the socket has taken all that was written; None if it has."""
+        return self._drained
+
     def _send(self, data: memoryview) -> int:
         """Send what the socket takes; return its size in bytes."""
         try:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -244,3 +244,49 @@
         assert bool(delegate.errors) is (name == "X A")
 
     run(main, delegate=delegate)
+
+
+def test_answers_that_a_client_does_not_read_do_not_pile_up():
+    page, answered = b"x" * 100_000, 0
+
+    def count(path):
+        nonlocal answered
+        answered += 1
+        return 200, page
+
+    async def main(address, server, listener):
+        reader, writer = await asyncio.open_connection(*address, limit=1000)
+        writer.write(REQUEST * 500 + LAST)
+        await asyncio.sleep(0.5)
+        # 100 pages are more than the buffers of both sockets hold.
+        assert answered < 100
+        assert (await reader.read()).count(b"HTTP/1.1 200") == 501
+        writer.close()
+
+    run(main, delegate=StatusDelegate(count))
+
+
+def test_a_client_that_never_reads_its_answers_is_disconnected():
+    async def main(address, server, listener):
+        reader, writer = await asyncio.open_connection(*address, limit=1000)
+        writer.write(REQUEST * 500 + LAST)
+        async with asyncio.timeout(3):
+            while server._connections or not reader._buffer:
+                await asyncio.sleep(0.05)
+        writer.close()
+
+    delegate = StatusDelegate(lambda path: (200, b"x" * 100_000))
+    run(main, delegate=delegate, limits=lambda: CallerLimits(idle_timeout_s=0.4))
+
+
+def test_a_large_last_answer_is_not_cut_when_its_connection_closes():
+    page = b"x" * 20_000_000
+
+    async def main(address, server, listener):
+        reader, writer = await asyncio.open_connection(*address, limit=1000)
+        writer.write(LAST)
+        await asyncio.sleep(0.1)
+        assert (await reader.read()).endswith(b"\r\n\r\n" + page)
+        writer.close()
+
+    run(main, delegate=StatusDelegate(lambda path: (200, page)))
