One connection does not keep the event loop from the others

Callers got no answer while one client had thousands of requests in its connection, or a body in tiny chunks: all that was read was processed in one turn of the event loop. The store's answers waited as well, so the gateway then refused keys with 503.

At most 64 requests or parts of bodies of a connection are now processed in a turn; the rest follows in the next ones, and nothing more is read until then.

Evidence: test_a_client_with_thousands_of_requests_leaves_the_others_their_turn failed before (2,001 answers in a turn) and passes.

--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -51,6 +51,10 @@
 LINGER_BYTES = 64 * 1024 * 1024
 """Bytes that are discarded in this time."""
 
+MAX_STEPS = 64
+"""Requests and parts of bodies of one connection that are processed before others have
+their turn."""
+
 FLUSH_S = 10.0
 """Time that a client has to take the end of the last answer."""
 
@@ -169,6 +173,7 @@
         self._body_bytes = 0
         self._ahead = bytearray()
         self._is_advancing = False
+        self._is_yielding = False
         self._is_discarding = False
         self._discarded_bytes = 0
         self._unsent = b""
@@ -225,14 +230,28 @@
 
     def _advance(self, now_s: float) -> None:
         """Process what was received, as far as that is possible now."""
-        if self._is_advancing:
-            return  # The loop below goes on: this is a call from inside of it.
+        if self._is_advancing or self._is_yielding:
+            return  # This is a call from inside of the loop below, or it goes on later.
         self._is_advancing = True
         try:
-            while self._step(now_s):
-                pass
+            for _ in range(MAX_STEPS):
+                if not self._step(now_s):
+                    return
         finally:
             self._is_advancing = False
+        # What is read meanwhile would only have to be held.
+        self._is_yielding = True
+        self.stream.pause()
+        asyncio.get_running_loop().call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        """Process more of what was received after others had their turn."""
+        self._is_yielding = False
+        if self.stream.closed():
+            return
+        self._advance(_now_s())
+        if not self._is_yielding:
+            self.stream.read()
 
     def _step(self, now_s: float) -> bool:
         """Process one event; return whether there may be another."""
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -246,6 +246,27 @@
     run(main, delegate=delegate)
 
 
+def test_a_client_with_thousands_of_requests_leaves_the_others_their_turn():
+    answered, most_in_a_turn = 0, 0
+
+    def count(path):
+        nonlocal answered
+        answered += 1
+        return 200, b""
+
+    async def main(address, server, listener):
+        nonlocal most_in_a_turn
+        calling = asyncio.ensure_future(call(address, REQUEST * 2000 + LAST))
+        while not calling.done():
+            before = answered
+            await asyncio.sleep(0)
+            most_in_a_turn = max(most_in_a_turn, answered - before)
+        assert answered == 2001
+        assert most_in_a_turn <= 100
+
+    run(main, delegate=StatusDelegate(count))
+
+
 def test_answers_that_a_client_does_not_read_do_not_pile_up():
     page, answered = b"x" * 100_000, 0
 
