--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import tracemalloc
 
 import attrs
 import h11
@@ -13,7 +14,12 @@
 from sorrelhoist.gateway import http_server
 from sorrelhoist.gateway.caller import CallerConnection
 from sorrelhoist.gateway.http_server import serve
-from sorrelhoist.gateway.server import StatusDelegate, _StatusRequest
+from sorrelhoist.gateway.server import (
+    CallerDelegate,
+    StatusDelegate,
+    _CallerRequest,
+    _StatusRequest,
+)
 from sorrelhoist.gateway.upstream import AnswerHead
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -287,3 +293,82 @@
         writer.close()
 
     run(main, delegate=Unfinished())
+
+
+def test_a_client_with_thousands_of_requests_leaves_the_others_their_turn():
+    answered, most_in_a_turn = 0, 0
+
+    def count(path):
+        nonlocal answered
+        answered += 1
+        return 200, b""
+
+    async def main(address, server, listener):
+        nonlocal most_in_a_turn
+        calling = asyncio.ensure_future(call(address, REQUEST * 2000 + LAST))
+        while not calling.done():
+            before = answered
+            await asyncio.sleep(0)
+            most_in_a_turn = max(most_in_a_turn, answered - before)
+        assert answered == 2001
+        assert most_in_a_turn <= 100
+
+    run(main, delegate=StatusDelegate(count))
+
+
+def test_answers_that_a_client_does_not_read_do_not_pile_up():
+    page, answered = b"x" * 100_000, 0
+
+    def count(path):
+        nonlocal answered
+        answered += 1
+        return 200, page
+
+    async def main(address, server, listener):
+        reader, writer = await asyncio.open_connection(*address, limit=1000)
+        writer.write(REQUEST * 500 + LAST)
+        await asyncio.sleep(0.5)
+        # 100 pages are more than the buffers of both sockets hold.
+        assert answered < 100
+        assert (await reader.read()).count(b"HTTP/1.1 200") == 501
+        writer.close()
+
+    run(main, delegate=StatusDelegate(count))
+
+
+def test_a_client_that_never_reads_its_answers_is_disconnected():
+    async def main(address, server, listener):
+        reader, writer = await asyncio.open_connection(*address, limit=1000)
+        writer.write(REQUEST * 500 + LAST)
+        async with asyncio.timeout(3):
+            while server._connections or not reader._buffer:
+                await asyncio.sleep(0.05)
+        writer.close()
+
+    delegate = StatusDelegate(lambda path: (200, b"x" * 100_000))
+    run(main, delegate=delegate, limits=lambda: CallerLimits(idle_timeout_s=0.4))
+
+
+def test_a_large_last_answer_is_not_cut_when_its_connection_closes():
+    page = b"x" * 20_000_000
+
+    async def main(address, server, listener):
+        reader, writer = await asyncio.open_connection(*address, limit=1000)
+        writer.write(LAST)
+        await asyncio.sleep(0.1)
+        assert (await reader.read()).endswith(b"\r\n\r\n" + page)
+        writer.close()
+
+    run(main, delegate=StatusDelegate(lambda path: (200, page)))
+
+
+def test_a_body_in_tiny_chunks_takes_little_more_memory_than_its_size():
+    size_bytes = 200_000
+    request = _CallerRequest(CallerDelegate(None), None)
+    tracemalloc.start()
+    for _ in range(size_bytes):
+        request.data_received(bytearray(b"x"))
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert b"".join(request.body) == b"x" * size_bytes
+    assert held_bytes < 2 * size_bytes
