A limit of zero or below refuses no requests

With max_body_bytes of -1 each request with a body got 413, with max_header_bytes of 0 each one 431: the operator's limits were taken literally. One that no request could keep counts as absent now, as do strings. Found by the review, shown by the doctest of _limits.

--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -189,15 +189,38 @@
 
 
 def _limits(fields: dict) -> CallerLimits:
+    """Decode the limits for callers; one that no request could keep counts as absent.
+
+    Examples
+    --------
+    >>> _limits({"max_body_bytes": 0, "idle_timeout_ms": 2000}) == CallerLimits(
+    ...     idle_timeout_s=2.0
+    ... )
+    True
+    """
     defaults = CallerLimits()
+
+    def size(name: str, default_bytes: int) -> int:
+        return int(fields[name]) if _is_positive(fields.get(name)) else default_bytes
+
+    def time_s(name: str, default_s: float) -> float:
+        if not _is_positive(fields.get(name)):
+            return default_s
+        return _seconds(min(fields[name], MAX_TIME_MS))
+
     return CallerLimits(
-        max_header_bytes=int(fields.get("max_header_bytes", defaults.max_header_bytes)),
-        max_body_bytes=int(fields.get("max_body_bytes", defaults.max_body_bytes)),
-        header_timeout_s=_seconds(fields.get("header_timeout_ms", 3000)),
-        idle_timeout_s=_seconds(fields.get("idle_timeout_ms", 15000)),
+        max_header_bytes=size("max_header_bytes", defaults.max_header_bytes),
+        max_body_bytes=size("max_body_bytes", defaults.max_body_bytes),
+        header_timeout_s=time_s("header_timeout_ms", defaults.header_timeout_s),
+        idle_timeout_s=time_s("idle_timeout_ms", defaults.idle_timeout_s),
     )
 
 
+def _is_positive(value: Any) -> bool:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and 1 <= value <= MAX_WHOLE_NUMBER
+
+
 def decode_endpoint(key: str, value: bytes, now_s: float) -> Endpoint:
     """Decode an endpoint's record in the directory.
 
