A starting gateway asks each peer once before it asks one again

What callers saw: while all gateways start, the first one waits 0.2 to 0.26 s for its peers' versions in 1 to 3 of 100 starts, longer than the 0.2 s that are the bound.

Cause: each 50 ms it drew five peers from all of them, so that it asked again those that hadn't answered 50 ms before, and those that had, and asked as many while hardly anyone could answer as later.

It now goes through the peers in a drawn order and asks few first, more later (3, 4, 5 and 8, 60 ms apart; 20 in 0.2 s as before).

--- a/src/sorrelhoist/gateway/freshness.py
+++ b/src/sorrelhoist/gateway/freshness.py
@@ -33,11 +33,11 @@
 NO_OFFSET = -1
 """Sent while nothing has been read yet."""
 
-START_QUERIES = 5
-"""Number of peers that a gateway asks at a time for their configuration version at its
-start."""
+START_QUERIES = (3, 4, 5, 8)
+"""Numbers of peers that a gateway asks for their configuration version, one after the
+other, at its start. While all gateways start, more and more of them can answer."""
 
-START_QUERY_INTERVAL_S = 0.05
+START_QUERY_INTERVAL_S = 0.06
 """Interval at which it asks others: many round trips."""
 
 START_ANSWERS = 2
@@ -156,16 +156,23 @@
         """Ask peers which configuration they have, and wait for a few answers.
 
         The load pattern is the start of all gateways at once: those that are asked
-        first can't answer yet, so that others are asked until some do.
+        first can't answer yet, so that others are asked until some do. Nobody is asked
+        again before all others were: one that didn't answer is likely to start late.
         """
         self._answered.clear()
         wanted = min(START_ANSWERS, len(node_ids))
+        counts = itertools.chain(START_QUERIES, itertools.repeat(START_QUERIES[-1]))
+        left: list[str] = []
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(START_ANSWER_TIMEOUT_S):
                 while len(self._answered) < wanted:
-                    count = min(START_QUERIES, len(node_ids))
-                    for node_id in self._state.rng.sample(node_ids, count):
+                    count = next(counts)
+                    if len(left) < count:
+                        silent = set(node_ids) - self._answered - set(left)
+                        left += self._state.rng.sample(sorted(silent), len(silent))
+                    for node_id in left[:count]:
                         self._send_query(node_id)
+                    left = left[count:]
                     await self._wait_for_answers(wanted)
 
     async def _wait_for_answers(self, wanted: int) -> None:
--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -1,6 +1,7 @@
 """A gateway that has just started holds requests until it knows its configuration."""
 
 import asyncio
+import random
 import time
 
 import pytest
@@ -76,13 +77,19 @@
     run_with_starting_gateway(main)
 
 
+DRAWS = 300
+
+
 class StartingPeers:
     """Peers that answer queries from a given time on, as those that start too."""
 
-    def __init__(self, count, up_at_s):
+    def __init__(self, count, up_at_s, seed=1):
         self.up_at_s = {f"g-{n}": up_at_s * (n + 1) for n in range(count)}
         state = GatewayState(
-            node_id="first", failure_domain="a", contact=StoreContact(5.0)
+            node_id="first",
+            failure_domain="a",
+            contact=StoreContact(5.0),
+            rng=random.Random(seed),
         )
         self.freshness = Freshness(state, self.send)
         self.queries = 0
@@ -102,23 +109,31 @@
         loop = asyncio.get_running_loop()
         loop.call_later(0.002, self.freshness.message_received, answer)
 
-    def wait_s(self):
-        async def ask():
-            loop = asyncio.get_running_loop()
-            self.start_s = loop.time()
-            await self.freshness.ask_versions(sorted(self.up_at_s))
-            return loop.time() - self.start_s
+    async def ask(self):
+        """Ask them, and return how long that took."""
+        loop = asyncio.get_running_loop()
+        self.start_s = loop.time()
+        await self.freshness.ask_versions(sorted(self.up_at_s))
+        return loop.time() - self.start_s
 
-        return run_virtual(ask())
+    def wait_s(self):
+        return run_virtual(self.ask())
 
 
 @pytest.mark.parametrize("count", [2, 4, 29, 67, 299])
 def test_gateways_that_all_start_do_not_wait_for_peers_in_vain(count):
     # Replay: all processes are killed, and are up again 10 ms after one another. The
     # first one asked five peers once, and waited 0.3 s for answers that could not come.
-    peers = StartingPeers(count, up_at_s=0.01 if count < 10 else 0.3 / count)
-    assert peers.wait_s() < 0.2
-    assert peers.queries <= 20
+    # Which of them it asks is drawn: in 1 to 3 of 100 draws it waited 0.2 to 0.26 s.
+    async def main():
+        up_at_s = 0.01 if count < 10 else 0.3 / count
+        for seed in range(DRAWS):
+            peers = StartingPeers(count, up_at_s, seed)
+            waited_s = await peers.ask()
+            assert waited_s < 0.2, f"seed {seed}"
+            assert peers.queries <= 20, f"seed {seed}"
+
+    run_virtual(main())
 
 
 def test_two_answers_of_one_peer_count_once():
