Requests given up for lack of memory are answered

Callers saw their connection close without an answer when their request held more than its share of the memory ("caller cut"), although nothing of an answer had been sent.

Cause: MemoryKeeper closed the connection of each request it chose, whether its answer had begun or not.

Now only an answer that has begun is broken off. A body that is still being received is dropped and refused with 503, since nothing was sent. Work at an endpoint is ended through its deadline, as a planned stop does it, and what is known decides: 503 if nothing was sent or all declined, else 502. The account is closed before, as it was.

--- a/src/sorrelhoist/gateway/caller.py
+++ b/src/sorrelhoist/gateway/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections import deque
+from collections.abc import Callable
 
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
@@ -15,6 +16,10 @@
 """Counted for each piece of data that is held, besides its content."""
 
 
+class CutError(Exception):
+    """The request was given up before its answer began."""
+
+
 class CallerConnection:
     """Send one answer on the connection of a caller.
 
@@ -29,7 +34,10 @@
         doesn't, the end of the connection is the end of the body.
     account : MemoryAccount or None
     cut_reason : str or None
-        Why the gateway disconnected the caller, if it did.
+        Why the gateway gave up the request, if it did.
+    on_cut : callable
+        Ends the work on a request that is given up before its answer has begun, and
+        answers it.
     """
 
     def __init__(self, connection: HttpConnection) -> None:
@@ -39,6 +47,7 @@
         self.is_chunked = True
         self.account: MemoryAccount | None = None
         self.cut_reason: str | None = None
+        self.on_cut: Callable[[], None] = self.abort
         self._being_written = 0
         # Pieces as they came: one growing buffer for each caller would fragment the
         # heap, so that the process takes twice what it holds.
@@ -53,7 +62,11 @@
         ------
         h11.LocalProtocolError
             If they can't be sent to a caller.
+        CutError
+            If the request was given up.
         """
+        if self.cut_reason is not None and not self.has_begun:
+            raise CutError(self.cut_reason)
         if self._connection.is_bodiless(head.status):
             # The length is that of the body which the endpoint has left out.
             length = head.headers.get("Content-Length")
@@ -135,10 +148,16 @@
         self._connection.abort(is_reset=not self.is_chunked)
 
     def cut(self, reason: str) -> None:
-        """Close the connection and drop what is held for it."""
+        """Give up the request and drop what is held for its answer.
+
+        An answer that has begun is broken off; otherwise the caller gets one.
+        """
         self.cut_reason = reason
         self._drop()
-        self.abort()
+        if self.has_begun:
+            self.abort()
+        else:
+            self.on_cut()
 
     def _drop(self) -> None:
         self._pending.clear()
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -36,7 +36,7 @@
 from ..decisions.retry_after import local_refusal_retry_after_s
 from ..decisions.startup import hold_until_s
 from .attempt import AdmittedRequest, Attempt
-from .caller import CallerConnection
+from .caller import CallerConnection, CutError
 from .dispatch import PlacementRequest
 from .parts import GatewayParts
 from .ports import CallerRequest
@@ -53,6 +53,8 @@
 
 STOPPING = "the gateway is stopping"
 
+SHORT_OF_MEMORY = "the gateway is short of memory"
+
 STOPPED_UNKNOWN = "the gateway is stopping; it isn't known whether the request has run"
 
 _SIGN_BIT = 1 << 63
@@ -117,6 +119,7 @@
     async def run(self) -> None:
         """Serve the request; its caller gets an answer or a closed connection."""
         outcome = "cancelled"
+        self.caller.on_cut = self._on_cut
         try:
             with self._watching_stop():
                 outcome = await self._serve()
@@ -143,16 +146,28 @@
             with closing(admitted.retry):
                 async with self._until_deadline(admitted):
                     last = await self._forward(admitted)
-        except TimeoutError:
-            self._is_stopped = self._is_cut_by_stop(admitted)
-            last = give_up(
-                admitted.progress,
-                STOPPED_UNKNOWN if self._is_stopped else "its time is over",
-            )
+        except (TimeoutError, CutError):
+            last = self._give_up(admitted)
         if last is None:
             return await self._finish(admitted)
         return await self._report_failure(admitted, last)
 
+    def _give_up(self, admitted: AdmittedRequest) -> NextStep:
+        """Give up a request whose work was ended here."""
+        if self.caller.cut_reason is not None:
+            return give_up(admitted.progress, SHORT_OF_MEMORY)
+        self._is_stopped = self._is_cut_by_stop(admitted)
+        return give_up(
+            admitted.progress,
+            STOPPED_UNKNOWN if self._is_stopped else "its time is over",
+        )
+
+    def _on_cut(self) -> None:
+        """End the work at once, which frees what is held for it."""
+        limit = self._deadline_limit
+        if limit is not None and not limit.expired():
+            limit.reschedule(asyncio.get_running_loop().time())
+
     async def _finish(self, admitted: AdmittedRequest) -> str:
         """Complete an answer that the endpoint has sent; the caller may read slowly."""
         if not self.caller.has_drained:
@@ -332,7 +347,7 @@
 
     def _memory_refusal(self) -> Refusal:
         """Refuse a request that doesn't fit into the memory of this gateway."""
-        refusal = self._local_refusal("the gateway is short of memory")
+        refusal = self._local_refusal(SHORT_OF_MEMORY)
         if refusal.peer_contact is PeerContact.FRESH:
             return refusal  # Another gateway can serve it at once.
         left_s = self.parts.state.memory.retry_after_s(self.received_s)
@@ -592,6 +607,8 @@
             return await self._refuse(self._stop_failure(step))
         now_s = asyncio.get_running_loop().time()
         match step:
+            case RefuseNotRun() if self.caller.cut_reason is not None:
+                return await self._refuse(self._memory_refusal())
             case RefuseNotRun(reason=reason):
                 retry_after_s = self.parts.dispatcher.retry_after_s(
                     admitted.service,
--- a/src/sorrelhoist/gateway/memory.py
+++ b/src/sorrelhoist/gateway/memory.py
@@ -49,7 +49,7 @@
 
 @attrs.define(eq=False, repr=False)
 class MemoryKeeper:
-    """Opens an account for each request, and cuts connections over the budget.
+    """Opens an account for each request, and gives up those over the budget.
 
     Parameters
     ----------
@@ -105,7 +105,7 @@
         return is_large and free_bytes > limit_bytes * MIN_TRIM_SHARE
 
     def _cut(self) -> None:
-        """Disconnect callers that hold more than their share."""
+        """Give up requests that hold more than their share."""
         now_s = asyncio.get_running_loop().time()
         for account in self.budget.to_cut(now_s):
             caller = self._callers.get(account)
@@ -113,14 +113,14 @@
                 self.cut(caller, "over its share of the memory")
 
     def cut(self, caller: CallerConnection, reason: str) -> None:
-        """Disconnect a caller, log why, and free what is held for it."""
+        """Give up a caller's request, log why, and free what is held for it."""
         now_s = asyncio.get_running_loop().time()
         account = caller.account
         logger.warning(
             "caller cut",
             extra={
                 "event": "caller_cut",
-                "outcome": "closed",
+                "outcome": "closed" if caller.has_begun else "refused",
                 "reason": reason,
                 "held_bytes": self.budget.held_bytes,
                 "budget_bytes": self.budget.budget_bytes,
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -80,6 +80,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.caller = CallerConnection(self.connection)
+        self.caller.on_cut = self._refuse_short
 
     def head_received(self, head: RequestHead) -> None:
         self.head = head
@@ -102,10 +103,15 @@
         if account is not None and self.body_bytes > account.request_bytes:
             account.hold_request(self.body_bytes)
             if self.front.parts.state.memory.is_short:
-                self.is_refused = True
-                self.body.clear()
-                self.front.parts.memory.close(self.caller)
-                self._answer_now()
+                self._refuse_short()
+
+    def _refuse_short(self) -> None:
+        """Refuse the request for lack of memory while its body is received."""
+        if not self.is_refused:
+            self.is_refused = True
+            self.body.clear()
+            self.front.parts.memory.close(self.caller)
+            self._answer_now()
 
     def _answer_now(self) -> None:
         """Refuse the request without its body, which isn't held."""
@@ -114,6 +120,8 @@
 
     def body_received(self) -> None:
         self.front.reading.discard(self)
+        if self.caller.account is not None:
+            self.caller.account.is_receiving = False
         self.work = asyncio.ensure_future(self._serve())
         self.front.running.add(self.work)
         self.front.connections.add(self.connection)
@@ -150,8 +158,6 @@
         parts, caller, head = self.front.parts, self.caller, self.head
         assert head is not None
         caller.should_close = parts.state.is_stopping
-        if caller.account is not None:
-            caller.account.is_receiving = False
         body = b"".join(self.body)
         self.body.clear()
         try:
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -10,6 +10,7 @@
 from sorrelhoist.decisions.routes import CallerLimits
 from sorrelhoist.gateway import memory
 from tests.platform.fleet import configuration, read_answer, route, run_with_fleet
+from tests.platform.real_gateway import head
 from tests.platform.standins import (
     answer_bytes,
     chunk,
@@ -202,6 +203,29 @@
     run_with_fleet(main, limits=LIMITS)
 
 
+def test_a_body_that_comes_slowly_and_has_no_room_is_refused_as_not_run(monkeypatch):
+    monkeypatch.setattr("sorrelhoist.decisions.memory.account.MAX_RECEIPT_S", 0.2)
+
+    async def main(fleet):
+        endpoint = await fleet.add(whole(), service="app")
+        budget = fleet.state.memory
+        reader, writer = await asyncio.open_connection("127.0.0.1", fleet.front_port)
+        chunked = ["Transfer-Encoding: chunked"]
+        writer.write(head("/once/1", "POST", extra=chunked))
+        writer.write(chunk(b"x" * 3_000_000)[:-2])
+        await asyncio.sleep(0.4)
+        others = [budget.open(0, 0.0) for _ in range(60)]
+        for other in others:
+            other.is_receiving = False
+            other.hold_request(int(budget.budget_bytes * 0.7 / len(others)))
+        assert budget.held_bytes == sum(other.held_bytes for other in others)
+        answer = await read_answer(reader, writer)
+        assert answer.status == 503 and answer.is_complete
+        assert not endpoint.requests
+
+    run_with_fleet(main, limits=LIMITS)
+
+
 # Slow or stalled
 
 
--- a/tests/platform/test_real_requests.py
+++ b/tests/platform/test_real_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.platform.real_gateway import head, post, run_in_world
+from tests.platform.standins import answer_bytes, echo_headers
 
 pytestmark = pytest.mark.process
 
@@ -151,3 +152,34 @@
         assert not reply.is_open
 
     run_in_world(tmp_path, main)
+
+
+def in_two_parts(body, pause_s):
+    """Answer with a body whose last byte comes after a pause."""
+
+    async def script(received, writer):
+        writer.write(answer_bytes(200, echo_headers(received), body)[:-1])
+        await asyncio.sleep(pause_s)
+        writer.write(body[-1:])
+        await writer.drain()
+
+    return script
+
+
+def test_a_request_over_its_share_of_the_memory_is_answered(tmp_path):
+    # Its connection was closed without an answer.
+    async def main(world):
+        world.scripts("app", in_two_parts(b"x" * 14_000_000, 1.5))
+        gateway = world.gateway()
+        gateway.write_settings(**{"memory_mb = 300": "memory_mb = 150"})
+        await gateway.start().wait_ready()
+        calls = (gateway.call(post(request_id=f"r-{n}")) for n in range(6))
+        replies = await asyncio.gather(*calls)
+        assert {reply.status for reply in replies} == {200, 502}, replies
+        cuts = gateway.events("caller_cut")
+        assert {one["outcome"] for one in cuts} == {"refused"}
+        assert len(cuts) == sum(reply.status == 502 for reply in replies)
+        # What was held for them is free: the next ones are served.
+        assert (await gateway.call(post())).status == 200
+
+    run_in_world(tmp_path, main)
