Requests that their head refuses are answered without their body

Callers that sent a head which we refuse waited for the answer until their whole body had arrived: 401 and 404, 400 for a deadline that can't be read, 503 for lack of resources or of the store. With "Expect: 100-continue" they were even told to send the body.

Cause: the route and the key were checked with the body in hand only.

Once all that has arrived is processed and the body isn't complete, the head is checked, then every 0.25 s, and instead of a 100. A refusal discards the body as 413 does. If more of the body is in the socket the check waits for it, so a body that is there doesn't cost the connection. A 503 that will most likely pass (a start, a renewal of contact) isn't given early: the body is read meanwhile, and the request is held as before if it is still needed; when that hope ends the 503 is given within 0.25 s. 422 for a request that endpoints died of needs the body, and stays as it was.

--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, closing, contextmanager
 
@@ -34,6 +35,7 @@
 from ..decisions.placement.demand import Assignment, Busy, Impossible, Placement
 from ..decisions.planned_stop import PlannedStop
 from ..decisions.retry_after import local_refusal_retry_after_s
+from ..decisions.routes import Route, Workspace
 from ..decisions.startup import hold_until_s
 from .attempt import AdmittedRequest, Attempt
 from .caller import CallerConnection, CutError
@@ -87,6 +89,14 @@
     objective_s: float | None = None
 
 
+@attrs.frozen
+class _Permitted:
+    """Route of a request, and the workspace of its key if the route needs one."""
+
+    route: Route
+    workspace: Workspace | None
+
+
 @attrs.define(eq=False, repr=False, kw_only=True)
 class Exchange:
     """Process one request until its caller has an answer.
@@ -100,6 +110,8 @@
         Monotonic time at which its headers were received.
     is_memory_short : bool
         Whether its body was dropped, since it would have exceeded the memory budget.
+    refusal : Refusal or None
+        Why it is refused, if that was known before its body was received.
     """
 
     request: CallerRequest
@@ -107,6 +119,7 @@
     parts: GatewayParts
     received_s: float
     is_memory_short: bool = False
+    refusal: Refusal | None = None
     _log: RequestLog = attrs.field(init=False)
     _admitted: AdmittedRequest | None = attrs.field(init=False, default=None)
     _is_stopped: bool = attrs.field(init=False, default=False)
@@ -136,6 +149,8 @@
             self.parts.metrics.requests.add(1, {"outcome": outcome})
 
     async def _serve(self) -> str:
+        if self.refusal is not None:
+            return await self._refuse(self.refusal)
         admitted = self._admit()
         if isinstance(admitted, Refusal) and admitted.may_pass:
             admitted = await self._hold(admitted)
@@ -264,8 +279,41 @@
 
     # Admission
 
-    def _admit(self) -> AdmittedRequest | Refusal:
-        """Check the route, the API key and suspicions; admit or refuse the request."""
+    def find_refusal(self) -> Refusal | None:
+        """Return why the request can't be served, if its head is enough to know that.
+
+        A reason that will most likely pass soon is none: the body is read meanwhile.
+        """
+        state, now_s = self.parts.state, asyncio.get_running_loop().time()
+        found = self._check_head()
+        if isinstance(found, Refusal):
+            is_held = found.may_pass and state.startup.is_ready_soon(
+                state.outage_of_peers(), now_s
+            )
+            return None if is_held else found
+        if state.stop is None:
+            return None
+        # What endpoints died of depends on the body, how long the work takes doesn't.
+        admitted = self._admit_to_stop(self._admitted_request(found))
+        return admitted if isinstance(admitted, Refusal) else None
+
+    def deadline_s(self, route: Route | None = None) -> float:
+        """Return the time at which the caller stops waiting, as far as it is known.
+
+        Parameters
+        ----------
+        route : Route or None
+            Its route; found in the configuration if not given.
+        """
+        table, request = self.parts.state.table, self.request
+        if route is None and table is not None:
+            route = table.match(request.host, request.path)
+        waits_s = (request.wait_s, route.timeout_s if route is not None else None)
+        known_s = (wait_s for wait_s in waits_s if wait_s is not None)
+        return self.received_s + min(known_s, default=math.inf)
+
+    def _check_head(self) -> _Permitted | Refusal:
+        """Check the route and the API key."""
         state, request = self.parts.state, self.request
         if self.is_memory_short:
             return self._memory_refusal()
@@ -288,6 +336,14 @@
         is_starting = state.startup.is_starting(self.received_s)
         if is_starting and not state.directory.is_read:
             return self._local_refusal("no endpoints yet", True, route.objective_s)
+        return _Permitted(route, workspace)
+
+    def _admit(self) -> AdmittedRequest | Refusal:
+        """Check the route, the API key and suspicions; admit or refuse the request."""
+        state, request = self.parts.state, self.request
+        found = self._check_head()
+        if isinstance(found, Refusal):
+            return found
         fingerprint = _fingerprint(request)
         is_suspect = state.suspicions.is_condemned(fingerprint, self.received_s)
         if is_suspect and not state.try_suspect(fingerprint, self.received_s):
@@ -296,31 +352,39 @@
         is_trial = blame is not None and state.try_part_trial(blame, self.received_s)
         if blame is not None and not is_trial:
             return self._part_refusal(blame)
-        wait_s = route.timeout_s if request.wait_s is None else request.wait_s
-        deadline_s = self.received_s + min(wait_s, route.timeout_s)
+        self._admitted = self._admitted_request(
+            found, fingerprint, is_trial, is_only_once=is_trial or is_suspect
+        )
         if self.caller.account is not None:
             self.caller.account.request_id = request.request_id
-            self.caller.account.due_s = deadline_s
+            self.caller.account.due_s = self._admitted.deadline_s
+        return self._admit_to_stop(self._admitted)
+
+    def _admitted_request(
+        self,
+        found: _Permitted,
+        fingerprint: int = 0,
+        is_trial: bool = False,
+        is_only_once: bool = False,
+    ) -> AdmittedRequest:
+        route, state = found.route, self.parts.state
         service = route.choose_service(state.rng.random())
-        self._admitted = AdmittedRequest(
-            request=request,
+        return AdmittedRequest(
+            request=self.request,
             route=route,
             service=service,
             retry=RetryCharge(parts=self.parts, log=self._log, service=service),
-            workspace=workspace,
+            workspace=found.workspace,
             fingerprint=fingerprint,
             received_s=self.received_s,
-            deadline_s=deadline_s,
+            deadline_s=self.deadline_s(route),
             progress=Progress(
                 repeat=route.repeat,
-                max_endpoints=1
-                if is_trial or is_suspect
-                else max(1, route.max_endpoints),
+                max_endpoints=1 if is_only_once else max(1, route.max_endpoints),
             ),
             is_trial=is_trial,
-            splitter=EventSplitter(last_id=request.resume_after),
+            splitter=EventSplitter(last_id=self.request.resume_after),
         )
-        return self._admit_to_stop(self._admitted)
 
     def _admit_to_stop(self, admitted: AdmittedRequest) -> AdmittedRequest | Refusal:
         """Refuse a request that doesn't fit into a planned stop."""
--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -111,6 +111,18 @@
     def data_received(self, data: bytes) -> None:
         """Process a part of the body."""
 
+    def body_awaited(self) -> None:
+        """Check whether the rest of the body is worth waiting for.
+
+        Called once all that has arrived is processed, and from time to time until the
+        body is complete. The handler may discard the rest and answer.
+
+        Raises
+        ------
+        InvalidRequestError
+            If the request is to be rejected.
+        """
+
     def body_received(self) -> None:
         """Answer the request, which is complete."""
 
@@ -171,6 +183,7 @@
         self._headers = HTTPHeaders()
         self._received_bytes = 0
         self._body_bytes = 0
+        self._is_body_awaited = False
         self._ahead = bytearray()
         self._is_advancing = False
         self._is_yielding = False
@@ -201,6 +214,17 @@
                 self._reject(RequestTimeoutError(reason))
             case Overdue.REQUEST | Overdue.CLOSE:
                 self.stream.close()
+            case None if self._is_reading_body and not self.stream.has_data():
+                self.check_body()
+
+    def check_body(self) -> None:
+        """Let the handler check whether the rest of the body is worth waiting for."""
+        if self._handler is None or not self._is_reading_body:
+            return
+        try:
+            self._handler.body_awaited()
+        except InvalidRequestError as error:
+            self._reject(error)
 
     # Reading
 
@@ -291,7 +315,7 @@
             self._handler.body_received()
         else:
             self._check_incomplete()
-            return False
+            return isinstance(self._phase, Answered)  # It was rejected.
         return True
 
     def _process_data(self, data: bytes) -> None:
@@ -311,15 +335,27 @@
         self._handler = self._delegate.start_request(self)
         self._handler.head_received(head)
         is_waiting = self._protocol.they_are_waiting_for_100_continue
-        if is_waiting and head.version != "1.0" and self._is_reading_body:
+        if not is_waiting or head.version == "1.0":
+            return
+        if not unread_bytes:
+            self._await_body()
+        if self._is_reading_body:
             self._write(self._protocol.send(_CONTINUE) or b"")
 
+    def _await_body(self) -> None:
+        """Let the handler check the request once, unless more of it is there."""
+        if self._is_body_awaited or self.stream.has_data():
+            return
+        self._is_body_awaited = True
+        self.check_body()
+
     def _check_incomplete(self) -> None:
         """Check the size of a head, chunk header or trailer that is not complete."""
         if isinstance(self._phase, ReadingHead):
             self._check_head_size(self._received_bytes)
         else:
             self._check_head_size(len(self._protocol.trailing_data[0]))
+            self._await_body()
 
     def _check_head_size(self, size_bytes: int) -> None:
         limit_bytes = self._limits().max_header_bytes
@@ -447,7 +483,7 @@
         self._protocol = _new_protocol()
         self._headers = HTTPHeaders()
         self._received_bytes = self._body_bytes = 0
-        self._is_bodiless = False
+        self._is_bodiless = self._is_body_awaited = False
         self._phase = Idle(now_s)
         self._receive(rest, now_s)
         self.stream.read()
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -76,6 +76,7 @@
     body_bytes: int = 0
     is_refused: bool = False
     work: asyncio.Task | None = None
+    exchange: Exchange | None = None
     caller: CallerConnection = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -105,6 +106,14 @@
             if self.front.parts.state.memory.is_short:
                 self._refuse_short()
 
+    def body_awaited(self) -> None:
+        if self.exchange is None:
+            self.exchange = self._new_exchange(b"")
+        self.exchange.refusal = self.exchange.find_refusal()
+        if self.exchange.refusal is not None:
+            self.body.clear()
+            self._answer_now()
+
     def _refuse_short(self) -> None:
         """Refuse the request for lack of memory while its body is received."""
         if not self.is_refused:
@@ -155,26 +164,33 @@
             self.front.parts.memory.close(self.caller)
 
     async def _serve(self) -> None:
-        parts, caller, head = self.front.parts, self.caller, self.head
-        assert head is not None
-        caller.should_close = parts.state.is_stopping
+        assert self.head is not None
+        self.caller.should_close = self.front.parts.state.is_stopping
         body = b"".join(self.body)
         self.body.clear()
+        exchange = self.exchange
         try:
-            request = parts.dialect.read_request(
-                head.method, head.path, head.headers, body
-            )
+            if exchange is None:
+                exchange = self._new_exchange(body)
+            else:
+                exchange.request = attrs.evolve(exchange.request, body=body)
         except InvalidRequestError as error:
-            self.rejected(error, head.headers)
+            self.rejected(error, self.head.headers)
             return
-        exchange = Exchange(
-            request=request,
-            caller=caller,
+        exchange.is_memory_short = self.is_refused
+        await exchange.run()
+
+    def _new_exchange(self, body: bytes) -> Exchange:
+        parts, head = self.front.parts, self.head
+        assert head is not None
+        return Exchange(
+            request=parts.dialect.read_request(
+                head.method, head.path, head.headers, body
+            ),
+            caller=self.caller,
             parts=parts,
             received_s=self.received_s,
-            is_memory_short=self.is_refused,
         )
-        await exchange.run()
 
     def _on_done(self, work: asyncio.Task) -> None:
         self.front.running.discard(work)
@@ -241,6 +257,9 @@
     def data_received(self, data: bytes) -> None:
         """Ignore the body."""
 
+    def body_awaited(self) -> None:
+        """Wait for the body."""
+
     def body_received(self) -> None:
         status, body = self.answer(self.path)
         with contextlib.suppress(StreamClosedError):
--- a/src/sorrelhoist/gateway/socket_stream.py
+++ b/src/sorrelhoist/gateway/socket_stream.py
@@ -77,6 +77,16 @@
             self._is_reading = False
             self._loop.remove_reader(self.socket.fileno())
 
+    def has_data(self) -> bool:
+        """Return whether there is something to read, or the connection has ended."""
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return True
+
     def _on_readable(self) -> None:
         for _ in range(MAX_READS):
             try:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -15,6 +15,7 @@
     run_with_fleet,
     until,
 )
+from tests.platform.real_gateway import head
 from tests.platform.standins import (
     SIGNATURE,
     answer_bytes,
@@ -475,3 +476,15 @@
         assert len(endpoint.requests) == (status == 502)
 
     run_with_fleet(main)
+
+
+def test_a_request_is_refused_when_its_key_is_revoked_while_its_body_arrives():
+    async def main(fleet):
+        reader, writer = await asyncio.open_connection("127.0.0.1", fleet.front_port)
+        writer.write(head("/once/1", "POST", extra=["Content-Length: 9"]) + b"12345")
+        await asyncio.sleep(0.1)
+        await fleet.configure(configuration(2, keys=()))
+        async with asyncio.timeout(0.5):
+            assert (await read_answer(reader, writer)).status == 401
+
+    run_with_fleet(main)
--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -9,7 +9,13 @@
 from sorrelhoist.gateway.freshness import Freshness
 from sorrelhoist.gateway.state import GatewayState
 from sorrelhoist.messages.gen import ttypes
-from tests.platform.fleet import configuration, running_gateway, until
+from tests.platform.fleet import (
+    configuration,
+    read_answer,
+    running_gateway,
+    until,
+)
+from tests.platform.real_gateway import head
 from tests.platform.standins import Endpoint, Store, whole
 from tests.virtual_loop import run_virtual
 
@@ -76,6 +82,24 @@
     run_with_starting_gateway(main)
 
 
+@pytest.mark.parametrize("mode, status", [("up", 200), ("busy", 503)])
+def test_a_body_is_awaited_only_by_a_gateway_that_can_serve_soon(mode, status):
+    async def main(fleet):
+        if mode == "busy":
+            await until(lambda: fleet.state.startup.failed_reads > 1)
+        reader, writer = await asyncio.open_connection("127.0.0.1", fleet.front_port)
+        writer.write(head("/once/1", "POST", extra=["Content-Length: 1"]))
+        if status == 200:
+            await asyncio.sleep(0.3)
+            fleet.store.put("keyed.op", "config", configuration())
+            await until(lambda: fleet.state.table is not None)
+            writer.write(b"x")
+        async with asyncio.timeout(1.0):
+            assert (await read_answer(reader, writer)).status == status
+
+    run_with_starting_gateway(main, mode=mode)
+
+
 class StartingPeers:
     """Peers that answer queries from a given time on, as those that start too."""
 
--- a/tests/platform/test_real_requests.py
+++ b/tests/platform/test_real_requests.py
@@ -183,3 +183,51 @@
         assert (await gateway.call(post())).status == 200
 
     run_in_world(tmp_path, main)
+
+
+def without_body(*extra, **more):
+    """Return the head of a request whose body of 100 kB doesn't follow."""
+    return head(method="POST", extra=["Content-Length: 100000", *extra], **more)
+
+
+REFUSED = {
+    "unknown key": (401, {"authorization": "Token other"}),
+    "no route": (404, {"path": "/none"}),
+    "bad deadline": (400, {"wait_ms": "soon"}),
+}
+
+
+@pytest.mark.parametrize("extra", ((), ("Expect: 100-continue",)))
+@pytest.mark.parametrize("name", REFUSED)
+def test_a_request_refused_by_its_head_is_answered_before_its_body(
+    tmp_path, name, extra
+):
+    async def main(world):
+        gateway = await world.start()
+        status, fields = REFUSED[name]
+        reply = await gateway.call(without_body(*extra, **fields), wait_s=1.0)
+        assert reply.statuses == [status] and b" 100 " not in reply.data, reply
+        assert not reply.is_open
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_refusal_does_not_cost_the_connection_if_the_body_is_there(tmp_path):
+    async def main(world):
+        gateway = await world.start()
+        body = b"x" * 300_000
+        refused = post(body=body, authorization="Token other", close=False)
+        reply = await gateway.call(refused, head())
+        assert reply.statuses == [401, 200], reply
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_proper_request_is_continued(tmp_path):
+    async def main(world):
+        gateway = await world.start()
+        expecting = without_body("Expect: 100-continue")
+        reply = await gateway.call(expecting, b"x" * 100_000, pause_s=0.5)
+        assert reply.status == 200 and b" 100 " in reply.data, reply
+
+    run_in_world(tmp_path, main)
