A body that comes byte by byte ends with the request's deadline

Callers whose body trickled in were neither served nor refused after their deadline: the connection stayed open as long as each byte came within the idle timeout.

Cause: the deadline was read together with the complete body.

The deadline (of the caller, or of the route if that is earlier) is known from the head, and a timer answers 408 at it: nothing was passed on.

--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import socket
 from collections.abc import Callable
 
@@ -12,7 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..decisions.routes import CallerLimits
-from ..exceptions import InvalidRequestError
+from ..exceptions import InvalidRequestError, RequestTimeoutError
 from .caller import CallerConnection
 from .exchange import Exchange
 from .http_connection import HttpConnection, RequestHandler, RequestHead
@@ -77,6 +78,7 @@
     is_refused: bool = False
     work: asyncio.Task | None = None
     exchange: Exchange | None = None
+    body_timer: asyncio.TimerHandle | None = None
     caller: CallerConnection = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -107,12 +109,29 @@
                 self._refuse_short()
 
     def body_awaited(self) -> None:
+        loop = asyncio.get_running_loop()
         if self.exchange is None:
             self.exchange = self._new_exchange(b"")
+        deadline_s = self.exchange.deadline_s()
+        if loop.time() >= deadline_s:
+            raise RequestTimeoutError("Its body did not arrive before its deadline.")
         self.exchange.refusal = self.exchange.find_refusal()
         if self.exchange.refusal is not None:
             self.body.clear()
             self._answer_now()
+        elif self.body_timer is None or self.body_timer.when() != deadline_s:
+            self._stop_timer()
+            if deadline_s < math.inf:
+                self.body_timer = loop.call_at(deadline_s, self._on_deadline)
+
+    def _on_deadline(self) -> None:
+        self.body_timer = None
+        self.connection.check_body()
+
+    def _stop_timer(self) -> None:
+        if self.body_timer is not None:
+            self.body_timer.cancel()
+            self.body_timer = None
 
     def _refuse_short(self) -> None:
         """Refuse the request for lack of memory while its body is received."""
@@ -128,7 +147,7 @@
         self.body_received()
 
     def body_received(self) -> None:
-        self.front.reading.discard(self)
+        self._stop_reading()
         if self.caller.account is not None:
             self.caller.account.is_receiving = False
         self.work = asyncio.ensure_future(self._serve())
@@ -136,9 +155,13 @@
         self.front.connections.add(self.connection)
         self.work.add_done_callback(self._on_done)
 
+    def _stop_reading(self) -> None:
+        self.front.reading.discard(self)
+        self._stop_timer()
+
     def rejected(self, error: InvalidRequestError, headers: HTTPHeaders) -> None:
         parts = self.front.parts
-        self.front.reading.discard(self)
+        self._stop_reading()
         self.body.clear()
         parts.memory.close(self.caller)
         request_id = parts.dialect.request_id(headers)
@@ -157,7 +180,7 @@
         self.caller.send_answer(status, answer_headers, str(error))
 
     def connection_closed(self) -> None:
-        self.front.reading.discard(self)
+        self._stop_reading()
         if self.work is not None:
             self.work.cancel()
         else:
--- a/tests/platform/test_real_requests.py
+++ b/tests/platform/test_real_requests.py
@@ -231,3 +231,20 @@
         assert reply.status == 200 and b" 100 " in reply.data, reply
 
     run_in_world(tmp_path, main)
+
+
+@pytest.mark.parametrize("wait_ms, limit_s", ((1000, 1.0), (60_000, 3.0)))
+def test_a_body_that_comes_byte_by_byte_ends_with_the_deadline(
+    tmp_path, wait_ms, limit_s
+):
+    # Only the time between two bytes was bounded. The route allows 3 s.
+    async def main(world):
+        gateway = await world.start()
+        parts = [without_body(wait_ms=wait_ms, request_id="slow"), *[b"x"] * 50]
+        started_s = asyncio.get_running_loop().time()
+        reply = await gateway.call(*parts, pause_s=0.1, wait_s=5.0)
+        took_s = asyncio.get_running_loop().time() - started_s
+        assert reply.status == 408 and world.runs("slow") == 0, reply
+        assert limit_s <= took_s < limit_s + 0.3
+
+    run_in_world(tmp_path, main)
