--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import socket
 from collections.abc import Callable
 
@@ -12,7 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..decisions.routes import CallerLimits
-from ..exceptions import InvalidRequestError
+from ..exceptions import InvalidRequestError, RequestTimeoutError
 from .caller import CallerConnection
 from .exchange import Exchange
 from .http_connection import HttpConnection, RequestHandler, RequestHead
@@ -76,10 +77,13 @@
     body_bytes: int = 0
     is_refused: bool = False
     work: asyncio.Task | None = None
+    exchange: Exchange | None = None
+    body_timer: asyncio.TimerHandle | None = None
     caller: CallerConnection = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.caller = CallerConnection(self.connection)
+        self.caller.on_cut = self._refuse_short
 
     def head_received(self, head: RequestHead) -> None:
         self.head = head
@@ -102,10 +106,40 @@
         if account is not None and self.body_bytes > account.request_bytes:
             account.hold_request(self.body_bytes)
             if self.front.parts.state.memory.is_short:
-                self.is_refused = True
-                self.body.clear()
-                self.front.parts.memory.close(self.caller)
-                self._answer_now()
+                self._refuse_short()
+
+    def body_awaited(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self.exchange is None:
+            self.exchange = self._new_exchange(b"")
+        deadline_s = self.exchange.deadline_s()
+        if loop.time() >= deadline_s:
+            raise RequestTimeoutError("Its body did not arrive before its deadline.")
+        self.exchange.refusal = self.exchange.find_refusal()
+        if self.exchange.refusal is not None:
+            self.body.clear()
+            self._answer_now()
+        elif self.body_timer is None or self.body_timer.when() != deadline_s:
+            self._stop_timer()
+            if deadline_s < math.inf:
+                self.body_timer = loop.call_at(deadline_s, self._on_deadline)
+
+    def _on_deadline(self) -> None:
+        self.body_timer = None
+        self.connection.check_body()
+
+    def _stop_timer(self) -> None:
+        if self.body_timer is not None:
+            self.body_timer.cancel()
+            self.body_timer = None
+
+    def _refuse_short(self) -> None:
+        """Refuse the request for lack of memory while its body is received."""
+        if not self.is_refused:
+            self.is_refused = True
+            self.body.clear()
+            self.front.parts.memory.close(self.caller)
+            self._answer_now()
 
     def _answer_now(self) -> None:
         """Refuse the request without its body, which isn't held."""
@@ -113,15 +147,21 @@
         self.body_received()
 
     def body_received(self) -> None:
-        self.front.reading.discard(self)
+        self._stop_reading()
+        if self.caller.account is not None:
+            self.caller.account.is_receiving = False
         self.work = asyncio.ensure_future(self._serve())
         self.front.running.add(self.work)
         self.front.connections.add(self.connection)
         self.work.add_done_callback(self._on_done)
 
+    def _stop_reading(self) -> None:
+        self.front.reading.discard(self)
+        self._stop_timer()
+
     def rejected(self, error: InvalidRequestError, headers: HTTPHeaders) -> None:
         parts = self.front.parts
-        self.front.reading.discard(self)
+        self._stop_reading()
         self.body.clear()
         parts.memory.close(self.caller)
         request_id = parts.dialect.request_id(headers)
@@ -140,35 +180,40 @@
         self.caller.send_answer(status, answer_headers, str(error))
 
     def connection_closed(self) -> None:
-        self.front.reading.discard(self)
+        self._stop_reading()
         if self.work is not None:
             self.work.cancel()
         else:
             self.front.parts.memory.close(self.caller)
 
     async def _serve(self) -> None:
-        parts, caller, head = self.front.parts, self.caller, self.head
-        assert head is not None
-        caller.should_close = parts.state.is_stopping
-        if caller.account is not None:
-            caller.account.is_receiving = False
+        assert self.head is not None
+        self.caller.should_close = self.front.parts.state.is_stopping
         body = b"".join(self.body)
         self.body.clear()
+        exchange = self.exchange
         try:
-            request = parts.dialect.read_request(
-                head.method, head.path, head.headers, body
-            )
+            if exchange is None:
+                exchange = self._new_exchange(body)
+            else:
+                exchange.request = attrs.evolve(exchange.request, body=body)
         except InvalidRequestError as error:
-            self.rejected(error, head.headers)
+            self.rejected(error, self.head.headers)
             return
-        exchange = Exchange(
-            request=request,
-            caller=caller,
+        exchange.is_memory_short = self.is_refused
+        await exchange.run()
+
+    def _new_exchange(self, body: bytes) -> Exchange:
+        parts, head = self.front.parts, self.head
+        assert head is not None
+        return Exchange(
+            request=parts.dialect.read_request(
+                head.method, head.path, head.headers, body
+            ),
+            caller=self.caller,
             parts=parts,
             received_s=self.received_s,
-            is_memory_short=self.is_refused,
         )
-        await exchange.run()
 
     def _on_done(self, work: asyncio.Task) -> None:
         self.front.running.discard(work)
@@ -235,6 +280,9 @@
     def data_received(self, data: bytes) -> None:
         """Ignore the body."""
 
+    def body_awaited(self) -> None:
+        """Wait for the body."""
+
     def body_received(self) -> None:
         status, body = self.answer(self.path)
         with contextlib.suppress(StreamClosedError):
--- a/tests/platform/test_real_requests.py
+++ b/tests/platform/test_real_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.platform.real_gateway import head, post, run_in_world
+from tests.platform.standins import answer_bytes, echo_headers
 
 pytestmark = pytest.mark.process
 
@@ -151,3 +152,99 @@
         assert not reply.is_open
 
     run_in_world(tmp_path, main)
+
+
+def in_two_parts(body, pause_s):
+    """Answer with a body whose last byte comes after a pause."""
+
+    async def script(received, writer):
+        writer.write(answer_bytes(200, echo_headers(received), body)[:-1])
+        await asyncio.sleep(pause_s)
+        writer.write(body[-1:])
+        await writer.drain()
+
+    return script
+
+
+def test_a_request_over_its_share_of_the_memory_is_answered(tmp_path):
+    # Its connection was closed without an answer.
+    async def main(world):
+        world.scripts("app", in_two_parts(b"x" * 14_000_000, 1.5))
+        gateway = world.gateway()
+        gateway.write_settings(**{"memory_mb = 300": "memory_mb = 150"})
+        await gateway.start().wait_ready()
+        calls = (gateway.call(post(request_id=f"r-{n}")) for n in range(6))
+        replies = await asyncio.gather(*calls)
+        assert {reply.status for reply in replies} == {200, 502}, replies
+        cuts = gateway.events("caller_cut")
+        assert {one["outcome"] for one in cuts} == {"refused"}
+        assert len(cuts) == sum(reply.status == 502 for reply in replies)
+        # What was held for them is free: the next ones are served.
+        assert (await gateway.call(post())).status == 200
+
+    run_in_world(tmp_path, main)
+
+
+def without_body(*extra, **more):
+    """Return the head of a request whose body of 100 kB doesn't follow."""
+    return head(method="POST", extra=["Content-Length: 100000", *extra], **more)
+
+
+REFUSED = {
+    "unknown key": (401, {"authorization": "Token other"}),
+    "no route": (404, {"path": "/none"}),
+    "bad deadline": (400, {"wait_ms": "soon"}),
+}
+
+
+@pytest.mark.parametrize("extra", ((), ("Expect: 100-continue",)))
+@pytest.mark.parametrize("name", REFUSED)
+def test_a_request_refused_by_its_head_is_answered_before_its_body(
+    tmp_path, name, extra
+):
+    async def main(world):
+        gateway = await world.start()
+        status, fields = REFUSED[name]
+        reply = await gateway.call(without_body(*extra, **fields), wait_s=1.0)
+        assert reply.statuses == [status] and b" 100 " not in reply.data, reply
+        assert not reply.is_open
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_refusal_does_not_cost_the_connection_if_the_body_is_there(tmp_path):
+    async def main(world):
+        gateway = await world.start()
+        body = b"x" * 300_000
+        refused = post(body=body, authorization="Token other", close=False)
+        reply = await gateway.call(refused, head())
+        assert reply.statuses == [401, 200], reply
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_proper_request_is_continued(tmp_path):
+    async def main(world):
+        gateway = await world.start()
+        expecting = without_body("Expect: 100-continue")
+        reply = await gateway.call(expecting, b"x" * 100_000, pause_s=0.5)
+        assert reply.status == 200 and b" 100 " in reply.data, reply
+
+    run_in_world(tmp_path, main)
+
+
+@pytest.mark.parametrize("wait_ms, limit_s", ((1000, 1.0), (60_000, 3.0)))
+def test_a_body_that_comes_byte_by_byte_ends_with_the_deadline(
+    tmp_path, wait_ms, limit_s
+):
+    # Only the time between two bytes was bounded. The route allows 3 s.
+    async def main(world):
+        gateway = await world.start()
+        parts = [without_body(wait_ms=wait_ms, request_id="slow"), *[b"x"] * 50]
+        started_s = asyncio.get_running_loop().time()
+        reply = await gateway.call(*parts, pause_s=0.1, wait_s=5.0)
+        took_s = asyncio.get_running_loop().time() - started_s
+        assert reply.status == 408 and world.runs("slow") == 0, reply
+        assert limit_s <= took_s < limit_s + 0.3
+
+    run_in_world(tmp_path, main)
