An answer that came before a reset is read

Callers got 502 "reset: Broken pipe" for an answer that their endpoint had given: a 503 that says that the request hasn't run, which they may repeat, or a whole 200.

Cause: an endpoint that answers and closes before it has read the body makes the kernel send a reset. The next write fails, and IOStream closes the connection on that, although the kernel still has the answer.

A failed write no longer closes the connection; the answer is read, and the reset is reported where it would be the end of an answer without a length.

--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -49,6 +49,33 @@
 """Statuses of answers that end with their head (RFC 9110)."""
 
 
+class EndpointStream(IOStream):
+    """Reads on after a failed write.
+
+    An endpoint may answer and close its connection before it has read the request. The
+    reset fails the next write, while the answer can still be read.
+    """
+
+    _write_error: ConnectionError | None = None
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Write what the connection takes; drop what it never will."""
+        if self._write_error is None:
+            try:
+                return super().write_to_fd(data)
+            except ConnectionError as error:
+                # Its traceback would hold the data.
+                self._write_error = error.with_traceback(None)
+        return len(data)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read what has arrived; the end after a reset is that of no whole answer."""
+        size = super().read_from_fd(buf)
+        if size == 0 and self._write_error is not None:
+            raise self._write_error
+        return size
+
+
 class ExchangeError(Exception):
     """An exchange ended without a complete answer.
 
@@ -249,7 +276,7 @@
         raise ExchangeError(NotSent(f"no socket: {error}")) from error
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    stream = IOStream(connection)
+    stream = EndpointStream(connection)
     try:
         try:
             async with asyncio.timeout(min(timeout_s, MAX_CONNECT_TIMEOUT_S)):
--- a/tests/platform/test_real_answers.py
+++ b/tests/platform/test_real_answers.py
@@ -1,6 +1,7 @@
 """Odd but legal answers of endpoints and of the store, at a real gateway process."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import subprocess
@@ -100,26 +101,34 @@
 
 
 class EarlyEndpoint(Endpoint):
-    """Answers once it has read a head, and reads the body slowly afterwards."""
+    """Answers once it has read a head, then reads the body slowly, or not at all."""
+
+    answer = HEAD + LENGTH + b"\r\nhello"
+    reads_on = True
 
     async def _connected(self, reader, writer):
-        received = await reader.readuntil(b"\r\n\r\n")
-        self.received.append(received)
-        writer.write(HEAD + LENGTH + b"\r\nhello")
-        while await reader.read(4096):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            self.received.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(self.answer)
+        while self.reads_on and await reader.read(4096):
             await asyncio.sleep(0.005)
-        writer.close()
+        writer.close()  # a reset, if something wasn't read
+
+
+async def replace_endpoints(world, early):
+    """Let all requests of the service "app" go to one endpoint."""
+    await early.start()
+    for name in [n for n, service in world.services.items() if service == "app"]:
+        del world.endpoints[name]
+        world.store.put("keyed.servers", name, None)
+    world.endpoints["i-early"], world.services["i-early"] = early, "app"
+    world.renew()
 
 
 def test_an_endpoint_may_answer_before_it_has_read_the_body(tmp_path):
     async def main(world):
         early = EarlyEndpoint(endpoint_id="i-early")
-        await early.start()
-        for name in [n for n, service in world.services.items() if service == "app"]:
-            del world.endpoints[name]
-            world.store.put("keyed.servers", name, None)
-        world.endpoints["i-early"], world.services["i-early"] = early, "app"
-        world.renew()
+        await replace_endpoints(world, early)
         gateway = await world.start()
         reply = await gateway.call(post(body=b"x" * 2_000_000))
         assert (reply.status, content(reply)) == (200, b"hello")
@@ -129,6 +138,30 @@
     run_in_world(tmp_path, main)
 
 
+@pytest.mark.parametrize(
+    ("answer", "status"),
+    [
+        (b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", 503),
+        (HEAD + LENGTH + b"\r\nhello", 200),
+        (HEAD + b"\r\nhello", 502),
+    ],
+    ids=["not run", "whole", "without a length, so perhaps cut"],
+)
+def test_an_answer_before_a_reset_is_not_lost_with_the_rest_of_the_body(
+    tmp_path, answer, status
+):
+    async def main(world):
+        early = EarlyEndpoint(endpoint_id="i-early")
+        early.answer, early.reads_on = answer, False
+        await replace_endpoints(world, early)
+        gateway = await world.start()
+        body = b"x" * 2_000_000
+        replies = [await gateway.call(post(body=body)) for _ in range(8)]
+        assert [reply.status for reply in replies] == [status] * 8
+
+    run_in_world(tmp_path, main)
+
+
 # The store
 
 
