A process without standard output starts

A gateway that was started with standard output closed (`>&-`, as some supervisors do) ended at once with exit code 1: "'NoneType' object has no attribute 'fileno'".

Python sets sys.stdout to None then, and the log handler asked for its descriptor. Such a process now runs without logs. The test failed for two of four cases before (standard output closed, all closed).

--- a/src/sorrelhoist/node/logs.py
+++ b/src/sorrelhoist/node/logs.py
@@ -106,7 +106,7 @@
 
 
 def configure_logging(level: str, node_id: str, role: str) -> None:
-    """Write all logs of this process to standard output as JSON lines.
+    """Write all logs of this process to standard output, if any, as JSON lines.
 
     Parameters
     ----------
@@ -115,7 +115,10 @@
     node_id, role : str
         Added to each line.
     """
-    handler = RateLimitedHandler(sys.stdout.fileno())
+    if sys.stdout is None:  # started with a closed descriptor
+        handler: logging.Handler = logging.NullHandler()
+    else:
+        handler = RateLimitedHandler(sys.stdout.fileno())
     handler.setFormatter(
         JsonFormatter(
             _FORMAT,
--- a/tests/platform/real_gateway.py
+++ b/tests/platform/real_gateway.py
@@ -117,8 +117,8 @@
             text = text.replace(old, new)
         self.settings_path.write_text(text)
 
-    def start(self):
-        """Start the process; don't wait for anything."""
+    def start(self, **options):
+        """Start the process with options of `Popen`; don't wait for anything."""
         if not self.settings_path.exists():
             self.write_settings()
         with self.log_path.open("ab") as log:
@@ -127,6 +127,7 @@
                 stdout=log,
                 stderr=log,
                 env=os.environ | {"SORRELHOIST_SETTINGS": str(self.settings_path)},
+                **options,
             )
         return self
 
--- a/tests/platform/test_real_answers.py
+++ b/tests/platform/test_real_answers.py
@@ -107,6 +107,7 @@
     reads_on = True
 
     async def _connected(self, reader, writer):
+        self._writers.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError):
             self.received.append(await reader.readuntil(b"\r\n\r\n"))
             writer.write(self.answer)
--- a/tests/platform/test_real_start.py
+++ b/tests/platform/test_real_start.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import socket
 
 import pytest
@@ -43,6 +44,19 @@
     run_in_world(tmp_path, main)
 
 
+@pytest.mark.parametrize("closed", ((0,), (1,), (2,), (0, 1, 2)))
+def test_a_gateway_serves_without_standard_streams(tmp_path, closed):
+    async def main(world):
+        gateway = world.gateway()
+        gateway.start(preexec_fn=lambda: [os.close(number) for number in closed])
+        await gateway.wait_ready()
+        assert (await gateway.call(head())).status == 200
+        gateway.signal(STOP)
+        assert await gateway.exit_code(EXIT_TIMEOUT_S) == 0
+
+    run_in_world(tmp_path, main)
+
+
 def test_callers_who_wait_for_a_start_are_answered_when_it_is_stopped(tmp_path):
     async def main(world):
         gateway = world.gateway().start()
