Signals that the parent has blocked are received

A gateway whose parent blocks SIGTERM (one that waits for signals in a thread of its own, for example) didn't stop: it served on until SIGKILL, and cut what was running then.

The mask of signals is inherited through exec, and nothing reset it. It is reset once the handlers are there. Before, the process of the test still ran 15 s after SIGTERM.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -18,6 +18,8 @@
 
 for number in SIGNALS:
     signal.signal(number, record)
+# A process inherits the signals that its parent has blocked.
+signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
 import sys  # noqa: E402
 from pathlib import Path  # noqa: E402
--- a/tests/platform/test_real_start.py
+++ b/tests/platform/test_real_start.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 
 import pytest
@@ -57,6 +58,18 @@
     run_in_world(tmp_path, main)
 
 
+def test_a_gateway_that_inherits_blocked_signals_stops_all_the_same(tmp_path):
+    async def main(world):
+        blocked = (signal.SIG_BLOCK, {STOP, RELOAD})
+        gateway = world.gateway()
+        gateway.start(preexec_fn=lambda: signal.pthread_sigmask(*blocked))
+        await gateway.wait_ready()
+        gateway.signal(STOP)
+        assert await gateway.exit_code(EXIT_TIMEOUT_S) == 0
+
+    run_in_world(tmp_path, main)
+
+
 def test_callers_who_wait_for_a_start_are_answered_when_it_is_stopped(tmp_path):
     async def main(world):
         gateway = world.gateway().start()
