Clients that send their whole body before they read get a refusal

Callers whose body took longer than 2 s to send, and that read only then, got a reset instead of the answer that we had sent before its end.

Cause: the connection was read for 2 s after such an answer, however much was still arriving. Refusals by the head make this more common.

It is read until nothing has come for 2 s, for 15 s and 64 MB at most.

--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -44,9 +44,10 @@
 MAX_EVENT_BYTES = 1 << 40
 """Bound of h11 for incomplete heads; the limits of the operator are checked here."""
 
-LINGER_S = 2.0
+LINGER_S, MAX_LINGER_S = 2.0, 15.0
 """Time for which a connection is read after an answer to a request that wasn't read to
-its end. If it were closed at once, the reset could destroy the answer."""
+its end: since the last byte, and in all. If it were closed before, the reset could
+destroy the answer; many clients read it only once they have sent their body."""
 
 LINGER_BYTES = 64 * 1024 * 1024
 """Bytes that are discarded in this time."""
@@ -191,6 +192,7 @@
         self._discarded_bytes = 0
         self._unsent = b""
         self._is_lingering = False
+        self._linger_end_s = 0.0
         self._is_bodiless = False
 
     def start(self) -> None:
@@ -234,6 +236,9 @@
             self._discarded_bytes += len(data)
             if self._discarded_bytes > LINGER_BYTES:
                 self.stream.close()
+            elif self._is_lingering:
+                due_s = min(_now_s() + LINGER_S, self._linger_end_s)
+                self._phase = Closing(due_s)
         elif phase is Answering or phase is Answered:
             self._ahead += data
             if len(self._ahead) >= MAX_AHEAD_BYTES:
@@ -499,6 +504,7 @@
         """Close the connection once the client has the answer."""
         self._phase = Closing(now_s + (LINGER_S if is_rest_expected else FLUSH_S))
         self._is_lingering = is_rest_expected
+        self._linger_end_s = now_s + MAX_LINGER_S
         unsent = self.stream.unsent
         if unsent is None:
             self._on_flushed(None)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -201,6 +201,20 @@
     run(main)
 
 
+def test_a_client_that_sends_its_whole_body_before_it_reads_gets_the_refusal(
+    monkeypatch,
+):
+    # Its connection was reset while it sent.
+    monkeypatch.setattr("sorrelhoist.gateway.http_connection.LINGER_S", 0.3)
+    refused = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20\r\n\r\n"
+
+    async def main(address, server, listener):
+        data = await call(address, refused, *[b"x"] * 20, pause_s=0.1)
+        assert data.startswith(b"HTTP/1.1 413")
+
+    run(main, limits=lambda: CallerLimits(max_body_bytes=10))
+
+
 def test_limits_are_those_of_the_moment_also_in_the_middle_of_a_request():
     limits = [CallerLimits()]
 
