Callers that end only their own side get their answer

Callers that sent a whole request, shut their side down and waited got nothing: the connection closed, the work was cancelled, and an answer that was whole and only unsent was cut.

Cause: the end of the caller's side was taken for the end of the caller.

One that gives up has waited; one that ends its side does so behind its request. So: - a whole answer is sent to its end in any case; - an end within 0.1 s of the request leaves 0.3 s for the answer to begin; then it goes on, as what is sent to a caller that is gone resets the connection; - a later end cancels the work at once, as before.

A caller that closes at once, or after 0.2 s: its work has ended 0.6 s later.

--- a/src/sorrelhoist/gateway/caller.py
+++ b/src/sorrelhoist/gateway/caller.py
@@ -133,6 +133,10 @@
         """Whether the connection has taken all that was written."""
         return not self._being_written and not self._pending
 
+    def hold_open(self) -> None:
+        """Let the connection outlast the end of its client's side."""
+        self._connection.hold_open()
+
     async def drained(self) -> None:
         """Wait until the connection has taken all that was written."""
         if not self.has_drained:
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -186,6 +186,7 @@
     async def _finish(self, admitted: AdmittedRequest) -> str:
         """Complete an answer that the endpoint has sent; the caller may read slowly."""
         if not self.caller.has_drained:
+            self.caller.hold_open()
             try:
                 async with self._until_deadline(admitted):
                     await self.caller.drained()
--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -59,6 +59,14 @@
 FLUSH_S = 10.0
 """Time that a client has to take the end of the last answer."""
 
+EARLY_END_S = 0.1
+"""Time after a request within which the end of the client's side is taken for that of
+its requests: a client that gives up has waited for longer."""
+
+HALF_CLOSED_S = 0.3
+"""Time for which such a request is worked on before its answer begins: if the client is
+gone after all, not for much longer than for others that are gone."""
+
 NO_CONTENT, NOT_MODIFIED = 204, 304
 
 REASON_PHRASES = {
@@ -174,7 +182,9 @@
         limits: Callable[[], CallerLimits],
         on_close: Callable[["HttpConnection"], None],
     ) -> None:
-        self.stream = SocketStream(connection, self._on_data, self._on_close)
+        self.stream = SocketStream(
+            connection, self._on_data, self._on_close, self._on_end
+        )
         self._delegate = delegate
         self._limits = limits
         self._on_closed = on_close
@@ -194,6 +204,10 @@
         self._is_lingering = False
         self._linger_end_s = 0.0
         self._is_bodiless = False
+        self._is_begun = False
+        self._is_whole = False
+        self._is_ended = False
+        self._request_s = 0.0
 
     def start(self) -> None:
         """Read requests until the connection is closed."""
@@ -248,6 +262,32 @@
             self._receive(data, now_s)
             self._advance(now_s)
 
+    def _on_end(self) -> None:
+        """Close the connection, unless its client may still wait for an answer.
+
+        Until something is sent, a client that has ended only its own side can't be told
+        from one that is gone, which mostly leaves after some time.
+        """
+        now_s, phase = _now_s(), type(self._phase)
+        if phase is Answering and (self._is_whole or self._is_ended):
+            self._is_ended = True
+        elif phase is Answering and now_s - self._request_s < EARLY_END_S:
+            self._is_ended = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(HALF_CLOSED_S, self._on_unanswered)
+        elif phase in (Answered, Closing) and self.stream.unsent is not None:
+            self._is_ended = True
+        else:
+            self.stream.close()
+
+    def _on_unanswered(self) -> None:
+        """Close the connection of a client that ended its side, unless it is served.
+
+        If it is gone, what was sent to it has closed the connection.
+        """
+        if isinstance(self._phase, Answering) and not self._is_begun:
+            self.stream.close()
+
     def _receive(self, data: bytes, now_s: float) -> None:
         phase = type(self._phase)
         if phase is Idle:
@@ -317,6 +357,7 @@
         elif kind is h11.EndOfMessage:
             assert self._handler is not None
             self._phase = Answering()
+            self._request_s = now_s
             self._handler.body_received()
         else:
             self._check_incomplete()
@@ -383,6 +424,7 @@
         """
         self._is_discarding = True
         self._phase = Answering()
+        self._request_s = _now_s()
 
     def _reject(self, error: InvalidRequestError) -> None:
         self.discard_body()
@@ -416,6 +458,14 @@
         )
         self._is_bodiless = self.is_bodiless(status)
         self._unsent = self._protocol.send(response) or b""
+        self._is_begun = True
+
+    def hold_open(self) -> None:
+        """Let the connection outlast the end of its client's side.
+
+        The whole answer is there, and only has to be sent.
+        """
+        self._is_whole = True
 
     def send_data(self, data: bytes) -> asyncio.Future[None] | None:
         """Send a part of the body.
@@ -474,7 +524,11 @@
     def _next_request(self, now_s: float) -> bool:
         if self.stream.closed():
             return False
-        is_last = self._is_discarding or self._protocol.our_state is not h11.DONE
+        is_last = (
+            self._is_discarding
+            or self._is_ended
+            or self._protocol.our_state is not h11.DONE
+        )
         unsent = self.stream.unsent
         if unsent is not None and not is_last:
             # Answers would pile up if further requests were processed.
@@ -483,12 +537,14 @@
         rest = self._protocol.trailing_data[0] + self._ahead
         self._ahead.clear()
         if is_last:
-            self._close_gently(now_s, self._is_discarding or bool(rest))
+            is_rest_expected = self._is_discarding or bool(rest)
+            self._close_gently(now_s, is_rest_expected and not self._is_ended)
             return False
         self._protocol = _new_protocol()
         self._headers = HTTPHeaders()
         self._received_bytes = self._body_bytes = 0
         self._is_bodiless = self._is_body_awaited = False
+        self._is_begun = self._is_whole = False
         self._phase = Idle(now_s)
         self._receive(rest, now_s)
         self.stream.read()
--- a/src/sorrelhoist/gateway/socket_stream.py
+++ b/src/sorrelhoist/gateway/socket_stream.py
@@ -32,6 +32,9 @@
         Called with the bytes of each read.
     on_close : callable
         Called once after the socket was closed, by either side.
+    on_end : callable
+        Called when the other side has ended its side in order: it sends nothing more,
+        and may still read. The socket isn't read any more.
     """
 
     def __init__(
@@ -39,11 +42,13 @@
         connection: socket.socket,
         on_data: Callable[[bytes], None],
         on_close: Callable[[], None],
+        on_end: Callable[[], None],
     ) -> None:
         connection.setblocking(False)
         self.socket = connection
         self._on_data = on_data
         self._on_close = on_close
+        self._on_end = on_end
         self._loop = asyncio.get_running_loop()
         self._unsent: deque[memoryview] = deque()
         self._drained: asyncio.Future[None] | None = None
@@ -94,10 +99,12 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError:
-                data = b""
-            if not data:
                 self.close()
                 return
+            if not data:
+                self.pause()
+                self._on_end()
+                return
             self._on_data(data)
             if len(data) < READ_BYTES or not self._is_reading:
                 return
--- a/tests/platform/test_real_requests.py
+++ b/tests/platform/test_real_requests.py
@@ -5,7 +5,13 @@
 import pytest
 
 from tests.platform.real_gateway import head, post, run_in_world
-from tests.platform.standins import answer_bytes, echo_headers
+from tests.platform.standins import (
+    answer_bytes,
+    echo_headers,
+    hangs,
+    streams,
+    whole,
+)
 
 pytestmark = pytest.mark.process
 
@@ -248,3 +254,70 @@
         assert limit_s <= took_s < limit_s + 0.3
 
     run_in_world(tmp_path, main)
+
+
+async def half_closed(gateway, request, stay_s=0.0, pause_s=0.0, wait_s=8.0):
+    """Send a request, end the caller's side later, and read after a pause."""
+    reader, writer = await asyncio.open_connection(
+        gateway.ip, gateway.front, limit=1000
+    )
+    writer.write(request)
+    await asyncio.sleep(stay_s)
+    writer.write_eof()
+    await asyncio.sleep(pause_s)
+    async with asyncio.timeout(wait_s):
+        data = await reader.read()
+    writer.close()
+    return data
+
+
+def after(pause_s, script):
+    async def paused(received, writer):
+        await asyncio.sleep(pause_s)
+        await script(received, writer)
+
+    return paused
+
+
+@pytest.mark.parametrize(
+    "size_bytes, stay_s, pause_s",
+    ((10, 0.0, 0.0), (15_000_000, 0.0, 1.0), (15_000_000, 1.0, 0.5)),
+)
+def test_a_caller_that_ends_only_its_own_side_gets_its_answer(
+    tmp_path, size_bytes, stay_s, pause_s
+):
+    async def main(world):
+        body = b"y" * size_bytes
+        world.scripts("app", after(0.1, whole(body=body)))
+        gateway = await world.start()
+        data = await half_closed(gateway, post(close=False), stay_s, pause_s)
+        assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"\r\n\r\n" + body)
+
+    run_in_world(tmp_path, main)
+
+
+def test_a_caller_that_ends_only_its_own_side_gets_its_whole_stream(tmp_path):
+    async def main(world):
+        world.scripts("llm", streams(8, pause_s=0.1))
+        gateway = await world.start()
+        request = post("/stream/1", b"prompt")
+        data = await half_closed(gateway, request)
+        assert b"piece 8" in data and data.endswith(b"0\r\n\r\n")
+
+    run_in_world(tmp_path, main)
+
+
+@pytest.mark.parametrize("stay_s", (0.0, 0.2))
+def test_the_work_for_a_caller_that_is_gone_ends(tmp_path, stay_s):
+    async def main(world):
+        gateway = await world.start()
+        world.scripts("app", hangs())
+        _, writer = await asyncio.open_connection(gateway.ip, gateway.front)
+        writer.write(post(request_id="gone"))
+        await asyncio.sleep(stay_s)
+        writer.close()
+        await asyncio.sleep(0.6)
+        assert world.runs("gone") == 1
+        assert sum(len(e.left) for e in world.endpoints.values()) == 1
+
+    run_in_world(tmp_path, main)
