A null in the configuration is an absent field

A version of the configuration with null for an optional field (a route's priority, attempts or objective, a service's max_conns) was refused as unreadable. Callers got 404 for its new routes, 401 for its new keys, or 503 where it was the first.

Many writers of JSON write null for what isn't set. Nulls are removed before decoding, so that each default has one place.

--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -90,7 +90,7 @@
         If a field is missing or has the wrong type.
     """
     with _decoding("configuration"):
-        fields = json.loads(value)
+        fields = json.loads(value, object_hook=_without_nulls)
         routes = [_route(route) for route in fields["routes"]]
         by_prefix: dict[tuple[str, str], Route] = {}
         for route in routes:
@@ -106,6 +106,11 @@
         )
 
 
+def _without_nulls(fields: dict) -> dict:
+    """Return fields without those that are null: many writers mean absent ones."""
+    return {name: value for name, value in fields.items() if value is not None}
+
+
 def _route(fields: dict) -> Route:
     # The platform calls a service a "backend"; "split" distributes a route's requests
     # over several services by weight.
@@ -184,7 +189,7 @@
     return {
         key: Workspace(tenant["name"], tenant.get("priority"))
         for tenant in tenants
-        for key in tenant["api_keys"]
+        for key in tenant.get("api_keys", ())
     }
 
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -101,6 +101,23 @@
         decode_table(value)
 
 
+def test_a_null_in_the_configuration_is_an_absent_field():
+    table, with_nulls = configuration(), configuration()
+    optional = {
+        "routes": "goal_ms gap_target_ms priority attempts public split resumable",
+        "backends": "health_path max_conns cold_per_s runtime",
+        "tenants": "priority",
+    }
+    for name, fields in optional.items():
+        for before, after in zip(table[name], with_nulls[name], strict=True):
+            for field in fields.split():
+                before.pop(field, None)
+                after[field] = None
+    assert decode_table(json.dumps(with_nulls).encode()) == decode_table(
+        json.dumps(table).encode()
+    )
+
+
 @pytest.mark.parametrize("field", ["timeout_ms", "goal_ms", "gap_target_ms"])
 @pytest.mark.parametrize("number", [HUGE, INFINITE, "-1", '"5"'])
 def test_a_route_with_an_odd_time_is_malformed(field, number):
