Signals end no entry or agent before its drain

An entry or agent that got SIGTERM while it started ended with -15 without a drain; a SIGHUP ended it at any time with -1, and another SIGTERM after the loop had closed with -15, in the middle of the end.

Their handlers were those of the event loop, which exist only while it runs, and SIGHUP had its default action. Signals are now recorded from the command on, as in a gateway, and ignored once the loop has ended. Until the command runs (about 0.2 s after exec, while the command line is imported) they still have their default action.

--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -27,6 +27,7 @@
 from ..node.metrics import AgentMetrics
 from ..node.peers import Responder
 from ..node.process import NodeProcess
+from ..node.signal_inbox import SignalInbox
 from ..node.signals import wait_for_stop_signal
 from ..settings import Settings
 from .claims import ClaimedCalls, ServiceOptions
@@ -307,12 +308,12 @@
         }
 
 
-async def run_agent(settings: Settings) -> None:
+async def run_agent(settings: Settings, signals: SignalInbox) -> None:
     """Run an agent until the process receives a stop signal."""
     agent = Agent(settings)
     async with agent.running():
         logger.info("agent started", extra={"endpoint": agent.endpoint.name})
-        await wait_for_stop_signal()
+        await wait_for_stop_signal(signals)
         logger.info("agent draining")
         await agent.drain()
     logger.info("agent stopped")
--- a/src/sorrelhoist/commands/roles.py
+++ b/src/sorrelhoist/commands/roles.py
@@ -1,13 +1,16 @@
 """Commands that run a process as an entry or as an agent."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import signal
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import click
 
 from ..exceptions import SettingsError
 from ..node.logs import configure_logging
+from ..node.signal_inbox import SIGNALS, SignalInbox
 from ..settings import Settings, load_settings
 
 EXIT_BAD_SETTINGS = 2
@@ -35,32 +38,48 @@
     return settings
 
 
-def _run(settings: Settings, role: Callable[[Settings], Awaitable[None]]) -> None:
+def _run(
+    settings: Settings,
+    role: Callable[[Settings, SignalInbox], Awaitable[None]],
+    signals: SignalInbox,
+) -> None:
     configure_logging(settings.log_level, settings.node_id, settings.role)
 
     async def main() -> None:
-        await role(settings)
+        await role(settings, signals)
 
     asyncio.run(main())
 
 
+@contextmanager
+def _recording_signals() -> Iterator[SignalInbox]:
+    """Record signals; when the context exits, the process ends and ignores them."""
+    signals = SignalInbox()
+    with signals.recording():
+        yield signals
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+
+
 @click.command()
 @settings_option
 def entry(path: Path) -> None:
     """Serve callers and operators."""
-    settings = _load(path, "entry")
-    # Imported here, so that a process loads the modules of its own role only and uses
-    # less memory.
-    from ..entry.app import run_entry
+    with _recording_signals() as signals:
+        settings = _load(path, "entry")
+        # Imported here, so that a process loads the modules of its own role only and
+        # uses less memory.
+        from ..entry.app import run_entry
 
-    _run(settings, run_entry)
+        _run(settings, run_entry, signals)
 
 
 @click.command()
 @settings_option
 def agent(path: Path) -> None:
     """Guard one endpoint."""
-    settings = _load(path, "agent")
-    from ..agent.app import run_agent
+    with _recording_signals() as signals:
+        settings = _load(path, "agent")
+        from ..agent.app import run_agent
 
-    _run(settings, run_agent)
+        _run(settings, run_agent, signals)
--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -32,6 +32,7 @@
 from ..node.metrics import EntryMetrics
 from ..node.peers import Responder
 from ..node.process import NodeProcess
+from ..node.signal_inbox import SignalInbox
 from ..node.signals import wait_for_stop_signal
 from ..settings import Settings
 from .agent_client import AgentClient
@@ -368,12 +369,12 @@
         }
 
 
-async def run_entry(settings: Settings) -> None:
+async def run_entry(settings: Settings, signals: SignalInbox) -> None:
     """Run an entry until the process receives a stop signal."""
     entry = Entry(settings)
     async with entry.running():
         logger.info("entry started")
-        await wait_for_stop_signal()
+        await wait_for_stop_signal(signals)
         logger.info("entry draining")
         await entry.drain()
     logger.info("entry stopped")
--- a/src/sorrelhoist/node/signals.py
+++ b/src/sorrelhoist/node/signals.py
@@ -1,18 +1,21 @@
 """Waiting for a signal that requests shutdown."""
 
 import asyncio
-import signal
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+from .signal_inbox import SignalInbox
 
 
-async def wait_for_stop_signal() -> None:
-    """Wait until the process receives SIGTERM or SIGINT.
+async def wait_for_stop_signal(signals: SignalInbox) -> None:
+    """Wait until the process receives SIGTERM or SIGINT, or return if it has.
 
-    The handlers stay until the loop is closed: a second signal must not end a drain.
+    SIGHUP is ignored: these processes don't reload their settings.
     """
     stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signum in STOP_SIGNALS:
-        loop.add_signal_handler(signum, stopped.set)
-    await stopped.wait()
+
+    def received() -> None:
+        signals.take()
+        if signals.stop_s is not None:
+            stopped.set()
+
+    with signals.watched(received):
+        await stopped.wait()
