An endpoint's answer survives the reset that follows it

An endpoint that answers before it has read a whole request closes with bytes unread, which resets the connection. Callers got 502 for the answer that the endpoint had sent, and for refusals with X-Not-Executed: the stream closed at the failed write and dropped what was received. Now the rest of the request is dropped instead, and the answer is read. A reset still isn't the end of an answer without a length. A connection that is reset before the kernel has taken a byte is one on which nothing was sent: the request goes elsewhere.

--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -113,16 +113,42 @@
         return self.status == 200 and media_type.strip().lower() == EVENT_STREAM
 
 
+class EndpointStream(IOStream):
+    """A stream on which what was received stays readable after a failed write.
+
+    An endpoint may answer before it has read all of a request, and reset the connection
+    as it closes it. `IOStream` closes at the failed write, and the answer is lost.
+    """
+
+    write_error: OSError | None = None
+    """Why the endpoint takes nothing more; what isn't written yet is dropped."""
+
+    sent_bytes = 0
+    """Bytes that the kernel has taken."""
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Write to the socket, or drop the data once that has failed."""
+        if self.write_error is not None:
+            return len(data)
+        try:
+            count = super().write_to_fd(data)
+        except ConnectionError as error:
+            self.write_error = error
+            return len(data)
+        self.sent_bytes += count
+        return count
+
+
 @attrs.define(eq=False, repr=False)
 class Upstream:
     """An open connection to an endpoint, for one request and its answer.
 
     Parameters
     ----------
-    stream : tornado.iostream.IOStream
+    stream : EndpointStream
     """
 
-    stream: IOStream
+    stream: EndpointStream
     _protocol: h11.Connection = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -133,7 +159,13 @@
     async def send(
         self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
     ) -> None:
-        """Start sending a request; the answer may arrive before all of it is sent."""
+        """Start sending a request; the answer may arrive before all of it is sent.
+
+        Raises
+        ------
+        ExchangeError
+            If nothing of it was sent.
+        """
         fields = [
             (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
         ]
@@ -154,6 +186,9 @@
             self._write(content)
             if end:
                 self._write(end)
+        reason = self.stream.write_error
+        if reason is not None and not self.stream.sent_bytes:
+            raise ExchangeError(NotSent(f"reset before it was sent: {reason}"))
 
     def _write(self, data: bytes) -> None:
         # Write errors are ignored: a closed connection shows when the answer is read.
@@ -237,9 +272,9 @@
         try:
             return await self.stream.read_bytes(READ_BYTES, partial=True)
         except StreamClosedError as error:
-            if self.stream.error is not None:
-                detail = f"reset: {self.stream.error}"
-                raise ExchangeError(Broken(detail)) from error
+            reason = self.stream.error or self.stream.write_error
+            if reason is not None:
+                raise ExchangeError(Broken(f"reset: {reason}")) from error
             return b""  # end of connection: h11 checks whether the answer is complete
 
 
