Endpoints get no more requests than they take connections

An endpoint takes max_conns connections of all callers and resets the others. Engines keep their own bound, capacity.

--- a/src/sorrelhoist/decisions/routes.py
+++ b/src/sorrelhoist/decisions/routes.py
@@ -149,7 +149,8 @@
     ----------
     name, health_path : str
     max_connections : int
-        Maximum number of connections of all callers together to one endpoint.
+        Maximum number of connections of all callers together to one endpoint, which
+        resets those beyond; 0 if it isn't known.
     cold_requests_per_s : float
         Rate limit of an endpoint during its cold start; 0 for no limit.
     engine : EngineCosts or None
@@ -165,6 +166,18 @@
     engine: EngineCosts | None = None
     domain_delays_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
+    def places(self, capacity: int) -> int:
+        """Return how many requests an endpoint with a capacity can have at once.
+
+        Examples
+        --------
+        >>> ServiceConfig(name="a", max_connections=20).places(64)
+        20
+        >>> ServiceConfig(name="a").places(64)
+        64
+        """
+        return min(capacity, self.max_connections or capacity)
+
 
 @attrs.frozen(kw_only=True)
 class CallerLimits:
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -397,7 +397,7 @@
         slow = self.pass_corrections.slow(now_s)
         return [
             EndpointView(
-                endpoint=endpoint,
+                endpoint=self._with_places(endpoint),
                 use=totals.get(endpoint.address)
                 or EndpointUse(address=endpoint.address),
                 is_avoided=self.troubles.is_avoided(
@@ -410,6 +410,14 @@
             for endpoint in endpoints
         ]
 
+    def _with_places(self, endpoint: Endpoint) -> Endpoint:
+        """Return an endpoint with the capacity that its connections allow."""
+        config = self.table.services.get(endpoint.service) if self.table else None
+        places = config.places(endpoint.capacity) if config else endpoint.capacity
+        if places == endpoint.capacity:
+            return endpoint
+        return attrs.evolve(endpoint, capacity=places)
+
     def _limit_per_s(self, endpoint: Endpoint, now_s: float) -> float | None:
         """Return what an endpoint takes from all gateways, or None without a limit."""
         limits_per_s = []
--- a/src/sorrelhoist/platform/wire.py
+++ b/src/sorrelhoist/platform/wire.py
@@ -146,13 +146,18 @@
     return ServiceConfig(
         name=fields["name"],
         health_path=fields.get("health_path", "/"),
-        max_connections=int(fields.get("max_conns", 0)),
+        max_connections=_max_connections(fields.get("max_conns")),
         cold_requests_per_s=float(fields.get("cold_per_s", 0.0)),
         engine=_engine(runtime) if runtime else None,
         domain_delays_s=_domain_delays_s(runtime or {}),
     )
 
 
+def _max_connections(value: Any) -> int:
+    """Decode a number of connections; one that no request could keep is unknown."""
+    return int(value) if _is_positive(value) else 0
+
+
 def _engine(fields: dict) -> EngineCosts:
     return EngineCosts(
         max_running=int(fields["capacity"]),
