A gateway that alone can't read the store serves as another confirms

Two gateways read the store, and the others ask them whether their configuration is current. One of the two that was cut off from the store alone asked nobody: from 2.9 s on all its callers got 503, though the other one reached it and could confirm its configuration (measured: every request from 2.9 s after the cut to its end at 8 s). Now it asks the other one while its own reads fail, and goes on trying to read. What it adopts is as old as the read of the other one, so a revoked key ends as before (test_..._uses_no_revoked_key).

Evidence: test_a_gateway_cut_off_from_the_store_serves_as_others_confirm failed on the code before (not ready 8 s after the cut), and passes now, with connections that are accepted and with dropped SYN packets. Beside it, tests that held before: silent endpoints, stale connections to the store, a gateway that stands still, wall clocks that are wrong or step by an hour.

--- a/src/sorrelhoist/gateway/freshness.py
+++ b/src/sorrelhoist/gateway/freshness.py
@@ -82,6 +82,8 @@
         self, state: GatewayState, send: Callable[[str, object], None]
     ) -> None:
         self.own = ReadProgress()
+        self.is_store_lost = False
+        """Whether this process can't read the store: a reader then queries another."""
         self._state = state
         self._send = send
         self._confirmations = Confirmations()
@@ -132,7 +134,7 @@
                 for node_id in self._readers(loop.time())
                 if node_id != self._state.node_id
             ]
-            if others and not self.is_reader(loop.time()):
+            if others and (self.is_store_lost or not self.is_reader(loop.time())):
                 self._send_query(self._state.rng.choice(others))
 
     def send_update(self, update: ChainedUpdate, node_ids: Sequence[str]) -> None:
--- a/src/sorrelhoist/platform/source.py
+++ b/src/sorrelhoist/platform/source.py
@@ -235,6 +235,9 @@
             if is_reader and not was_reader and self._operator.is_lost:
                 self._operator.read_soon()
             was_reader = is_reader
+            self._freshness.is_store_lost = self._operator.is_lost
+            if is_reader and self._operator.is_lost:
+                self._confirm_by_peers(now_s)
             match self._contact_of_peers():
                 case PeerContact.LOST:
                     was_lost = True
@@ -244,6 +247,16 @@
                     self._operator.read_soon()
                     self._endpoints.read_soon()
 
+    def _confirm_by_peers(self, now_s: float) -> None:
+        """Use what another gateway confirms while this one can't read the store.
+
+        A gateway that polls the store goes on trying to read it meanwhile.
+        """
+        confirmed_s = self._freshness.configuration_s()
+        if confirmed_s is not None and not self._is_outdated:
+            self._record_contact(confirmed_s, is_read=False)
+        self._confirm_directory(now_s)
+
     # Configuration
 
     def _apply_operator(self, record: KeyedRecord) -> None:
@@ -532,9 +545,11 @@
 
     def _endpoints_confirmed(self) -> bool:
         now_s = asyncio.get_running_loop().time()
-        confirmed_s = None
-        if not self._freshness.is_reader(now_s):
-            confirmed_s = self._freshness.directory_s()
+        return not self._freshness.is_reader(now_s) and self._confirm_directory(now_s)
+
+    def _confirm_directory(self, now_s: float) -> bool:
+        """Record when another gateway had the same directory, if one had."""
+        confirmed_s = self._freshness.directory_s()
         if confirmed_s is None:
             return False
         self._freshness.own.directory_read_s = confirmed_s
