A call to the store needs no thread for an address without a name

What callers saw: a gateway with 200 slow callers beside six busy processes lost the store for a moment ("HTTP 599: Timeout while resolving 127.0.0.1"), although the store answered.

Cause: Tornado's client resolves each address in a thread, also one that is a number. In a busy process the thread waits for the interpreter's lock, and its result for a further pass of the loop; 0.35 s for the connection can end before the call is sent. The client of the other role already resolved numbers by itself; the store's now does, too.

The new test, with a thread that is busy for 0.7 s, fails on the code before with that error.

--- a/src/sorrelhoist/clients/exchange.py
+++ b/src/sorrelhoist/clients/exchange.py
@@ -19,15 +19,17 @@
 MAX_BODY_BYTES = 1024 * 1024 * 1024
 
 
-class _NumericResolver(Resolver):
+class NumericResolver(Resolver):
     """Resolve numeric addresses without a thread, host names through the loop."""
 
     def initialize(self) -> None:
+        """Prepare for host names."""
         self._names = DefaultLoopResolver()
 
     async def resolve(
         self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
     ) -> list[tuple[int, Any]]:
+        """Return the address family and the address."""
         if not is_valid_ip(host):
             return await self._names.resolve(host, port, family)
         if ":" in host:
@@ -39,7 +41,7 @@
     """Keep a reference to the connection, so that it can be closed early."""
 
     def __init__(self) -> None:
-        super().__init__(resolver=_NumericResolver())
+        super().__init__(resolver=NumericResolver())
         self.stream: IOStream | None = None
         self.abandoned = False
 
--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -14,6 +14,7 @@
     HTTPResponse,
 )
 
+from ..clients.exchange import NumericResolver
 from ..decisions.store_readers import StorePosition
 from ..exceptions import PlatformError
 from .decode_errors import DECODE_ERRORS
@@ -113,7 +114,10 @@
         self, address: str, era_changed: Callable[[int, int], None] = lambda *eras: None
     ) -> None:
         self._base = f"http://{address}"
-        self._client = AsyncHTTPClient(force_instance=True, max_clients=8)
+        # In a busy process a thread that resolves names may be late.
+        self._client = AsyncHTTPClient(
+            force_instance=True, max_clients=8, resolver=NumericResolver()
+        )
         self._era: int | None = None
         self._era_changed = era_changed
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,12 +1,15 @@
 """Malformed answers of the store raise `PlatformError`."""
 
 import asyncio
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from sorrelhoist.decisions.store_readers import StorePosition
 from sorrelhoist.exceptions import PlatformError
 from sorrelhoist.platform.store import (
+    CONNECT_TIMEOUT_S,
     KeyedRecord,
     PartialRead,
     RecordsExpiredError,
@@ -29,6 +32,25 @@
     return asyncio.run(main())
 
 
+def test_a_late_thread_of_a_busy_process_fails_no_call():
+    # A gateway with 200 slow callers lost the store: "timeout while resolving".
+    async def main():
+        store = await Store().start()
+        store.put("t", "a", b"1")
+        client = StoreClient(store.address)
+        with ThreadPoolExecutor(1) as executor:
+            loop = asyncio.get_running_loop()
+            loop.set_default_executor(executor)
+            late = loop.run_in_executor(None, time.sleep, 2 * CONNECT_TIMEOUT_S)
+            assert (await client.newest("t")).records == (KeyedRecord("a", b"1"),)
+            assert not late.done()
+            await late
+        client.close()
+        await store.stop()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     "body",
     [
