--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -49,33 +49,6 @@
 """Statuses of answers that end with their head (RFC 9110)."""
 
 
-class EndpointStream(IOStream):
-    """Reads on after a failed write.
-
-    An endpoint may answer and close its connection before it has read the request. The
-    reset fails the next write, while the answer can still be read.
-    """
-
-    _write_error: ConnectionError | None = None
-
-    def write_to_fd(self, data: memoryview) -> int:
-        """Write what the connection takes; drop what it never will."""
-        if self._write_error is None:
-            try:
-                return super().write_to_fd(data)
-            except ConnectionError as error:
-                # Its traceback would hold the data.
-                self._write_error = error.with_traceback(None)
-        return len(data)
-
-    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Read what has arrived; the end after a reset is that of no whole answer."""
-        size = super().read_from_fd(buf)
-        if size == 0 and self._write_error is not None:
-            raise self._write_error
-        return size
-
-
 class ExchangeError(Exception):
     """An exchange ended without a complete answer.
 
@@ -133,7 +106,8 @@
         try:
             count = super().write_to_fd(data)
         except ConnectionError as error:
-            self.write_error = error
+            # Its traceback would hold the data.
+            self.write_error = error.with_traceback(None)
             return len(data)
         self.sent_bytes += count
         return count
