A connection that is made as a gateway stops listening isn't reset

Now the listener is first bound to an interface that doesn't exist (SO_BINDTOIFINDEX, unprivileged since Linux 5.7). New connections are refused at once, which tells callers that nothing was read, while handshakes under way end where they began and are accepted for another 0.1 s, within the grace period. A filter that drops SYN (SO_ATTACH_FILTER) would cost a caller a retransmission, 1 s, instead of a refusal. Where the option fails connections are accepted until the close, as before.

The new test holds a handshake back (TCP_DEFER_ACCEPT) while new connections are refused.

--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -14,6 +14,11 @@
 
 DRAIN_POLL_S = 0.05
 
+HANDSHAKE_S = 0.1
+"""Time in which connections that are being established become acceptable: some round
+trips within a region. New ones are refused meanwhile, which tells callers that nothing
+was read."""
+
 QUIET_S = 0.2
 """Time without a new request, after the process stopped listening, at which a drain
 ends: a request that was just sent on an accepted connection is read within it."""
@@ -25,6 +30,9 @@
 class Server(Protocol):
     """An HTTP server that is drained."""
 
+    def refuse_connections(self) -> None:
+        """Let new connections be refused."""
+
     def stop(self) -> None:
         """Stop listening."""
 
@@ -49,11 +57,14 @@
     """
     loop = asyncio.get_running_loop()
     detected_at_s = stop.began_s + READINESS_DETECTION_S
-    while loop.time() < stop.exit_at_s:
+    while loop.time() < stop.exit_at_s - HANDSHAKE_S:
         is_idle = front.is_idle and front.parts.reserver.is_idle
         if is_idle and loop.time() >= detected_at_s:
             break
         await asyncio.sleep(DRAIN_POLL_S)
+    for server in servers:
+        server.refuse_connections()
+    await asyncio.sleep(HANDSHAKE_S)
     for server in servers:
         server.stop()
     await _quiet(front, stop)
--- a/src/sorrelhoist/gateway/http_server.py
+++ b/src/sorrelhoist/gateway/http_server.py
@@ -1,9 +1,11 @@
 """An HTTP server on a listening socket."""
 
 import asyncio
+import contextlib
 import errno
 import logging
 import socket
+import sys
 from collections.abc import Callable
 
 from ..decisions.routes import CallerLimits
@@ -31,6 +33,12 @@
 CHECK_INTERVAL_S = 0.25
 """Interval at which the timeouts of all connections are checked."""
 
+SO_BINDTOIFINDEX = 62
+"""Socket option of Linux 5.0 and later (5.7 without privileges)."""
+
+NO_INTERFACE = 0x7FFFFFFF
+"""Number of a network interface that no host has."""
+
 _SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -68,6 +76,20 @@
         loop = asyncio.get_running_loop()
         loop.add_reader(self._listener.fileno(), self._on_acceptable)
 
+    def refuse_connections(self) -> None:
+        """Let new connections be refused; those being established are accepted still.
+
+        A listener that is closed resets a connection that was established after the
+        last accept. One that is bound to an interface without packets gets no new
+        connections, while handshakes end on the interface where they began. Where the
+        system can't do so, connections are accepted until `stop`.
+        """
+        if self._is_listening and sys.platform == "linux":
+            with contextlib.suppress(OSError):
+                self._listener.setsockopt(
+                    socket.SOL_SOCKET, SO_BINDTOIFINDEX, NO_INTERFACE
+                )
+
     def stop(self) -> None:
         """Accept the connections that wait, and stop listening.
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -158,6 +158,23 @@
     run(main)
 
 
+def test_a_connection_under_way_when_new_ones_are_refused_is_served():
+    async def main(address, server, listener):
+        # The last step of the handshake is held back until the request comes.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 5)
+        with socket.create_connection(address) as client:
+            server.refuse_connections()
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(address)
+            client.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=client)
+            writer.write(LAST)
+            assert (await reader.read()).endswith(b"/b")
+            writer.close()
+
+    run(main)
+
+
 @pytest.mark.parametrize(
     "sent, status",
     [
