A request that isn't complete at the end of a stop is refused

Callers whose body, or head, was still being read when a gateway exited saw their connection closed without an answer, which promises nothing.

From the time at which nothing is sent to endpoints any more (1 s before the end of the grace period) such requests get 503 with Retry-After and "Connection: close", and once more right before the connections close, for a head that is incomplete when an idle gateway exits early. The refusal is true: nothing is passed on before it is read to its end.

The test runs a real process: half a body, chunks without an end, half a head, sent before the signal and during the stop.

--- a/src/sorrelhoist/exceptions.py
+++ b/src/sorrelhoist/exceptions.py
@@ -100,6 +100,14 @@
     default_remedy = "Send the whole request without pauses."
 
 
+class StoppingError(InvalidRequestError):
+    """The process stops before a request was sent to its end."""
+
+    kind = "stopping"
+    http_status = 503
+    default_remedy = "It has not run: send it again, on another connection."
+
+
 class UnsupportedTransferError(InvalidRequestError):
     """The body of a request has a transfer coding other than chunks."""
 
--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -33,6 +33,9 @@
     def refuse_connections(self) -> None:
         """Let new connections be refused."""
 
+    def refuse_unread(self) -> None:
+        """Refuse the requests that were not read to their end."""
+
     def stop(self) -> None:
         """Stop listening."""
 
@@ -61,20 +64,33 @@
         is_idle = front.is_idle and front.parts.reserver.is_idle
         if is_idle and loop.time() >= detected_at_s:
             break
-        await asyncio.sleep(DRAIN_POLL_S)
+        await _pause(servers, stop)
     for server in servers:
         server.refuse_connections()
     await asyncio.sleep(HANDSHAKE_S)
     for server in servers:
         server.stop()
-    await _quiet(front, stop)
+    await _quiet(front, servers, stop)
     # A request that is read from now on is not passed on: its connection may close
     # before the answer is written.
     stop.is_closing = True
+    for server in servers:
+        server.refuse_unread()
     await _close_connections(servers)
 
 
-async def _quiet(front: CallerDelegate, stop: PlannedStop) -> None:
+async def _pause(servers: Sequence[Server], stop: PlannedStop) -> None:
+    """Wait until the next poll; refuse what has come too slowly to be served."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(DRAIN_POLL_S)
+    if loop.time() >= stop.cut_at_s:
+        for server in servers:
+            server.refuse_unread()
+
+
+async def _quiet(
+    front: CallerDelegate, servers: Sequence[Server], stop: PlannedStop
+) -> None:
     """Wait until no request comes any more on the connections that were accepted."""
     loop = asyncio.get_running_loop()
     quiet_from_s = loop.time()
@@ -83,7 +99,7 @@
         is_quiet = loop.time() - max(quiet_from_s, front.received_s) >= QUIET_S
         if is_quiet and (front.is_idle or loop.time() >= stop.exit_at_s):
             return
-        await asyncio.sleep(DRAIN_POLL_S)
+        await _pause(servers, stop)
 
 
 async def _close_connections(servers: Sequence[Server]) -> None:
--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -31,6 +31,7 @@
     HeadersTooLargeError,
     InvalidRequestError,
     RequestTimeoutError,
+    StoppingError,
     UnsupportedTransferError,
     UnsupportedVersionError,
 )
@@ -242,6 +243,11 @@
         except InvalidRequestError as error:
             self._reject(error)
 
+    def refuse_unread(self) -> None:
+        """Refuse a request that was not read to its end: the process stops."""
+        if isinstance(self._phase, ReadingHead | ReadingBody):
+            self._reject(StoppingError("The gateway is stopping."))
+
     # Reading
 
     def _on_data(self, data: bytes) -> None:
--- a/src/sorrelhoist/gateway/http_server.py
+++ b/src/sorrelhoist/gateway/http_server.py
@@ -106,6 +106,11 @@
             pass
         self._listener.close()
 
+    def refuse_unread(self) -> None:
+        """Refuse the requests that were not read to their end."""
+        for connection in list(self._connections):
+            connection.refuse_unread()
+
     async def close_all_connections(self) -> None:
         """Close all connections, and wait until their requests know."""
         if self._check is not None:
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -12,8 +12,9 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
+from ..decisions.retry_after import local_refusal_retry_after_s
 from ..decisions.routes import CallerLimits
-from ..exceptions import InvalidRequestError, RequestTimeoutError
+from ..exceptions import InvalidRequestError, RequestTimeoutError, StoppingError
 from .caller import CallerConnection
 from .exchange import Exchange
 from .http_connection import HttpConnection, RequestHandler, RequestHead
@@ -177,8 +178,19 @@
         )
         parts.metrics.callers_rejected.add(1, {"status": str(status)})
         answer_headers = parts.dialect.refusal_headers(request_id)
+        if isinstance(error, StoppingError):
+            self._record_stop(answer_headers)
         self.caller.send_answer(status, answer_headers, str(error))
 
+    def _record_stop(self, headers: HTTPHeaders) -> None:
+        """Count a refusal by a planned stop, and tell when to come again."""
+        state = self.front.parts.state
+        if state.stop is not None:
+            state.stop.refused += 1
+        self.front.parts.metrics.planned_stops.add(1, {"outcome": "refused"})
+        retry_after_s = local_refusal_retry_after_s(state.contact_of_peers(), state.rng)
+        headers["Retry-After"] = f"{retry_after_s:.2f}"
+
     def connection_closed(self) -> None:
         self._stop_reading()
         if self.work is not None:
--- a/tests/platform/test_real_stop.py
+++ b/tests/platform/test_real_stop.py
@@ -188,6 +188,31 @@
     run_in_world(tmp_path, main, routes=ROUTES)
 
 
+PART = post("/once/1", body=b"z" * 1000)[:-500]
+CHUNKED = head("/look/1", "POST", ["Transfer-Encoding: chunked"])
+
+
+@pytest.mark.parametrize(
+    "part, grace_s", [(PART, 3), (CHUNKED, 3), (PART[:40], 3), (PART[:40], 8)]
+)
+def test_a_request_that_is_not_complete_at_the_end_is_refused(tmp_path, part, grace_s):
+    async def main(world):
+        gateway = await world.start(grace_s=grace_s)
+        early = asyncio.ensure_future(gateway.call(part, wait_s=9.0))
+        await asyncio.sleep(0.1)
+        gateway.signal(STOP)
+        await asyncio.sleep(1.8)
+        late = asyncio.ensure_future(gateway.call(part, wait_s=9.0))
+        for reply in await asyncio.gather(early, late):
+            assert (reply.status, reply.was_reset) == (503, False)
+            assert b"Connection: close" in reply.data
+            assert b"Retry-After: 0." in reply.data
+        assert await gateway.exit_code(3.0) == 0
+        assert not any(endpoint.requests for endpoint in world.endpoints.values())
+
+    run_in_world(tmp_path, main, routes=ROUTES)
+
+
 async def use_one_connection(gateway, path, sent):
     """Send requests on kept connections until the process is gone."""
     while gateway.is_running:
