--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -14,6 +14,11 @@
 
 DRAIN_POLL_S = 0.05
 
+HANDSHAKE_S = 0.1
+"""Time in which connections that are being established become acceptable: some round
+trips within a region. New ones are refused meanwhile, which tells callers that nothing
+was read."""
+
 QUIET_S = 0.2
 """Time without a new request, after the process stopped listening, at which a drain
 ends: a request that was just sent on an accepted connection is read within it."""
@@ -25,6 +30,12 @@
 class Server(Protocol):
     """An HTTP server that is drained."""
 
+    def refuse_connections(self) -> None:
+        """Let new connections be refused."""
+
+    def refuse_unread(self) -> None:
+        """Refuse the requests that were not read to their end."""
+
     def stop(self) -> None:
         """Stop listening."""
 
@@ -49,21 +60,37 @@
     """
     loop = asyncio.get_running_loop()
     detected_at_s = stop.began_s + READINESS_DETECTION_S
-    while loop.time() < stop.exit_at_s:
+    while loop.time() < stop.exit_at_s - HANDSHAKE_S:
         is_idle = front.is_idle and front.parts.reserver.is_idle
         if is_idle and loop.time() >= detected_at_s:
             break
-        await asyncio.sleep(DRAIN_POLL_S)
+        await _pause(servers, stop)
+    for server in servers:
+        server.refuse_connections()
+    await asyncio.sleep(HANDSHAKE_S)
     for server in servers:
         server.stop()
-    await _quiet(front, stop)
+    await _quiet(front, servers, stop)
     # A request that is read from now on is not passed on: its connection may close
     # before the answer is written.
     stop.is_closing = True
+    for server in servers:
+        server.refuse_unread()
     await _close_connections(servers)
 
 
-async def _quiet(front: CallerDelegate, stop: PlannedStop) -> None:
+async def _pause(servers: Sequence[Server], stop: PlannedStop) -> None:
+    """Wait until the next poll; refuse what has come too slowly to be served."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(DRAIN_POLL_S)
+    if loop.time() >= stop.cut_at_s:
+        for server in servers:
+            server.refuse_unread()
+
+
+async def _quiet(
+    front: CallerDelegate, servers: Sequence[Server], stop: PlannedStop
+) -> None:
     """Wait until no request comes any more on the connections that were accepted."""
     loop = asyncio.get_running_loop()
     quiet_from_s = loop.time()
@@ -72,7 +99,7 @@
         is_quiet = loop.time() - max(quiet_from_s, front.received_s) >= QUIET_S
         if is_quiet and (front.is_idle or loop.time() >= stop.exit_at_s):
             return
-        await asyncio.sleep(DRAIN_POLL_S)
+        await _pause(servers, stop)
 
 
 async def _close_connections(servers: Sequence[Server]) -> None:
