--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -56,23 +56,30 @@
     reset fails the next write, while the answer can still be read.
     """
 
-    _write_error: ConnectionError | None = None
+    write_error: ConnectionError | None = None
+    """Why the endpoint takes nothing more."""
+
+    sent_bytes = 0
+    """Bytes that the kernel has taken."""
 
     def write_to_fd(self, data: memoryview) -> int:
         """Write what the connection takes; drop what it never will."""
-        if self._write_error is None:
+        if self.write_error is None:
             try:
-                return super().write_to_fd(data)
+                size = super().write_to_fd(data)
             except ConnectionError as error:
                 # Its traceback would hold the data.
-                self._write_error = error.with_traceback(None)
+                self.write_error = error.with_traceback(None)
+            else:
+                self.sent_bytes += size
+                return size
         return len(data)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what has arrived; the end after a reset is that of no whole answer."""
         size = super().read_from_fd(buf)
-        if size == 0 and self._write_error is not None:
-            raise self._write_error
+        if size == 0 and self.write_error is not None:
+            raise self.write_error
         return size
 
 
@@ -113,32 +120,6 @@
         return self.status == 200 and media_type.strip().lower() == EVENT_STREAM
 
 
-class EndpointStream(IOStream):
-    """A stream on which what was received stays readable after a failed write.
-
-    An endpoint may answer before it has read all of a request, and reset the connection
-    as it closes it. `IOStream` closes at the failed write, and the answer is lost.
-    """
-
-    write_error: OSError | None = None
-    """Why the endpoint takes nothing more; what isn't written yet is dropped."""
-
-    sent_bytes = 0
-    """Bytes that the kernel has taken."""
-
-    def write_to_fd(self, data: memoryview) -> int:
-        """Write to the socket, or drop the data once that has failed."""
-        if self.write_error is not None:
-            return len(data)
-        try:
-            count = super().write_to_fd(data)
-        except ConnectionError as error:
-            self.write_error = error
-            return len(data)
-        self.sent_bytes += count
-        return count
-
-
 @attrs.define(eq=False, repr=False)
 class Upstream:
     """An open connection to an endpoint, for one request and its answer.
@@ -272,9 +253,9 @@
         try:
             return await self.stream.read_bytes(READ_BYTES, partial=True)
         except StreamClosedError as error:
-            reason = self.stream.error or self.stream.write_error
-            if reason is not None:
-                raise ExchangeError(Broken(f"reset: {reason}")) from error
+            if self.stream.error is not None:
+                detail = f"reset: {self.stream.error}"
+                raise ExchangeError(Broken(detail)) from error
             return b""  # end of connection: h11 checks whether the answer is complete
 
 
