Header fields of the operator's limit are served

Callers whose header fields came close to max_header_bytes got 431 (DENIED): with 16,384 allowed, 16,344 B of fields were served and 16,384 B were not.

Cause: the request line and the empty line after the fields counted too. They don't any more. A request line that isn't complete counts still.

Fields of exactly the limit, in one or two parts, get 200; one byte more gets 431.

--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -68,6 +68,8 @@
 """Time for which such a request is worked on before its answer begins: if the client is
 gone after all, not for much longer than for others that are gone."""
 
+EMPTY_LINE = b"\r\n"
+
 NO_CONTENT, NOT_MODIFIED = 204, 304
 
 REASON_PHRASES = {
@@ -380,7 +382,8 @@
         self._is_bodiless = request.method == b"HEAD"
         unread_bytes = len(self._protocol.trailing_data[0])
         self._headers = _read_headers(request)
-        self._check_head_size(self._received_bytes - unread_bytes)
+        head_bytes = self._received_bytes - unread_bytes
+        self._check_head_size(head_bytes - _request_line_bytes(request))
         head = _read_head(request, self._headers)
         self._check_body_size(head.body_bytes or 0)
         self._phase = ReadingBody(now_s)
@@ -403,15 +406,18 @@
 
     def _check_incomplete(self) -> None:
         """Check the size of a head, chunk header or trailer that is not complete."""
+        received = self._protocol.trailing_data[0]
         if isinstance(self._phase, ReadingHead):
-            self._check_head_size(self._received_bytes)
+            request_line_bytes = received.find(b"\n") + 1
+            self._check_head_size(len(received) - request_line_bytes)
         else:
-            self._check_head_size(len(self._protocol.trailing_data[0]))
+            self._check_head_size(len(received))
             self._await_body()
 
     def _check_head_size(self, size_bytes: int) -> None:
+        """Check the size of header fields with the empty line after them."""
         limit_bytes = self._limits().max_header_bytes
-        if size_bytes > limit_bytes:
+        if size_bytes > limit_bytes + len(EMPTY_LINE):
             raise HeadersTooLargeError(f"The headers exceed {limit_bytes} bytes.")
 
     def _check_body_size(self, size_bytes: int) -> None:
@@ -614,6 +620,12 @@
     return h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_EVENT_BYTES)
 
 
+def _request_line_bytes(request: h11.Request) -> int:
+    separators = len(b"  HTTP/") + len(EMPTY_LINE)
+    parts = (request.method, request.target, request.http_version)
+    return sum(map(len, parts)) + separators
+
+
 def _rejection(error: h11.RemoteProtocolError) -> InvalidRequestError:
     # The rest of the text is what the client sent, such as its key.
     reason = str(error).partition(": bytearray")[0]
--- a/tests/platform/test_real_requests.py
+++ b/tests/platform/test_real_requests.py
@@ -116,6 +116,27 @@
     run_in_world(tmp_path, main)
 
 
+@pytest.mark.parametrize(
+    "over_bytes, is_split, status",
+    ((0, False, 200), (0, True, 200), (1, False, 431), (1, True, 431)),
+)
+def test_header_fields_of_the_operators_limit_are_served(
+    tmp_path, over_bytes, is_split, status
+):
+    # The request line and the empty line counted too.
+    async def main(world):
+        gateway = await limited(world, max_header_bytes=4_096)
+        size_bytes = 4_096 + over_bytes
+        line, fields = head(extra=["X-N: "]).split(b"\r\n", 1)
+        fill = b"a" * (size_bytes - len(fields) + 2)
+        request = line + b"\r\n" + fields.replace(b"X-N: ", b"X-N: " + fill)
+        parts = (request[:-1], request[-1:]) if is_split else (request,)
+        reply = await gateway.call(*parts)
+        assert reply.status == status, reply
+
+    run_in_world(tmp_path, main)
+
+
 def test_a_head_over_the_operators_limit_gets_431(tmp_path):
     async def main(world):
         gateway = await limited(world, max_header_bytes=4_096)
