--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,8 @@
 from hypothesis import HealthCheck, settings
 from pythonjsonlogger.json import JsonFormatter
 
+from sorrelhoist.bench import fleet
+
 _SLOW = [HealthCheck.too_slow, HealthCheck.data_too_large]
 settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=60, suppress_health_check=_SLOW
@@ -23,6 +25,18 @@
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
+def pytest_configure(config):
+    """Draw ports from a range of its own in each process of pytest-xdist.
+
+    A port that is free when one process draws it is bound later, perhaps by another.
+    """
+    number = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    count = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+    share = (fleet.MAX_PORT - fleet.MIN_PORT) // count
+    fleet.MIN_PORT += number * share
+    fleet.MAX_PORT = fleet.MIN_PORT + share
+
+
 def pytest_sessionstart(session):
     """Show the fields of log records, not only their messages."""
     plugin = session.config.pluginmanager.get_plugin("logging-plugin")
