What a test leaves is collected once after it

It is done after a test now, and only if the test left more than 50,000 objects.

The test of what a fleet leaves runs pytest itself, and fails without the collection.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -78,13 +78,24 @@
         return float("nan")
 
 
+MAX_LEFT_OBJECTS = 50_000
+"""Objects that a test may leave to the collector, which takes tenths of a second."""
+
+
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_call(item):
-    """Add the pauses to the report, which shows them if the test fails."""
+    """Add the pauses to the report, which shows them if the test fails.
+
+    What a large virtual fleet leaves is collected here. In a later test, which may run
+    in real time, its collection would stop the event loop for seconds.
+    """
     pauses = Pauses()
+    objects_before = len(gc.get_objects())
     gc.callbacks.append(pauses.collector_called)
     try:
         return (yield)
     finally:
         gc.callbacks.remove(pauses.collector_called)
         item.add_report_section("call", "pauses", str(pauses))
+        if len(gc.get_objects()) - objects_before > MAX_LEFT_OBJECTS:
+            gc.collect()
--- a/tests/test_conftest.py
+++ b/tests/test_conftest.py
@@ -14,12 +14,37 @@
     assert False
 """
 
+LEAVING = """
+import weakref
+
+class Node:
+    def __init__(self):
+        self.itself = self
+
+left = []
+
+def test_leaves_a_fleet():
+    fleet = [Node() for _ in range(100_000)]
+    left.append(weakref.ref(fleet[0]))
+
+def test_does_not_pay_for_it():
+    assert left[0]() is None
+"""
+
+
+def run(folder, text):
+    (folder / "conftest.py").write_text(CONFTEST.read_text())
+    (folder / "test_inner.py").write_text(text)
+    command = [sys.executable, "-m", "pytest", "-q", str(folder)]
+    return subprocess.run(command, capture_output=True, text=True, cwd=folder)
+
+
+def test_what_a_virtual_fleet_leaves_does_not_stop_the_loop_of_a_later_test(tmp_path):
+    assert run(tmp_path, LEAVING).returncode == 0
+
 
 def test_a_failure_that_is_seen_once_can_be_traced(tmp_path):
-    (tmp_path / "conftest.py").write_text(CONFTEST.read_text())
-    (tmp_path / "test_failing.py").write_text(FAILING)
-    command = [sys.executable, "-m", "pytest", "-q", str(tmp_path)]
-    shown = subprocess.run(command, capture_output=True, text=True, cwd=tmp_path).stdout
+    shown = run(tmp_path, FAILING).stdout
     assert '"reason": "timed out"' in shown
-    run = re.search(r"longest run of the garbage collector (\S+) s", shown)
-    assert float(run[1]) > 0.0
+    found = re.search(r"longest run of the garbage collector (\S+) s", shown)
+    assert float(found[1]) > 0.0
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -1,7 +1,6 @@
 """An event loop whose clock skips to the next timer instead of waiting."""
 
 import asyncio
-import gc
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -25,13 +24,6 @@
 
 
 def run_virtual(main):
-    """Run a coroutine on a `VirtualLoop`: time-outs and sleeps take no real time.
-
-    What a large fleet leaves is collected here. In a later test, which may run in real
-    time, its collection would stop the event loop for seconds.
-    """
-    try:
-        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-            return runner.run(main)
-    finally:
-        gc.collect()
+    """Run a coroutine on a `VirtualLoop`: time-outs and sleeps take no real time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main)
