--- a/src/sorrelhoist/gateway/memory_grants.py
+++ b/src/sorrelhoist/gateway/memory_grants.py
@@ -70,7 +70,7 @@
     async def acquire(self, address: str, tokens: int, limit_tokens: int) -> bool:
         """Ask for memory of an engine; return whether a prompt may be placed there.
 
-        It may while no gateway grants memory, as in the first 0.6 s after a start of
+        It may while no gateway grants memory, as in the first second after a start of
         all: a wait would make the prompts late that return then.
         """
         now_s = asyncio.get_running_loop().time()
--- a/src/sorrelhoist/gateway/permit_exchange.py
+++ b/src/sorrelhoist/gateway/permit_exchange.py
@@ -12,11 +12,9 @@
 
 logger = logging.getLogger(__name__)
 
-START_DELAY_S = 0.6
-"""Time after its start in which a gateway with peers issues no permits: each of them
-has reported by then. It is shorter than the report interval of 300 gateways, so that
-their first reports after a start of all say who issues permits. Until those arrive each
-one knows only itself."""
+START_DELAY_S = 1.0
+"""Time after its start in which a gateway with peers issues no permits: two report
+intervals, after which it knows which of them do."""
 
 MIN_GRANT_INTERVAL_S = 0.002
 """Lower bound of the interval between two rounds of grants."""
