--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -16,6 +16,8 @@
 
 HOST = "127.0.0.1"
 HEARTBEAT_S = 1.0
+SILENT_BEFORE = 4
+"""Event of a stream before which a worker is silent, if the path asks for it."""
 
 
 def record(**fields):
@@ -201,7 +203,10 @@
             writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
             is_long = "/long" in target
             events = options.long_events if is_long else options.events
-            for number in range(1, events + 1):
+            first = int(headers.get("last-event-id", 0)) + 1
+            for number in range(first, events + 1):
+                if number == SILENT_BEFORE and "/silent" in target:
+                    await asyncio.sleep(options.silent_ms / 1000)
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 writer.write(b"%x\r\n%b\r\n" % (len(event), event))
                 await writer.drain()
@@ -267,6 +272,7 @@
     parser.add_argument("--stream", action="store_true")
     parser.add_argument("--events", type=int, default=10)
     parser.add_argument("--long-events", type=int, default=0)
+    parser.add_argument("--silent-ms", type=float, default=0)
     parser.add_argument("--pause-ms", type=float, default=40.0)
     parser.add_argument("--spoil", type=int, default=0)
     parser.add_argument("--prefix", default="/")
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -280,6 +280,21 @@
     } | fields
 
 
+def engine_runtime(capacity):
+    """Return the costs of an engine, as the sheet of kasparek-hoist has them."""
+    return {
+        "capacity": capacity,
+        "kv_capacity": 405000,
+        "step_count": 34,
+        "step_ms": 1.31,
+        "per_seq_ms": 0.0,
+        "context_per_k": 0.0,
+        "read_per_s": 154000,
+        "pairs_per_m": 0.162,
+        "chunk": 2048,
+    }
+
+
 def configuration(version=1, **more):
     """Return a configuration with a repeatable, a plain and a streaming route."""
     return {
