--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,21 +15,11 @@
     IS_TROUBLE,
     CannotRun,
     configuration,
+    engine_runtime,
     route,
     run,
 )
 
-RUNTIME = {  # as the sheet of kasparek-hoist has it
-    "capacity": 8,
-    "kv_capacity": 405000,
-    "step_count": 34,
-    "step_ms": 1.31,
-    "per_seq_ms": 0.0,
-    "context_per_k": 0.0,
-    "read_per_s": 154000,
-    "pairs_per_m": 0.162,
-    "chunk": 2048,
-}
 TOKENS = ["X-Model: m", "X-Token-Count: 1000,4000"]
 SENT_AFTER_S = 3.2
 
@@ -40,7 +30,7 @@
         route("draft", "llm", "streaming", timeout_ms=10000, gap_target_ms=250),
         route("look", "app", "idempotent", timeout_ms=10000, goal_ms=5000),
     ]
-    found["backends"][1]["runtime"] = RUNTIME
+    found["backends"][1]["runtime"] = engine_runtime(8)
     return found
 
 
