--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,7 +21,7 @@
     world.worker("i-app-1", "app")
     world.worker("i-app-2", "app")
     sound = ["--stream", "--events", 4]
-    spoil = ["--block", "\\n", "--spoil", 1, "--prefix", "/draft/spoil/"]
+    spoil = ["--block", "\\n", "--chunked", 1, "--spoil", 1, "--prefix", "/draft/spoil/"]
     world.worker("i-llm-1", "llm", *sound, *(spoil if IS_TROUBLE else ()))
     world.worker("i-llm-2", "llm", *sound)
     gateway = await world.gateway()
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -320,6 +320,7 @@
 
 def run(folder, main):
     """Run a case; exit with 0 if the rule held, 1 if it was broken, 2 otherwise."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     world = World(folder)
     try:
         world.start_store()
