--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -16,6 +16,7 @@
 
 HOST = "127.0.0.1"
 HEARTBEAT_S = 1.0
+CHUNKED = "Transfer-Encoding: chunked"
 SILENT_BEFORE = 4
 """Event of a stream before which a worker is silent, if the path asks for it."""
 
@@ -199,7 +200,8 @@
         await asyncio.sleep(options.work_ms / 1000)
         if options.stream:
             head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-            head += [f"{n}: {v}" for n, v in own] + ["Transfer-Encoding: chunked"]
+            head += [f"{n}: {v}" for n, v in own]
+            head.append("Connection: close" if options.unframed else CHUNKED)
             writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
             is_long = "/long" in target
             events = options.long_events if is_long else options.events
@@ -208,10 +210,11 @@
                 if number == SILENT_BEFORE and "/silent" in target:
                     await asyncio.sleep(options.silent_ms / 1000)
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
-                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                framed = b"%x\r\n%b\r\n" % (len(event), event)
+                writer.write(event if options.unframed else framed)
                 await writer.drain()
                 await asyncio.sleep(options.pause_ms / 1000)
-            writer.write(b"0\r\n\r\n")
+            writer.write(b"" if options.unframed else b"0\r\n\r\n")
         else:
             writer.write(answer(200, own, b"answer to " + request_id.encode()))
         record(who=options.id, what="answered", id=request_id)
@@ -270,6 +273,7 @@
     parser.add_argument("--capacity", type=int, default=8)
     parser.add_argument("--work-ms", type=float, default=30.0)
     parser.add_argument("--stream", action="store_true")
+    parser.add_argument("--unframed", action="store_true")
     parser.add_argument("--events", type=int, default=10)
     parser.add_argument("--long-events", type=int, default=0)
     parser.add_argument("--silent-ms", type=float, default=0)
