--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from world import (  # noqa: E402
     BROKEN,
--- a/review/common/world.py
+++ b/review/world.py
@@ -16,7 +16,7 @@
 import tomllib
 from pathlib import Path
 
-CHECKOUT = Path(__file__).resolve().parents[2]
+CHECKOUT = Path(__file__).resolve().parents[1]
 STANDINS = Path(__file__).with_name("standins.py")
 IS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
