The log says how long a request may need when it is sent

What a stop cut couldn't be told from the log: whether the request's own size, the load or the measured times were misjudged. 'sent' now has the declared output tokens, the nominal time and the expected one.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -228,26 +228,30 @@
 
     def _log_send(self, left_s: float) -> None:
         now_s = asyncio.get_running_loop().time()
-        table, loads = self.parts.state.table, self.parts.state.loads
-        size = self.admitted.request.size
+        state, size = self.parts.state, self.admitted.request.size
+        table, loads = state.table, state.loads
+        work = self.admitted.work(state, self.assignment)
         self.log.write(
             "sent",
             outcome="sent",
             endpoint=self.assignment.first.endpoint_id,
             helpers=[helper.endpoint_id for helper in self.assignment.helpers],
             prompt_tokens=size.prompt_tokens if size else None,
+            output_tokens=size.output_tokens if size else None,
             parts=self.admitted.request.shared_parts,
             choices=self.assignment.choices,
             domain=self.assignment.first.failure_domain,
             locality=self.assignment.locality,
             running=loads.endpoint_use(self.assignment.first.address, now_s).streams,
             peers=len(loads.peers(now_s)),
-            limit_per_s=self.parts.state.named_limits.requests_per_s(
+            limit_per_s=state.named_limits.requests_per_s(
                 self.assignment.first.endpoint_id
             ),
             load_age_ms=round(loads.oldest_report_s(now_s) * 1000),
             tickets=len(self.assignment.tickets),
             expected_ms=round(self.assignment.first_event_ms),
+            nominal_ms=round(work.nominal_s * 1000),
+            likely_ms=round(state.work_times.expected_s(work, now_s) * 1000),
             waited_ms=round((now_s - self.admitted.received_s) * 1000),
             left_ms=round(left_s * 1000),
             version=table.version if table else None,
