A stopping gateway takes a stream only if its declared size fits

Cause: the expected time was the 99 in 100 quantile of ratios to the nominal time, of all requests of the route together. Most answers use a small part of the output tokens that they declare, so that a request which uses all of them was expected to end long before it could; a gateway that was started a few seconds ago knew a handful of short ones only.

Change: the time of a request is never expected below what it declares. Measured times that are longer still count.

--- a/src/sorrelhoist/decisions/work_times.py
+++ b/src/sorrelhoist/decisions/work_times.py
@@ -43,10 +43,15 @@
     route : str
     nominal_s : float
         Time that it takes by the cost model or the configuration, unmeasured.
+    declared_s : float
+        Time that it may take by the size that it declares itself, 0 if it declares none.
+        Other requests say nothing about it: most answers are far shorter than their
+        callers allow.
     """
 
     route: str
     nominal_s: float
+    declared_s: float = 0.0
 
 
 def nominal_work(
@@ -75,13 +80,14 @@
     >>> call = Route(name="look", host="h", path_prefix="/", targets=(),
     ...              repeat=Repeat.REPEATABLE, objective_s=0.3)
     >>> nominal_work(call, None, 0, 0)
-    Work(route='look', nominal_s=0.3)
+    Work(route='look', nominal_s=0.3, declared_s=0.0)
     """
     if costs is not None and prompt_tokens:
         batch_ms = costs.per_stream_ms * costs.max_running
         decode_s = output_tokens * (costs.step_ms + batch_ms) / 1000
         read_s = costs.read_ms(prompt_tokens) / 1000
-        return Work(route.name, max(read_s, first_event_s or 0.0) + decode_s)
+        work_s = max(read_s, first_event_s or 0.0) + decode_s
+        return Work(route.name, work_s, declared_s=work_s)
     nominal_s = route.timeout_s if route.is_stream else route.objective_s
     return Work(route.name, max(nominal_s, MIN_NOMINAL_S))
 
@@ -203,13 +209,13 @@
         """Return the time within which the work will most likely have ended.
 
         Requests that have been running for longer than those that ended count with the
-        time so far.
+        time so far. It is never less than what the request declares.
         """
         ratio, computed_s = self._ratios.get(work.route, (0.0, float("-inf")))
         if now_s - computed_s >= RATIO_AGE_S:
             ratio = self._ratio(work.route, now_s)
             self._ratios[work.route] = ratio, now_s
-        return ratio * work.nominal_s
+        return max(ratio * work.nominal_s, work.declared_s)
 
     def _ratio(self, route: str, now_s: float) -> float:
         seen = self._seen.get(route) or DecayingQuantile()
--- a/tests/decisions/test_work_times.py
+++ b/tests/decisions/test_work_times.py
@@ -80,7 +80,18 @@
     observe(times, 2 * short.nominal_s, 20, work=short)
     assert times.expected_s(long, 1.0) == pytest.approx(2 * long.nominal_s, rel=0.15)
     assert nominal_work(route, costs, 1000, 100, 3.0).nominal_s > 3.0
-    assert nominal_work(route, None, 0, 0).nominal_s == route.timeout_s
+    assert nominal_work(route, None, 0, 0) == Work("chat", route.timeout_s)
+
+
+def test_a_request_may_need_all_that_it_declares_though_others_needed_less():
+    # A stopping gateway took long streams because those before them had been short.
+    declared = Work("chat", 4.0, declared_s=4.0)
+    times = WorkTimes()
+    observe(times, 0.2, 500, work=declared)
+    assert times.expected_s(declared, now_s=1.0) == 4.0
+    assert times.expected_s(Work("chat", 0.5, declared_s=0.5), now_s=1.0) == 0.5
+    observe(times, 6.0, 50, now_s=1.0, work=declared)
+    assert times.expected_s(declared, now_s=7.0) >= 6.0
 
 
 def test_routes_that_are_gone_leave_nothing_behind():
--- a/tests/platform/test_real_stop.py
+++ b/tests/platform/test_real_stop.py
@@ -85,6 +85,47 @@
     run_in_world(tmp_path, main, routes=ROUTES)
 
 
+def test_a_late_stream_that_may_outlast_the_stop_is_refused(tmp_path):
+    # It was taken since the streams before it were short, and cut at the end.
+    pause_s, long_events = 0.05, 110
+    tokens = ["X-Token-Count: 1000,4000"]  # 5.2 s by the declared costs
+
+    def draft(path, **more):
+        first = head(f"/stream/{path}", "POST", **more).decode()
+        lines = first.replace("X-Token-Count: 5000,200", tokens[0])
+        return (lines[:-2] + "Content-Length: 0\r\n\r\n").encode()
+
+    async def main(world):
+        async def script(received, writer):
+            is_long = "long" in received.path
+            count, wait_s = (long_events, pause_s) if is_long else (4, 0.0)
+            await streams(count, wait_s)(received, writer)
+
+        world.scripts("llm", script)
+        world.scripts("app", works(4.5))
+        gateway = await world.start(grace_s=GRACE_S)
+        for _ in range(20):
+            short = [gateway.call(draft("short", wait_ms=9_000)) for _ in range(8)]
+            assert {reply.status for reply in await asyncio.gather(*short)} == {200}
+        running = asyncio.ensure_future(
+            gateway.call(post("/look/1", wait_ms=9_000), wait_s=9.0)
+        )
+        reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
+        writer.write(draft("short", wait_ms=9_000, close=False))
+        assert (await read_answer(reader, writer, keep_open=True)).status == 200
+        gateway.signal(STOP)
+        await asyncio.sleep(3.2)
+        request_id = random.randbytes(8).hex()
+        late = draft("long", wait_ms=9_000, request_id=request_id, close=False)
+        writer.write(late)
+        answer = await read_answer(reader, writer)
+        assert (answer.status, answer.is_complete) == (503, True)
+        assert not world.runs(request_id)
+        assert (await running).status == 200
+
+    run_in_world(tmp_path, main, routes=ROUTES)
+
+
 def test_signals_in_series_during_a_stop_end_no_process(tmp_path):
     async def main(world):
         gateway = await world.start(grace_s=GRACE_S)
