Readers rest when they have kept the event loop for their share

Cause: a read of IOStream that finds data is complete at once, and awaiting it doesn't suspend. One read of 64 KB holds 10,900 chunks of a byte, and each parsed event goes on without suspending too. While the endpoint sends faster than h11 parses, no timer runs: not those of other requests, nor the event timer and the deadline of this one, nor the measurement of the memory.

Reads of an endpoint are 16 KB, since what one read holds is processed in one go.

--- a/src/sorrelhoist/agent/app.py
+++ b/src/sorrelhoist/agent/app.py
@@ -6,10 +6,10 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from ..clients.engine import EngineClient
+from ..clients.fair_stream import FairHTTPServer
 from ..clients.log import LogClient
 from ..clients.plain_service import PlainServiceClient
 from ..clients.weights import WeightStoreClient
@@ -85,7 +85,7 @@
         """Run the agent for the duration of the context."""
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(self.process.running(self.handle))
-            http = HTTPServer(self._application())
+            http = FairHTTPServer(self._application())
             http.listen(self.settings.http_port, address=self.settings.address)
             stack.callback(http.stop)
             opening = asyncio.create_task(self._open_guard(stack))
--- a/src/sorrelhoist/clients/exchange.py
+++ b/src/sorrelhoist/clients/exchange.py
@@ -12,9 +12,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import DefaultLoopResolver, Resolver, is_valid_ip
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
-from tornado.tcpclient import TCPClient
 
 from .exceptions import ExchangeError, NoAnswerError, NotSentError
+from .fair_stream import FairTCPClient
 
 MAX_BODY_BYTES = 1024 * 1024 * 1024
 
@@ -37,7 +37,7 @@
         return [(socket.AF_INET, (host, port))]
 
 
-class _Connector(TCPClient):
+class _Connector(FairTCPClient):
     """Keep a reference to the connection, so that it can be closed early."""
 
     def __init__(self) -> None:
--- a/src/sorrelhoist/decisions/work_times.py
+++ b/src/sorrelhoist/decisions/work_times.py
@@ -44,9 +44,9 @@
     nominal_s : float
         Time that it takes by the cost model or the configuration, unmeasured.
     declared_s : float
-        Time that it may take by the size that it declares itself, 0 if it declares none.
-        Other requests say nothing about it: most answers are far shorter than their
-        callers allow.
+        Time that it may take by the size that it declares, 0 if it declares none. Other
+        requests say nothing about it: most answers are far shorter than their callers
+        allow.
     """
 
     route: str
--- a/src/sorrelhoist/entry/app.py
+++ b/src/sorrelhoist/entry/app.py
@@ -11,9 +11,9 @@
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, URLSpec
 
+from ..clients.fair_stream import FairHTTPServer
 from ..decisions.documents import Model, Workspace
 from ..decisions.prompts import PromptProfile, profile_prompt
 from ..decisions.retries import RetryBudget
@@ -302,7 +302,9 @@
         """Run the entry until the context exits."""
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(self.process.running(self.handle))
-            http = HTTPServer(self._application(), max_body_size=MAX_HTTP_BODY_BYTES)
+            http = FairHTTPServer(
+                self._application(), max_body_size=MAX_HTTP_BODY_BYTES
+            )
             http.listen(self.settings.http_port, address=self.settings.address)
             stack.callback(http.stop)
             for work in (self.leases.run(), self.limits.run()):
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -13,8 +13,9 @@
 import attrs
 import h11
 from tornado.httputil import HTTPHeaders, HTTPInputError
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
+from ..clients.fair_stream import FairStream
 from ..decisions.forwarding import Broken, Failure, NotSent
 
 MAX_CONNECT_TIMEOUT_S = 0.5
@@ -30,9 +31,14 @@
 REACH_TIMEOUT_S = 0.3
 """A live endpoint in any failure domain accepts a connection within this time."""
 
-READ_BYTES = 65_536
-"""Bytes of one read, and bound of a head, a chunk's header or a trailer that is not
-complete."""
+READ_BYTES = 16_384
+"""Bytes of one read, whose events are processed without a turn for others."""
+
+MAX_HEAD_BYTES = 65_536
+"""Bound of a head, a chunk's header or a trailer that is not complete."""
+
+MAX_COPIED_BYTES = 65_536
+"""Size of a request's body up to which it is sent in one piece with its head."""
 
 MAX_INFORMATIONAL_HEADS = 8
 """Heads with a status of 1xx before an answer; engines send none or one."""
@@ -49,7 +55,7 @@
 """Statuses of answers that end with their head (RFC 9110)."""
 
 
-class EndpointStream(IOStream):
+class EndpointStream(FairStream):
     """Reads on after a failed write.
 
     An endpoint may answer and close its connection before it has read the request. The
@@ -134,7 +140,7 @@
 
     def __attrs_post_init__(self) -> None:
         self._protocol = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=READ_BYTES
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
 
     async def send(
@@ -158,7 +164,7 @@
             end = self._protocol.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
             raise ExchangeError(NotSent(f"can't be forwarded: {error}")) from error
-        if len(content) < READ_BYTES:
+        if len(content) < MAX_COPIED_BYTES:
             self._write(data + content + end)
         else:
             # Large bodies are not copied: while the endpoint reads slowly, the stream
@@ -241,6 +247,9 @@
 
     async def _next(self) -> object:
         while True:
+            # One read may hold thousands of chunks.
+            if self.stream.is_turn_over:
+                await self.stream.rest()
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
--- a/src/sorrelhoist/node/peers.py
+++ b/src/sorrelhoist/node/peers.py
@@ -8,9 +8,9 @@
 
 import attrs
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
+from ..clients.fair_stream import FairTCPClient, take_over
 from ..exceptions import PeerError
 from ..messages.frames import (
     LENGTH_PREFIX_BYTES,
@@ -94,6 +94,7 @@
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection until it closes."""
+        stream = take_over(stream)
         stream.set_nodelay(True)
         self._streams.add(stream)
         calls: set[asyncio.Task] = set()
@@ -232,7 +233,7 @@
     """Pool of connections to peers, one for each address, opened on first use."""
 
     def __init__(self) -> None:
-        self._client = TCPClient()
+        self._client = FairTCPClient()
         self._connections: dict[PeerAddress, PeerConnection] = {}
         self._opening: dict[PeerAddress, asyncio.Task] = {}
 
--- a/src/sorrelhoist/platform/store.py
+++ b/src/sorrelhoist/platform/store.py
@@ -7,14 +7,11 @@
 from urllib.parse import urlencode
 
 import attrs
-from tornado.httpclient import (
-    AsyncHTTPClient,
-    HTTPClientError,
-    HTTPRequest,
-    HTTPResponse,
-)
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..clients.exchange import NumericResolver
+from ..clients.fair_stream import FairTCPClient
 from ..decisions.store_readers import StorePosition
 from ..exceptions import PlatformError
 from .decode_errors import DECODE_ERRORS
@@ -115,9 +112,8 @@
     ) -> None:
         self._base = f"http://{address}"
         # In a busy process a thread that resolves names may be late.
-        self._client = AsyncHTTPClient(
-            force_instance=True, max_clients=8, resolver=NumericResolver()
-        )
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=8)
+        self._client.tcp_client = FairTCPClient(resolver=NumericResolver())
         self._era: int | None = None
         self._era_changed = era_changed
 
