An answer is kept in one buffer, and most of it must be content

Cause: each chunk was kept as an object of its own, 35 bytes and more for two, while the bound and the account count content.

Change: one buffer, so that what is counted is what is kept. An answer of which the framing exceeds the content by 256 KB is broken: it fails over or ends with 502 well before its deadline, and its endpoint counts as faulty.

--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -37,6 +37,11 @@
 MAX_HEAD_BYTES = 65_536
 """Bound of a head, a chunk's header or a trailer that is not complete."""
 
+MAX_EXCESS_BYTES = 256 * 1024
+"""Bytes by which heads and chunk headers may exceed the content of an answer. A chunk
+of one byte takes six: an answer of such chunks costs a gateway as much as thousands of
+others."""
+
 MAX_COPIED_BYTES = 65_536
 """Size of a request's body up to which it is sent in one piece with its head."""
 
@@ -137,6 +142,8 @@
 
     stream: EndpointStream
     _protocol: h11.Connection = attrs.field(init=False)
+    _excess_bytes: int = attrs.field(init=False, default=0)
+    """Bytes received besides content, less those of content."""
 
     def __attrs_post_init__(self) -> None:
         self._protocol = h11.Connection(
@@ -217,6 +224,7 @@
         while True:
             event = await self._next()
             if isinstance(event, h11.Data):
+                self._excess_bytes -= 2 * len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
@@ -236,14 +244,15 @@
         ExchangeError
             If the body is truncated, malformed or over `MAX_ANSWER_BYTES`.
         """
-        chunks, size = [], 0
+        # One buffer: an object for each of many small chunks takes far more memory than
+        # its content.
+        body = bytearray()
         async for chunk in self.chunks():
-            size += len(chunk)
-            if size > MAX_ANSWER_BYTES:
+            body += chunk
+            if len(body) > MAX_ANSWER_BYTES:
                 raise ExchangeError(Broken(f"a body over {MAX_ANSWER_BYTES} bytes"))
-            on_size(size)
-            chunks.append(chunk)
-        return b"".join(chunks)
+            on_size(len(body))
+        return bytes(body)
 
     async def _next(self) -> object:
         while True:
@@ -256,7 +265,11 @@
                 raise ExchangeError(Broken(f"garbled: {error}")) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._protocol.receive_data(await self._read())
+            if self._excess_bytes > MAX_EXCESS_BYTES:
+                raise ExchangeError(Broken("far more framing than content"))
+            data = await self._read()
+            self._excess_bytes += len(data)
+            self._protocol.receive_data(data)
 
     async def _read(self) -> bytes:
         try:
