Bytes of a stream that are no event are bounded

Comments and empty lines were dropped as long as an endpoint sent any, so that nothing but the request's deadline ended such a stream; and an event of a megabyte in pieces of a byte was copied and searched for each piece.

Change: 1 MB without an event ends the stream as broken, whatever it consists of, and only new bytes are searched.

Measured: tests/decisions/test_event_stream.py: its tests of bounds and of time fail before.

--- a/src/sorrelhoist/decisions/event_stream.py
+++ b/src/sorrelhoist/decisions/event_stream.py
@@ -3,8 +3,8 @@
 import attrs
 
 MAX_EVENT_BYTES = 1024 * 1024
-"""Far above the size of any event of an engine; longer data without a terminator is not
-an event stream."""
+"""Far above the size of any event of an engine; longer data without an event, such as
+one without a terminator, comments or empty lines, is not an event stream."""
 
 _END = b"\n\n"
 
@@ -37,7 +37,8 @@
     last_id: str = ""
     must_resume: bool = False
     has_events: bool = attrs.field(default=False, init=False)
-    _buffer: bytes = b""
+    _buffer: bytearray = attrs.field(factory=bytearray, init=False)
+    _idle_bytes: int = attrs.field(default=0, init=False)
 
     def feed(self, data: bytes) -> list[bytes]:
         """Append bytes to the buffer and return the events that are now complete.
@@ -45,20 +46,32 @@
         Raises
         ------
         ValueError
-            If an event grows beyond `MAX_EVENT_BYTES`, or the stream isn't resumed.
+            If `MAX_EVENT_BYTES` came without an event, or the stream isn't resumed.
         """
-        *events, self._buffer = (self._buffer + data).split(_END)
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError(f"an event over {MAX_EVENT_BYTES} bytes")
-        whole = [event + _END for event in events if event.strip()]
+        # Only what is new is searched: an event may come in a million pieces.
+        searched_bytes = max(0, len(self._buffer) - len(_END) + 1)
+        self._buffer += data
+        self._idle_bytes += len(data)
+        whole = []
+        if self._buffer.find(_END, searched_bytes) >= 0:
+            *events, rest = bytes(self._buffer).split(_END)
+            self._buffer = bytearray(rest)
+            whole = [event + _END for event in events if event.strip()]
         for event in whole:
-            if not self.has_events and not is_comment(event):
-                if self.must_resume and not resumes(event, self.last_id):
-                    raise ValueError("the stream wasn't resumed")
-                self.has_events = True
-            self.last_id = event_id(event) or self.last_id
+            self._process(event)
+        if self._idle_bytes > MAX_EVENT_BYTES:
+            raise ValueError(f"no event in {MAX_EVENT_BYTES} bytes")
         return whole
 
+    def _process(self, event: bytes) -> None:
+        if not is_comment(event):
+            self._idle_bytes = len(self._buffer)
+            if not self.has_events and self.must_resume:
+                if not resumes(event, self.last_id):
+                    raise ValueError("the stream wasn't resumed")
+            self.has_events = True
+        self.last_id = event_id(event) or self.last_id
+
     @property
     def partial_bytes(self) -> int:
         """Size of the incomplete event in the buffer."""
