A silent stream is left only for a place that is free now

Cause: a silent stream fails over if the directory has another usable endpoint, whether or not that one has a place, and the first one is excluded for the request.

Change: a silent stream or an overdue first event is left if another endpoint has a place now (the preview that overdue prefills use, for services without an engine too) and, in a planned stop, can do the rest of the declared work before the process ends. Otherwise its endpoint keeps it, and it is checked again after 0.5 s. The work that is left takes the relayed events into account, also when a broken stream is resumed. Endpoints that refuse connections are left as before: they aren't alive.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -81,6 +81,8 @@
         Whether it is sent although a part of its prompt is blamed for deaths.
     is_moved : bool
         Whether it was moved once because its first event was overdue.
+    relayed_events : int
+        Events that its caller has received.
     """
 
     request: CallerRequest
@@ -96,15 +98,17 @@
     excluded: set[str] = attrs.field(factory=set)
     is_trial: bool = False
     is_moved: bool = False
+    relayed_events: int = 0
 
     def work(self, state: GatewayState, assignment: Assignment | None = None) -> Work:
-        """Return the work of the request, before or after its placement."""
-        size = self.request.size
+        """Return the work that is left, before or after the placement."""
+        size, costs = self.request.size, state.engine_costs(self.service)
+        relayed_tokens = self.relayed_events * (costs.tokens_per_event if costs else 0)
         return nominal_work(
             self.route,
-            state.engine_costs(self.service),
+            costs,
             size.prompt_tokens if size else 0,
-            size.output_tokens if size else 0,
+            max(0, size.output_tokens - relayed_tokens) if size else 0,
             assignment.first_event_ms / 1000 if assignment else None,
         )
 
@@ -118,6 +122,11 @@
         """
         if self.progress.has_begun:
             return 0.0
+        return self._likely_s(state, now_s, assignment)
+
+    def _likely_s(
+        self, state: GatewayState, now_s: float, assignment: Assignment | None
+    ) -> float:
         work = self.work(state, assignment)
         return state.work_times.expected_s(work, now_s) + slack_s(self.route.repeat)
 
@@ -129,6 +138,18 @@
             self.expected_s(state, now_s, assignment), self.deadline_s, now_s
         )
 
+    def fits_elsewhere(
+        self, state: GatewayState, now_s: float, assignment: Assignment
+    ) -> bool:
+        """Return whether another endpoint can do what is left before the process ends.
+
+        Unlike a request that was broken off, one whose endpoint still has it may end
+        there.
+        """
+        return state.stop is None or state.stop.fits(
+            self._likely_s(state, now_s, assignment), self.deadline_s, now_s
+        )
+
 
 @attrs.define(eq=False, repr=False, kw_only=True)
 class Attempt:
@@ -325,19 +346,31 @@
             )
 
     def _on_event_timeout(self, limit: asyncio.Timeout) -> None:
-        """End an attempt without events if it can fail over; otherwise keep waiting."""
+        """End an attempt without events if another endpoint can take over now.
+
+        Otherwise it goes on: its endpoint may be busy with other prompts.
+        """
         now_s = asyncio.get_running_loop().time()
         if self._watch is not None and not self._may_move(self._watch, limit, now_s):
             return
-        if self._can_fail_over(
-            now_s, boot_time_s()
-        ) and self.admitted.retry.try_reserve(now_s):
+        if (
+            self._can_fail_over(now_s, boot_time_s())
+            and self._has_place_elsewhere(now_s)
+            and self.admitted.retry.try_reserve(now_s)
+        ):
             if self._watch is not None:
                 self.admitted.is_moved = True
             limit.reschedule(now_s)
-        elif self._watch is not None:
+        else:
             self._restart_timer(limit, RECHECK_S)
 
+    def _has_place_elsewhere(self, now_s: float) -> bool:
+        """Return whether another endpoint has a place now, and time for the rest."""
+        placement = self.parts.dispatcher.preview(self._request_elsewhere(), now_s)
+        return isinstance(placement, Assignment) and self.admitted.fits_elsewhere(
+            self.parts.state, now_s, placement
+        )
+
     def _may_move(
         self, watch: PrefillWatch, limit: asyncio.Timeout, now_s: float
     ) -> bool:
@@ -519,6 +552,9 @@
             is_progress = not all(map(is_comment, events))
             if not is_progress and not (events and self.caller.has_begun):
                 continue
+            self.admitted.relayed_events += sum(
+                not is_comment(event) for event in events
+            )
             self._record_pause(pauses, len(events))
             if self._watch is not None:
                 self._record_lateness(self._watch)
--- a/src/sorrelhoist/gateway/dispatch.py
+++ b/src/sorrelhoist/gateway/dispatch.py
@@ -443,12 +443,14 @@
         return self._place_prompt(placement_request, service.engine, may_be_late, now_s)
 
     def preview(self, placement_request: PlacementRequest, now_s: float) -> Placement:
-        """Return where a prompt would go if it left its place, without moving it."""
+        """Return where a request would go if it left its place, without moving it."""
         table = self._state.table
         service = table.services.get(placement_request.service) if table else None
-        if service is None or service.engine is None:
+        if service is None:
             return Busy()
         with self._state.loads.without(placement_request.request.request_id):
+            if service.engine is None:
+                return self._choose_for_call(placement_request, now_s)
             return self._choose(placement_request, service.engine, True, now_s)[1]
 
     def _choose(
@@ -528,7 +530,7 @@
             proposal.request_id, self._work_item(placement_request)
         )
 
-    def _place_call(
+    def _choose_for_call(
         self, placement_request: PlacementRequest, now_s: float
     ) -> Placement:
         """Choose the least utilised endpoint of a service without a model engine."""
@@ -538,9 +540,14 @@
         ) -> Placement:
             return self._least_utilised(placement_request, views)
 
-        placement = self._place_by_domain(
+        return self._place_by_domain(
             placement_request, RequestKind.CALL, 0, None, place, now_s
         )
+
+    def _place_call(
+        self, placement_request: PlacementRequest, now_s: float
+    ) -> Placement:
+        placement = self._choose_for_call(placement_request, now_s)
         if isinstance(placement, Assignment):
             use = RequestUse(address=placement.first.address)
             self._state.place(
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -2,11 +2,20 @@
 
 import asyncio
 import logging
+import os
+import signal
 import time
 
 import pytest
 
-from tests.platform.fleet import configuration, read_answer, route, run_with_fleet
+from tests.platform.fleet import (
+    RUNTIME,
+    configuration,
+    read_answer,
+    route,
+    run_with_fleet,
+    until,
+)
 from tests.platform.standins import (
     all_events,
     answer_bytes,
@@ -135,6 +144,67 @@
     run_with_fleet(main)
 
 
+def by_path(**scripts):
+    """Answer by the last part of the path."""
+
+    async def script(received, writer):
+        await scripts[received.path.rsplit("/", 1)[1]](received, writer)
+
+    return script
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_a_silent_stream_is_not_left_for_an_endpoint_without_a_place(is_stopping):
+    # A live endpoint was left after a second of silence for a full one, and the stream
+    # waited for a place until it was cut by the planned stop.
+    async def main(fleet):
+        script = by_path(busy=streams(40, 0.1), silent=pauses)
+        for _ in range(2):
+            await fleet.add(script, capacity=1)
+        busy = asyncio.ensure_future(fleet.fetch("/stream/busy", "POST", wait_ms=6000))
+        await until(lambda: any(one.requests for one in fleet.endpoints))
+        asked = asyncio.ensure_future(
+            fleet.fetch("/stream/silent", "POST", wait_ms=6000)
+        )
+        await until(lambda: all(one.requests for one in fleet.endpoints))
+        if is_stopping:
+            os.kill(os.getpid(), signal.SIGTERM)
+        answer = await asked
+        assert answer.is_complete
+        assert answer.body == all_events(1, 2)
+        assert answer.took_s < 2.0
+        assert (await busy).is_complete
+
+    run_with_fleet(main, first=with_capacity(1), grace_s=8.0)
+
+
+def with_capacity(requests):
+    """Return a configuration with long streams and engines for a number of requests."""
+    found = configuration()
+    found["backends"][0]["runtime"] = RUNTIME | {"capacity": requests}
+    found["routes"][0]["timeout_ms"] = 30_000
+    return found
+
+
+@pytest.mark.parametrize(("output_tokens", "runs"), [(20_000, 1), (60, 2)])
+def test_a_silent_stream_is_left_in_a_stop_only_if_its_rest_fits(output_tokens, runs):
+    # What another endpoint can't end before the process does is better left alone.
+    async def main(fleet):
+        script = in_sequence(pauses, streams(2))
+        for _ in range(2):
+            await fleet.add(script)
+        size = f"5000,{output_tokens}"
+        asked = asyncio.ensure_future(fleet.stream(wait_ms=20_000, size=size))
+        await until(lambda: any(one.requests for one in fleet.endpoints))
+        os.kill(os.getpid(), signal.SIGTERM)
+        answer = await asked
+        assert answer.is_complete
+        assert answer.body == all_events(1, 2)
+        assert sum(len(one.requests) for one in fleet.endpoints) == runs
+
+    run_with_fleet(main, first=with_capacity(8), grace_s=8.0)
+
+
 def test_a_begun_stream_may_wait_for_placement_past_its_objective():
     async def breaks(received, writer):
         headers = [*echo_headers(received), ("Transfer-Encoding", "chunked")]
