Endpoints count as dead only if their hosts say so, and blame is no verdict

Proper requests were turned away with 422 (DENIED, from the users' runs).

Reproduced on a real process (tests/platform/test_real_deaths.py): two streams of one request break off at endpoints whose accept queues are full; the log has 'endpoint died' twice and then 'refused', 422, 'endpoints died each time they ran this request'. With requests that share a part the same happens after four. The users' record has 'part blamed' and 'refused' in one millisecond, and more of them 45 s later, within the 60 s until a blamed part is tried again; its cause can't be told from it (statuses and reasons are cut off), so that this is suspected to be theirs, not proved.

Cause: after a broken answer an endpoint that couldn't be connected to within 0.3 s was dead. A full accept queue, a host without power, a cut network, a busy event loop and a process without descriptors look the same, and say nothing of the request. And 422 tells a caller not to come again, though a request is refused by circumstance alone.

Change: a death is evidence only if the connection is refused, since the host then says that no process listens. Requests that are suspected, or have a blamed part, are refused with 503 and a Retry-After of the time until one is tried next.

--- a/src/sorrelhoist/decisions/part_suspicion.py
+++ b/src/sorrelhoist/decisions/part_suspicion.py
@@ -11,6 +11,7 @@
 it, among sound prompts of the same caller that hold the same other parts.
 """
 
+import math
 from collections.abc import Collection, Iterable, Sequence
 
 import attrs
@@ -201,13 +202,20 @@
         died_s = self._table.deaths(fingerprint, now_s)
         if not died_s or first(f"trial {blame.part}", node_ids) != self._node_id:
             return False
-        doublings = min(blame.deaths - MIN_DEATHS, MAX_TRIAL_DOUBLINGS)
-        tried_s = self._trials_s.get(fingerprint, float("-inf"))
-        if now_s - max(tried_s, *died_s.values()) < TRIAL_BASE_S * 2**doublings:
+        if self.trial_after_s(blame, now_s) > 0.0:
             return False
         self._trials_s[fingerprint] = now_s
         return True
 
+    def trial_after_s(self, blame: Blame, now_s: float) -> float:
+        """Return the time until a request with a blamed part may be tried again."""
+        fingerprint = part_fingerprint(blame.part)
+        died_s = self._table.deaths(fingerprint, now_s).values()
+        doublings = min(blame.deaths - MIN_DEATHS, MAX_TRIAL_DOUBLINGS)
+        tried_s = self._trials_s.get(fingerprint, -math.inf)
+        since_s = max(tried_s, max(died_s, default=-math.inf))
+        return max(0.0, since_s + TRIAL_BASE_S * 2**doublings - now_s)
+
     def merge(self, suspicions: Iterable[ttypes.Suspicion], now_s: float) -> None:
         """Merge evidence from another gateway.
 
--- a/src/sorrelhoist/decisions/request_suspicion.py
+++ b/src/sorrelhoist/decisions/request_suspicion.py
@@ -7,6 +7,7 @@
 refused is tried again at growing intervals.
 """
 
+import math
 import sys
 from collections.abc import Iterable
 
@@ -143,16 +144,21 @@
         died_s = self._table.deaths(fingerprint, now_s)
         if not died_s or first(f"trial {fingerprint}", node_ids) != self._node_id:
             return False
-        steps = min(max(0, len(died_s) - DEATHS_TO_CONDEMN), MAX_TRIAL_STEPS)
-        tried_s = self._trials_s.get(fingerprint, float("-inf"))
-        wait_s = TRIAL_BASE_S * TRIAL_FACTOR**steps
-        if now_s - max(tried_s, *died_s.values()) < wait_s:
+        if self.trial_after_s(fingerprint, now_s) > 0.0:
             return False
         self._trials_s[fingerprint] = now_s
         while len(self._trials_s) > MAX_TRACKED_REQUESTS:
             del self._trials_s[next(iter(self._trials_s))]
         return True
 
+    def trial_after_s(self, fingerprint: int, now_s: float) -> float:
+        """Return the time until a condemned request may be tried again."""
+        died_s = self._table.deaths(fingerprint, now_s).values()
+        steps = min(max(0, len(died_s) - DEATHS_TO_CONDEMN), MAX_TRIAL_STEPS)
+        tried_s = self._trials_s.get(fingerprint, -math.inf)
+        since_s = max(tried_s, max(died_s, default=-math.inf))
+        return max(0.0, since_s + TRIAL_BASE_S * TRIAL_FACTOR**steps - now_s)
+
     def merge(self, suspicions: Iterable[ttypes.Suspicion], now_s: float) -> None:
         """Merge evidence from another gateway.
 
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -45,7 +45,7 @@
 from .request_log import RequestLog
 from .retry_charges import RetryCharge
 from .state import boot_time_s
-from .upstream import is_reachable
+from .upstream import refuses_connections
 
 NO_CAPACITY_WEIGHT = 0.4
 """Weight of a failure for lack of capacity: the endpoint is busy, not broken."""
@@ -348,7 +348,7 @@
         fingerprint = _fingerprint(request)
         is_suspect = state.suspicions.is_condemned(fingerprint, self.received_s)
         if is_suspect and not state.try_suspect(fingerprint, self.received_s):
-            return Refusal(422, "endpoints died each time they ran this request")
+            return self._suspect_refusal(fingerprint)
         blame = state.blamed_part(request.shared_parts, self.received_s)
         is_trial = blame is not None and state.try_part_trial(blame, self.received_s)
         if blame is not None and not is_trial:
@@ -406,8 +406,24 @@
             deaths=blame.deaths,
             moments=blame.moments,
         )
+        now_s = asyncio.get_running_loop().time()
         return Refusal(
-            422, f"{blame.deaths} endpoints died on prompts with part {blame.part}"
+            503,
+            f"{blame.deaths} endpoints died on prompts with part {blame.part}",
+            self.parts.state.part_suspicions.trial_after_s(blame, now_s),
+        )
+
+    def _suspect_refusal(self, fingerprint: int) -> Refusal:
+        """Refuse a request under which endpoints died.
+
+        Their deaths don't prove that the request is at fault, so it may come again
+        when it is tried next.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return Refusal(
+            503,
+            "endpoints died each time they ran this request",
+            self.parts.state.suspicions.trial_after_s(fingerprint, now_s),
         )
 
     def _memory_refusal(self) -> Refusal:
@@ -631,11 +647,14 @@
     async def _record_death(
         self, admitted: AdmittedRequest, endpoint: Endpoint
     ) -> None:
-        """Record evidence against the request if its endpoint died while running it."""
+        """Record evidence against the request if its endpoint died while running it.
+
+        An endpoint that can't be reached for another reason is none.
+        """
         running = self.parts.state.loads.endpoint_use(
             endpoint.address, asyncio.get_running_loop().time()
         ).streams
-        if await is_reachable(endpoint.address):
+        if not await refuses_connections(endpoint.address):
             return
         now_s = asyncio.get_running_loop().time()
         self.parts.state.part_suspicions.endpoint_died(
--- a/src/sorrelhoist/gateway/upstream.py
+++ b/src/sorrelhoist/gateway/upstream.py
@@ -326,6 +326,22 @@
         stream.close()
 
 
+async def refuses_connections(address: str) -> bool:
+    """Return whether the host of an endpoint says that no process listens there.
+
+    A timeout doesn't say so: it may come from a host without power, a full accept
+    queue, or a busy event loop here.
+    """
+    try:
+        async with connected(address, REACH_TIMEOUT_S):
+            return False
+    except ExchangeError as error:
+        cause = error.__cause__
+        if isinstance(cause, StreamClosedError):
+            cause = cause.real_error
+        return isinstance(cause, ConnectionRefusedError)
+
+
 async def is_reachable(address: str) -> bool:
     """Return whether an endpoint accepts a connection."""
     try:
