An unframed answer whose endpoint died as it ended isn't whole

A caller that takes half of an answer for a whole one doesn't come again, while a stream that is resumed in vain ends at once.

Change: 20 ms after an unframed answer, a stream or not, its endpoint must not refuse connections, unless it is leaving; the answer is broken otherwise. The first check came at once, and missed one of two kills, since the process closes its sockets one by one.

--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -36,6 +36,7 @@
     Upstream,
     connect_timeout_s,
     connected,
+    refuses_connections,
 )
 
 STREAM_TIMEOUT_PAUSES = 4.0
@@ -52,6 +53,9 @@
 """Bounds of this time. The minimum covers several engine passes. The maximum leaves
 time for a second prefill of a long prompt, which takes engines seconds."""
 
+EXIT_S = 0.02
+"""Time in which a process that is killed closes all its sockets, one by one."""
+
 TIGHT_STREAM_PRIORITY = 2
 """Engine priority of streams with a short pause target; the default is 5."""
 
@@ -516,6 +520,8 @@
         if is_empty and head.status < 300:
             # It ends like one whose endpoint died after the head.
             return Broken("the answer ended before its content")
+        if has_content and await self._has_died(head):
+            return Broken("the endpoint died as its answer ended")
         headers = self._caller_headers(head)
         if has_content:
             headers["Content-Length"] = str(len(body))
@@ -572,16 +578,41 @@
                 await self.caller.drained()
                 self._restart_timer(limit, timeout_s)
         self._record_passes(pauses)
+        failure = await self._check_end(splitter, head)
+        if failure is not None:
+            return failure
+        if not self.caller.has_begun:
+            await self._begin_stream(head)
+        self.log.write("answered", outcome="answered", last_id=splitter.last_id)
+        return None
+
+    async def _check_end(
+        self, splitter: EventSplitter, head: AnswerHead
+    ) -> Failure | None:
+        """Return why a stream that has ended isn't whole, if it isn't."""
         if splitter.has_partial_event:
             return Broken("the stream ended in the middle of an event")
         if not splitter.has_events and not head.is_framed:
             # It ends like one whose endpoint died before the first event.
             return Broken("the stream ended before its first event")
-        if not self.caller.has_begun:
-            await self._begin_stream(head)
-        self.log.write("answered", outcome="answered", last_id=splitter.last_id)
+        if await self._has_died(head):
+            return Broken("the endpoint died as its stream ended")
         return None
 
+    async def _has_died(self, head: AnswerHead) -> bool:
+        """Return whether an unframed answer ended with the process of its endpoint.
+
+        The kernel ends the connections of a killed process as those of one that has
+        answered. One that is leaving may end after its last answer.
+        """
+        endpoint = self.assignment.first
+        now_s = asyncio.get_running_loop().time()
+        if head.is_framed or not self.parts.state.may_send(endpoint, now_s):
+            return False
+        self._restart_timer(None, None)
+        await asyncio.sleep(EXIT_S)
+        return await refuses_connections(endpoint.address)
+
     def _record_pause(self, pauses: StreamPauses, events: int) -> None:
         """Record the pause before events, and log it if it makes the stream late."""
         began_s = pauses.last_event_s
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -96,3 +96,43 @@
             assert answer.body == b"whole answer"
 
     run_with_fleet(main)
+
+
+def dies_after(endpoint, events):
+    """End in order with the process, as the kernel does for one that is killed."""
+
+    async def script(received, writer):
+        endpoint.stop_listening()
+        await unframed_stream(events)(received, writer)
+
+    return script
+
+
+def test_an_unframed_stream_whose_endpoint_is_killed_goes_on_at_another_one():
+    # Its caller took half of the stream for a whole answer.
+    async def main(fleet):
+        dying = await fleet.add(name="i-dying", capacity=8)
+        dying.scripts = [dies_after(dying, 3)]
+        await fleet.add(streams(count=5), name="i-sound", capacity=8)
+        while dying.received == []:
+            answer = await fleet.stream()
+            assert answer.is_complete
+            assert answer.body == all_events(1, 5)
+
+    run_with_fleet(main)
+
+
+def test_an_unframed_answer_whose_endpoint_is_killed_is_not_passed_on_as_whole():
+    async def main(fleet):
+        dying = await fleet.add(service="app", name="i-dying")
+
+        async def script(received, writer):
+            dying.stop_listening()
+            writer.write(answer_bytes(200, echo_headers(received), b"ha", length=False))
+            await writer.drain()
+
+        dying.scripts = [script]
+        answer = await fleet.fetch("/once/1", "POST", b"x")
+        assert answer.status == 502
+
+    run_with_fleet(main)
