The log says how far a stream has come when it is answered or cut by a stop

Streams that are too slow, whose callers don't read, and that wait for a second attempt look alike in the log of a stop. "answered" and "cut by stop" now say when the request was sent, its events, the time from the first to the last and since, and "cut by stop" what its caller hasn't read and the time since the signal; "sent" names the context and the prefills at the endpoint. No decision changes.

--- a/src/sorrelhoist/decisions/placement/pause_monitor.py
+++ b/src/sorrelhoist/decisions/placement/pause_monitor.py
@@ -84,26 +84,42 @@
     ----------
     target_s : float
         Target of its route.
+    events : int
+    first_event_s, last_event_s : float or None
+    shortest_s : float
+        Shortest pause so far.
 
     Examples
     --------
     >>> pauses = StreamPauses(target_s=0.25)
     >>> pauses.relayed(1, now_s=1.0), pauses.relayed(1, now_s=1.25)
     (None, 0.25)
+    >>> pauses.stream_s
+    0.25
     >>> pauses.is_over_target(0.25), pauses.is_over_target(0.3)
     (False, True)
     """
 
     target_s: float
     events: int = 0
+    first_event_s: float | None = None
     last_event_s: float | None = None
     shortest_s: float = math.inf
 
+    @property
+    def stream_s(self) -> float:
+        """Time from the first event to the last."""
+        if self.first_event_s is None or self.last_event_s is None:
+            return 0.0
+        return self.last_event_s - self.first_event_s
+
     def relayed(self, events: int, now_s: float) -> float | None:
         """Record events that arrived together; return the pause before them, in s."""
         pause_s = None if self.last_event_s is None else now_s - self.last_event_s
         if pause_s is not None and pause_s < self.shortest_s:
             self.shortest_s = pause_s
+        if self.first_event_s is None:
+            self.first_event_s = now_s
         self.events += events
         self.last_event_s = now_s
         return pause_s
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -87,6 +87,10 @@
         Whether it was moved once because its first event was overdue.
     relayed_events : int
         Events that its caller has received.
+    sent_s : float or None
+        Time at which it was last sent to an endpoint.
+    pauses : StreamPauses or None
+        Events of its stream at that endpoint.
     """
 
     request: CallerRequest
@@ -103,6 +107,24 @@
     is_trial: bool = False
     is_moved: bool = False
     relayed_events: int = 0
+    sent_s: float | None = None
+    pauses: StreamPauses | None = None
+
+    def progress_fields(self, now_s: float) -> dict[str, int | None]:
+        """Return how far its work has come, for the log."""
+        size, pauses = self.request.size, self.pauses
+        fields: dict[str, int | None] = {
+            "sent_ms": None if self.sent_s is None else _ms(now_s - self.sent_s),
+            "declared_tokens": size.output_tokens if size is not None else None,
+            "runs": self.progress.runs,
+        }
+        if pauses is not None and pauses.last_event_s is not None:
+            fields |= {
+                "events": pauses.events,
+                "stream_ms": _ms(pauses.stream_s),
+                "last_event_ms": _ms(now_s - pauses.last_event_s),
+            }
+        return fields
 
     def work(self, state: GatewayState, assignment: Assignment | None = None) -> Work:
         """Return the work that is left, before or after the placement."""
@@ -212,6 +234,7 @@
             engine_priority=self._engine_priority(),
         )
         self._log_send(left_s)
+        self.admitted.sent_s, self.admitted.pauses = loop.time(), None
         self.parts.state.request_sent(request.request_id)
         headers = self.parts.dialect.endpoint_headers(request, send)
         try:
@@ -256,6 +279,7 @@
         state, size = self.parts.state, self.admitted.request.size
         table, loads = state.table, state.loads
         work = self.admitted.work(state, self.assignment)
+        use = loads.endpoint_use(self.assignment.first.address, now_s)
         self.log.write(
             "sent",
             outcome="sent",
@@ -267,7 +291,9 @@
             choices=self.assignment.choices,
             domain=self.assignment.first.failure_domain,
             locality=self.assignment.locality,
-            running=loads.endpoint_use(self.assignment.first.address, now_s).streams,
+            running=use.streams,
+            kv_tokens=use.kv_tokens,
+            backlog_ms=round(use.backlog_ms(now_s)),
             peers=len(loads.peers(now_s)),
             limit_per_s=state.named_limits.requests_per_s(
                 self.assignment.first.endpoint_id
@@ -544,7 +570,7 @@
             last_id=self.admitted.splitter.last_id, must_resume=self.caller.has_begun
         )
         self.admitted.splitter = splitter
-        pauses = StreamPauses(target_s=pause_s)
+        pauses = self.admitted.pauses = StreamPauses(target_s=pause_s)
         account = self.caller.account
         is_limited = self.parts.state.memory.limit_bytes is not None
         async for chunk in upstream.chunks():
@@ -583,7 +609,12 @@
             return failure
         if not self.caller.has_begun:
             await self._begin_stream(head)
-        self.log.write("answered", outcome="answered", last_id=splitter.last_id)
+        self.log.write(
+            "answered",
+            outcome="answered",
+            last_id=splitter.last_id,
+            **self.admitted.progress_fields(asyncio.get_running_loop().time()),
+        )
         return None
 
     async def _check_end(
@@ -684,6 +715,10 @@
         return self.parts.dialect.caller_headers(head.headers)
 
 
+def _ms(time_s: float) -> int:
+    return round(time_s * 1000)
+
+
 def _ignore_size(size_bytes: int) -> None:
     """Ignore the size of an answer that no account is kept for."""
 
--- a/src/sorrelhoist/gateway/caller.py
+++ b/src/sorrelhoist/gateway/caller.py
@@ -125,8 +125,12 @@
     def _count_unread(self) -> None:
         if self.account is not None:
             now_s = asyncio.get_running_loop().time()
-            unread_bytes = self._being_written + self._pending_bytes
-            self.account.hold_unread(unread_bytes, now_s)
+            self.account.hold_unread(self.unread_bytes, now_s)
+
+    @property
+    def unread_bytes(self) -> int:
+        """Size of what is held until the connection takes it."""
+        return self._being_written + self._pending_bytes
 
     @property
     def has_drained(self) -> bool:
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -270,12 +270,16 @@
         else:
             stop.refused += 1
         self.parts.metrics.planned_stops.add(1, {"outcome": outcome})
+        now_s, admitted = asyncio.get_running_loop().time(), self._admitted
         self._log.write(
             "cut by stop" if is_sent else "refused by stop",
             outcome=outcome,
             expected_s=round(self._expected_s(), 3),
-            left_s=round(stop.left_s(asyncio.get_running_loop().time()), 3),
+            stopping_s=round(now_s - stop.began_s, 3),
+            left_s=round(stop.left_s(now_s), 3),
             is_sent=is_sent,
+            unread_bytes=self.caller.unread_bytes,
+            **(admitted.progress_fields(now_s) if admitted is not None else {}),
         )
 
     # Admission
