Reproduce: a late stream beside long contexts, or at a slow engine, is cut by a stop

Three cases with a real gateway and an engine in a process of its own, whose passes last as long as its costs and the context of its streams say. A stream is sent 3.1 s after SIGTERM on a kept connection; nominal_ms and likely_ms are 3,436, left_ms is 3,891 to 3,898. It is broken off 7.0 s after the signal with 53, 53 and 60 of its 75 events.

--- /dev/null
+++ b/tests/platform/test_real_stop_pace.py
@@ -0,0 +1,126 @@
+"""Planned stops beside engines that are slower than declared sizes imply."""
+
+import asyncio
+import contextlib
+import subprocess
+import sys
+
+import pytest
+
+from tests.platform.fleet import configuration, read_answer, route
+from tests.platform.paced_engine import COSTS
+from tests.platform.real_gateway import CHECKOUT, STOP, head, run_in_world
+from tests.platform.standins import Endpoint
+
+pytestmark = pytest.mark.process
+
+GRACE_S = 8
+LATE_S = 3.1
+"""A stream sent later than 3 s after the signal must end whole or be refused."""
+DECLARED_TOKENS = 2550
+DECLARED_EVENTS = DECLARED_TOKENS // COSTS["step_count"]
+"""3.3 s by the costs of an engine that runs nothing else."""
+SHORT_EVENTS, SHORT_ROUNDS = 4, 25
+HELD_EVENTS = 160
+WAIT_MS = 12_000
+LONG_CONTEXT_TOKENS = 40_000
+ROUTES = [
+    route("stream", "streaming", "llm", timeout_ms=30_000, gap_target_ms=250),
+    route("slow", "streaming", "llm", timeout_ms=30_000, gap_target_ms=2000),
+    route("look", "idempotent", "app"),
+]
+
+
+@contextlib.asynccontextmanager
+async def paced_engine(world, slowness):
+    """Run an engine in place of the model endpoints of a world."""
+    for name in [n for n, service in world.services.items() if service == "llm"]:
+        await world.endpoints.pop(name).stop()
+        world.store.put("keyed.servers", name, None)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "tests.platform.paced_engine", str(slowness)],
+        stdout=subprocess.PIPE,
+        cwd=CHECKOUT,
+    )
+
+    async def register(entry):
+        while True:
+            world.store.put("keyed.servers", "i-p", entry)
+            await asyncio.sleep(1.0)
+
+    try:
+        endpoint = Endpoint(endpoint_id="i-p", port=int(process.stdout.readline()))
+        entry = endpoint.entry(backend="llm", capacity=COSTS["capacity"])
+        beat = asyncio.ensure_future(register(entry))
+        yield process
+        beat.cancel()
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+
+def stream(events, declared=DECLARED_TOKENS, context=1000, path="stream", close=True):
+    """Return a request for a stream, which may declare more tokens than it needs."""
+    size = ["X-Model: m", f"X-Token-Count: {context},{declared}", "Content-Length: 0"]
+    return head(
+        f"/{path}/{events}", "POST", extra=size, wait_ms=WAIT_MS, close=close
+    ).replace(b"X-Token-Count: 5000,200\r\nX-Model: m\r\n", b"")
+
+
+async def see_short_streams(gateway):
+    """Let the gateway see many streams that need little of what they declare."""
+    for _ in range(SHORT_ROUNDS):
+        calls = [gateway.call(stream(SHORT_EVENTS)) for _ in range(COSTS["capacity"])]
+        assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
+
+
+def run_late_stream(folder, slowness, beside, is_warm):
+    """Send a stream that needs all that it declares on a kept connection, late."""
+    held_tokens = HELD_EVENTS * COSTS["step_count"]
+
+    async def main(world):
+        async with paced_engine(world, slowness):
+            gateway = await world.start(grace_s=GRACE_S)
+            if is_warm:
+                await see_short_streams(gateway)
+            reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
+            writer.write(stream(1, close=False))
+            assert (await read_answer(reader, writer, keep_open=True)).status == 200
+            # They hold the process for the time of the stop.
+            contexts = [LONG_CONTEXT_TOKENS] * beside or [1000]
+            held = [
+                asyncio.ensure_future(
+                    gateway.call(
+                        stream(HELD_EVENTS, held_tokens, context, "slow"), wait_s=9.0
+                    )
+                )
+                for context in contexts
+            ]
+            await asyncio.sleep(1.0)
+            gateway.signal(STOP)
+            await asyncio.sleep(LATE_S)
+            writer.write(stream(DECLARED_EVENTS, close=False))
+            answer = await read_answer(reader, writer)
+            assert {reply.status for reply in await asyncio.gather(*held)} == {200}
+            assert await gateway.exit_code(4.0) == 0
+            assert answer.status in (200, 503)
+            assert answer.is_complete
+
+    config = configuration(routes=ROUTES)
+    backends = [
+        {"name": "llm", "health_path": "/healthz", "runtime": COSTS},
+        {"name": "app", "health_path": "/healthz"},
+    ]
+    run_in_world(folder, main, routes=config["routes"], backends=backends)
+
+
+@pytest.mark.parametrize("is_warm", (False, True))
+def test_a_late_stream_beside_long_contexts_is_refused_or_whole(tmp_path, is_warm):
+    # Its declared size fitted at the pace of an engine without other streams.
+    run_late_stream(tmp_path, slowness=1.0, beside=2, is_warm=is_warm)
+
+
+def test_a_late_stream_at_a_slow_engine_is_refused_or_whole(tmp_path):
+    # Short streams of a large declared size hid that the engine was slow.
+    run_late_stream(tmp_path, slowness=1.4, beside=0, is_warm=True)
