Streams are expected to take as long as their engines are slow, not as others needed

Callers saw a stream that was sent later than 3 s after SIGTERM end in the middle, 7.0 s after the signal (LOST).

Cause: one ratio of time to declared size mixed how much of its size a stream needs with how fast its engine is. Most streams need a third of what they declare and hide the speed; the lower bound, the declared size at the costs of an engine, left out the context of other streams and their prefills, which make a pass longer.

Change: the work of a stream is the time to its first event and its passes, by the costs and the load of the chosen endpoint. StreamPaces measures how much longer passes take, each with the same weight, also of streams that were cut or still run. Once the load balancer knows of the stop, a stream is taken only if all that it declares fits at that pace; until then, as before, if it most likely ends in time.

The bound of declared_s in test_work_times.py is now that of longest_s, which is asked for the same.

--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -11,11 +11,14 @@
 EXIT_MARGIN_S = 0.7
 """Part of the grace period that is reserved for the exit of the process itself."""
 
+READINESS_DETECTION_S = 2.5
+"""Time until the load balancer notices that the process is not ready: two readiness
+probes, 1 s apart, plus slack."""
+
 ANSWER_MARGIN_S = 0.3
 """Time before the exit at which all that still runs is answered, for the answers to
 reach their callers."""
 
-
 SLACK_S = 0.2
 """Time by which work may outlast its expected time, as on a busy host. A request that
 is refused is served elsewhere 0.05 s later. One that is cut has waited for nothing, and
@@ -36,6 +39,22 @@
     return ONCE_SLACK_S if repeat is Repeat.ONCE else SLACK_S
 
 
+@attrs.frozen
+class WorkEstimate:
+    """Time of a request's work.
+
+    Parameters
+    ----------
+    likely_s : float
+        Time within which it most likely ends.
+    longest_s : float
+        Time that it may take if it needs all that it declares.
+    """
+
+    likely_s: float = 0.0
+    longest_s: float = 0.0
+
+
 @attrs.define(kw_only=True)
 class PlannedStop:
     """Times of a planned stop, and the requests that it refused or cut.
@@ -55,11 +74,12 @@
     >>> stop = PlannedStop(began_s=100.0, grace_s=8.0)
     >>> stop.cut_at_s
     107.0
-    >>> stop.fits(expected_s=2.5, deadline_s=130.0, now_s=103.0)
+    >>> work = WorkEstimate(likely_s=2.5, longest_s=4.0)
+    >>> stop.fits(work, deadline_s=130.0, now_s=102.0)
     True
-    >>> stop.fits(expected_s=6.0, deadline_s=130.0, now_s=103.0)
+    >>> stop.fits(work, deadline_s=130.0, now_s=103.5)
     False
-    >>> stop.fits(expected_s=6.0, deadline_s=105.0, now_s=103.0)
+    >>> stop.fits(work, deadline_s=105.0, now_s=103.5)
     True
     """
 
@@ -83,13 +103,17 @@
         """Return a request's deadline, moved into the grace period."""
         return min(deadline_s, self.cut_at_s)
 
-    def latest_start_s(self, expected_s: float, deadline_s: float) -> float | None:
+    def latest_start_s(self, work: WorkEstimate, deadline_s: float) -> float | None:
         """Return until when a request may be sent to an endpoint.
 
+        Callers that the load balancer still sends here may find no other gateway: their
+        requests are taken if they most likely end in time. Later ones come on open
+        connections, and are taken only if they fit with all that they declare.
+
         Parameters
         ----------
-        expected_s : float
-            Time within which its work most likely ends, with its slack.
+        work : WorkEstimate
+            Its work, with its slack.
         deadline_s : float
 
         Returns
@@ -101,13 +125,15 @@
             return self.began_s
         if deadline_s < self.cut_at_s:
             return None
-        return self.cut_at_s - expected_s
+        detected_at_s = self.began_s + READINESS_DETECTION_S
+        likely_fits_s = min(self.cut_at_s - work.likely_s, detected_at_s)
+        return max(likely_fits_s, self.cut_at_s - work.longest_s)
 
-    def fits(self, expected_s: float, deadline_s: float, now_s: float) -> bool:
+    def fits(self, work: WorkEstimate, deadline_s: float, now_s: float) -> bool:
         """Return whether a request that is sent now can be expected to end in time."""
         if self.is_closing or now_s >= self.cut_at_s:
             return False
-        latest_s = self.latest_start_s(expected_s, deadline_s)
+        latest_s = self.latest_start_s(work, deadline_s)
         return latest_s is None or now_s <= latest_s
 
     def left_s(self, now_s: float) -> float:
--- /dev/null
+++ b/src/sorrelhoist/decisions/work.py
@@ -0,0 +1,130 @@
+"""The work of a request at an endpoint, by the costs and the load that are known."""
+
+import math
+
+import attrs
+
+from .placement.load_tracker import EndpointUse
+from .placement.pauses import decode_pass_ms
+from .routes import EngineCosts, Route
+
+MIN_NOMINAL_S = 0.001
+
+
+@attrs.frozen
+class Work:
+    """Work of one request at an endpoint.
+
+    Parameters
+    ----------
+    route : str
+    nominal_s : float
+        Time that it takes by the configuration, unmeasured.
+    """
+
+    route: str
+    nominal_s: float
+
+
+@attrs.frozen(kw_only=True)
+class StreamWork:
+    """Work of one stream of a declared size at an engine whose costs are known.
+
+    Parameters
+    ----------
+    route, service : str
+    first_event_s : float
+        Time to the first event by its placement.
+    passes : int
+        Passes of the engine that its declared size takes. Most streams end earlier.
+    pass_s : float
+        Time of one pass by the costs and the load of the engine.
+    """
+
+    route: str
+    service: str
+    first_event_s: float
+    passes: int
+    pass_s: float
+
+    @property
+    def nominal_s(self) -> float:
+        """Time that its declared size takes by the costs, unmeasured."""
+        return self.first_event_s + self.passes * self.pass_s
+
+
+@attrs.frozen(kw_only=True)
+class EngineLoad:
+    """What is known about an engine when a stream is placed on it.
+
+    Parameters
+    ----------
+    first_event_s : float
+        Expected time to the first event.
+    use : EndpointUse
+        Load of the engine, with that of the stream.
+    slowness : float
+        Factor by which its passes take longer than by its costs.
+    is_split : bool
+        Whether other engines hold parts of the prompt while it decodes.
+    """
+
+    first_event_s: float
+    use: EndpointUse
+    slowness: float = 1.0
+    is_split: bool = False
+
+
+def nominal_work(route: Route) -> Work:
+    """Return the work of a request without a declared size, by the configuration.
+
+    The objective of a call is the time that it should take. That of a stream ends with
+    its first event: only its timeout bounds the rest.
+
+    Examples
+    --------
+    >>> from .routes import Repeat
+    >>> call = Route(name="look", host="h", path_prefix="/", targets=(),
+    ...              repeat=Repeat.REPEATABLE, objective_s=0.3)
+    >>> nominal_work(call)
+    Work(route='look', nominal_s=0.3)
+    """
+    nominal_s = route.timeout_s if route.is_stream else route.objective_s
+    return Work(route.name, max(nominal_s, MIN_NOMINAL_S))
+
+
+def stream_work(
+    route: str,
+    service: str,
+    costs: EngineCosts,
+    prompt_tokens: int,
+    output_tokens: int,
+    load: EngineLoad | None = None,
+) -> StreamWork:
+    """Return the work of a stream by the costs of its engine.
+
+    Parameters
+    ----------
+    route, service : str
+    costs : EngineCosts
+    prompt_tokens, output_tokens : int
+    load : EngineLoad or None
+        None before the placement: then it is the work at an engine that is idle.
+    """
+    read_s = costs.read_ms(prompt_tokens) / 1000
+    passes = math.ceil(output_tokens / max(1, costs.tokens_per_event))
+    if load is None:
+        pass_ms, first_event_s = decode_pass_ms(1, prompt_tokens, costs), read_s
+    else:
+        pass_ms = decode_pass_ms(max(1, load.use.streams), load.use.kv_tokens, costs)
+        if load.is_split:
+            pass_ms += costs.tokens_per_event * costs.hop_ms
+        pass_ms *= load.slowness
+        first_event_s = max(read_s, load.first_event_s)
+    return StreamWork(
+        route=route,
+        service=service,
+        first_event_s=max(first_event_s, MIN_NOMINAL_S),
+        passes=passes,
+        pass_s=max(pass_ms / 1000, MIN_NOMINAL_S),
+    )
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -19,9 +19,9 @@
     PrefillWatch,
     Wait,
 )
-from ..decisions.planned_stop import slack_s
+from ..decisions.planned_stop import WorkEstimate, slack_s
 from ..decisions.routes import Route, Workspace
-from ..decisions.work_times import Work, nominal_work
+from ..decisions.work import EngineLoad, StreamWork, Work, nominal_work, stream_work
 from .caller import CallerConnection
 from .dispatch import PlacementRequest
 from .parts import GatewayParts
@@ -126,42 +126,60 @@
             }
         return fields
 
-    def work(self, state: GatewayState, assignment: Assignment | None = None) -> Work:
+    def work(
+        self, state: GatewayState, now_s: float, assignment: Assignment | None = None
+    ) -> Work | StreamWork:
         """Return the work that is left, before or after the placement."""
         size, costs = self.request.size, state.engine_costs(self.service)
-        relayed_tokens = self.relayed_events * (costs.tokens_per_event if costs else 0)
-        return nominal_work(
-            self.route,
+        if size is None or costs is None or not size.prompt_tokens:
+            return nominal_work(self.route)
+        relayed_tokens = self.relayed_events * costs.tokens_per_event
+        load = None
+        if assignment is not None:
+            first = assignment.first
+            load = EngineLoad(
+                first_event_s=assignment.first_event_ms / 1000,
+                use=state.loads.endpoint_use(first.address, now_s),
+                slowness=state.pass_corrections.slowness(first.endpoint_id, now_s),
+                is_split=bool(assignment.tickets),
+            )
+        return stream_work(
+            self.route.name,
+            self.service,
             costs,
-            size.prompt_tokens if size else 0,
-            max(0, size.output_tokens - relayed_tokens) if size else 0,
-            assignment.first_event_ms / 1000 if assignment else None,
+            size.prompt_tokens,
+            max(0, size.output_tokens - relayed_tokens),
+            load,
         )
 
-    def expected_s(
+    def estimate(
         self, state: GatewayState, now_s: float, assignment: Assignment | None = None
-    ) -> float:
-        """Return the time within which an endpoint all but certainly answers.
+    ) -> WorkEstimate:
+        """Return the time in which an endpoint answers.
 
         It is 0 once the answer has begun: a resumed stream goes on as long as it can,
         since its end would not be better for the caller if it came earlier.
         """
         if self.progress.has_begun:
-            return 0.0
-        return self._likely_s(state, now_s, assignment)
+            return WorkEstimate()
+        return self._estimate_left(state, now_s, assignment)
 
-    def _likely_s(
+    def _estimate_left(
         self, state: GatewayState, now_s: float, assignment: Assignment | None
-    ) -> float:
-        work = self.work(state, assignment)
-        return state.work_times.expected_s(work, now_s) + slack_s(self.route.repeat)
+    ) -> WorkEstimate:
+        work = self.work(state, now_s, assignment)
+        more_s = slack_s(self.route.repeat)
+        return WorkEstimate(
+            likely_s=state.work_times.expected_s(work, now_s) + more_s,
+            longest_s=state.work_times.longest_s(work, now_s) + more_s,
+        )
 
     def fits_stop(
         self, state: GatewayState, now_s: float, assignment: Assignment | None = None
     ) -> bool:
         """Return whether the request, if sent now, can end before the process does."""
         return state.stop is None or state.stop.fits(
-            self.expected_s(state, now_s, assignment), self.deadline_s, now_s
+            self.estimate(state, now_s, assignment), self.deadline_s, now_s
         )
 
     def fits_elsewhere(
@@ -173,7 +191,7 @@
         there.
         """
         return state.stop is None or state.stop.fits(
-            self._likely_s(state, now_s, assignment), self.deadline_s, now_s
+            self._estimate_left(state, now_s, assignment), self.deadline_s, now_s
         )
 
 
@@ -267,7 +285,7 @@
         """Measure how long the endpoint has the request."""
         loop, state = asyncio.get_running_loop(), self.parts.state
         request_id = self.admitted.request.request_id
-        work = self.admitted.work(state, self.assignment)
+        work = self.admitted.work(state, loop.time(), self.assignment)
         state.work_times.began(request_id, work, loop.time())
         try:
             yield
@@ -278,7 +296,7 @@
         now_s = asyncio.get_running_loop().time()
         state, size = self.parts.state, self.admitted.request.size
         table, loads = state.table, state.loads
-        work = self.admitted.work(state, self.assignment)
+        work = self.admitted.work(state, now_s, self.assignment)
         use = loads.endpoint_use(self.assignment.first.address, now_s)
         self.log.write(
             "sent",
@@ -302,7 +320,8 @@
             tickets=len(self.assignment.tickets),
             expected_ms=round(self.assignment.first_event_ms),
             nominal_ms=round(work.nominal_s * 1000),
-            likely_ms=round(state.work_times.expected_s(work, now_s) * 1000),
+            likely_ms=_ms(state.work_times.expected_s(work, now_s)),
+            longest_ms=_ms(state.work_times.longest_s(work, now_s)),
             waited_ms=round((now_s - self.admitted.received_s) * 1000),
             left_ms=round(left_s * 1000),
             version=table.version if table else None,
@@ -584,9 +603,7 @@
             is_progress = not all(map(is_comment, events))
             if not is_progress and not (events and self.caller.has_begun):
                 continue
-            self.admitted.relayed_events += sum(
-                not is_comment(event) for event in events
-            )
+            self._record_events(sum(not is_comment(event) for event in events))
             self._record_pause(pauses, len(events))
             if self._watch is not None:
                 self._record_lateness(self._watch)
@@ -600,6 +617,9 @@
             if not is_limited and not self.caller.has_drained:
                 # Without a limit the endpoint waits for the caller, which is no pause
                 # of the endpoint.
+                self.parts.state.work_times.ignore_pace(
+                    self.admitted.request.request_id
+                )
                 self._restart_timer(limit, None)
                 await self.caller.drained()
                 self._restart_timer(limit, timeout_s)
@@ -644,6 +664,14 @@
         await asyncio.sleep(EXIT_S)
         return await refuses_connections(endpoint.address)
 
+    def _record_events(self, events: int) -> None:
+        self.admitted.relayed_events += events
+        self.parts.state.work_times.relayed(
+            self.admitted.request.request_id,
+            events,
+            asyncio.get_running_loop().time(),
+        )
+
     def _record_pause(self, pauses: StreamPauses, events: int) -> None:
         """Record the pause before events, and log it if it makes the stream late."""
         began_s = pauses.last_event_s
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -33,7 +33,7 @@
 from ..decisions.part_suspicion import Blame
 from ..decisions.peer_configurations import PeerContact
 from ..decisions.placement.demand import Assignment, Busy, Impossible, Placement
-from ..decisions.planned_stop import PlannedStop
+from ..decisions.planned_stop import PlannedStop, WorkEstimate
 from ..decisions.retry_after import local_refusal_retry_after_s
 from ..decisions.routes import Route, Workspace
 from ..decisions.startup import hold_until_s
@@ -236,14 +236,14 @@
         if stop is None:
             return None
         deadline_s = admitted.deadline_s if admitted is not None else stop.cut_at_s
-        return stop.latest_start_s(self._expected_s(), deadline_s)
+        return stop.latest_start_s(self._estimate(), deadline_s)
 
-    def _expected_s(self) -> float:
-        """Return the time that the request most likely takes; 0 if nothing is known."""
+    def _estimate(self) -> WorkEstimate:
+        """Return the time of the request's work; 0 if nothing is known."""
         if self._admitted is None:
-            return 0.0
+            return WorkEstimate()
         now_s = asyncio.get_running_loop().time()
-        return self._admitted.expected_s(self.parts.state, now_s)
+        return self._admitted.estimate(self.parts.state, now_s)
 
     @asynccontextmanager
     async def _while_it_fits(self) -> AsyncIterator[asyncio.Timeout]:
@@ -271,10 +271,12 @@
             stop.refused += 1
         self.parts.metrics.planned_stops.add(1, {"outcome": outcome})
         now_s, admitted = asyncio.get_running_loop().time(), self._admitted
+        estimate = self._estimate()
         self._log.write(
             "cut by stop" if is_sent else "refused by stop",
             outcome=outcome,
-            expected_s=round(self._expected_s(), 3),
+            expected_s=round(estimate.likely_s, 3),
+            longest_s=round(estimate.longest_s, 3),
             stopping_s=round(now_s - stop.began_s, 3),
             left_s=round(stop.left_s(now_s), 3),
             is_sent=is_sent,
--- a/src/sorrelhoist/gateway/state.py
+++ b/src/sorrelhoist/gateway/state.py
@@ -236,7 +236,9 @@
         )
         self.table = table
         self._shortest_pauses_ms = table.shortest_pauses_ms()
-        self.work_times.retain(route.name for route in table.routes.values())
+        self.work_times.retain(
+            (route.name for route in table.routes.values()), table.services
+        )
         return True
 
     @property
@@ -501,6 +503,7 @@
             "is_stopping": self.is_stopping,
             "stop": attrs.asdict(self.stop) if self.stop else None,
             "work_times": self.work_times.dump(now_s),
+            "stream_paces": self.work_times.dump_paces(now_s),
             "contact_age_s": self.contact.age_s(boot_time_s()),
             "startup": self.startup.dump(now_s),
             "directory_updates": dict(self.directory_updates),
--- a/tests/decisions/test_planned_stop.py
+++ b/tests/decisions/test_planned_stop.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sorrelhoist.decisions.planned_stop import PlannedStop
+from sorrelhoist.decisions.planned_stop import PlannedStop, WorkEstimate
 
 STOP = {"began_s": 100.0, "grace_s": 8.0}
 
@@ -20,13 +20,22 @@
 def test_what_would_outlast_the_process_is_not_taken(
     expected_s, deadline_s, now_s, fits
 ):
-    assert PlannedStop(**STOP).fits(expected_s, deadline_s, now_s) is fits
+    work = WorkEstimate(expected_s, expected_s)
+    assert PlannedStop(**STOP).fits(work, deadline_s, now_s) is fits
+
+
+@pytest.mark.parametrize(("now_s", "fits"), [(102.4, True), (102.6, False)])
+def test_once_the_stop_is_known_all_that_a_request_declares_must_fit(now_s, fits):
+    work = WorkEstimate(likely_s=2.0, longest_s=5.0)
+    assert PlannedStop(**STOP).fits(work, 130.0, now_s) is fits
+    likely = WorkEstimate(likely_s=2.0, longest_s=2.0)
+    assert PlannedStop(**STOP).fits(likely, 130.0, now_s)
 
 
 def test_nothing_is_taken_or_waits_once_connections_close():
     stop = PlannedStop(**STOP, is_closing=True)
-    assert not stop.fits(0.0, 101.0, now_s=100.5)
-    latest_s = stop.latest_start_s(0.0, 101.0)
+    assert not stop.fits(WorkEstimate(), 101.0, now_s=100.5)
+    latest_s = stop.latest_start_s(WorkEstimate(), 101.0)
     assert latest_s is not None and latest_s <= stop.began_s
 
 
--- /dev/null
+++ b/tests/decisions/test_stream_paces.py
@@ -0,0 +1,93 @@
+"""Paces of streams: what ended and running ones show of their engines."""
+
+import pytest
+
+from sorrelhoist.decisions.decaying_quantile import DECAY_S
+from sorrelhoist.decisions.stream_paces import UNSEEN_PACE, StreamPaces
+from sorrelhoist.decisions.work import StreamWork
+
+PASS_S = 0.04
+WORK = StreamWork(
+    route="chat", service="llm", first_event_s=0.2, passes=100, pass_s=PASS_S
+)
+
+
+def run(paces, pace, passes=50, began_s=0.0, late_s=0.0, ends=True):
+    paces.began("r", WORK, began_s)
+    first_s = began_s + WORK.first_event_s + late_s
+    for number in range(passes + 1):
+        paces.relayed("r", 1, first_s + number * PASS_S * pace)
+    if ends:
+        paces.ended("r", first_s + passes * PASS_S * pace)
+
+
+def longest_s(pace, late_s=0.0):
+    return WORK.first_event_s + late_s + WORK.passes * PASS_S * pace
+
+
+def test_a_gateway_that_has_seen_little_allows_for_the_error_of_the_costs():
+    paces = StreamPaces()
+    assert paces.longest_s(WORK, now_s=0.0) == pytest.approx(longest_s(UNSEEN_PACE))
+    run(paces, pace=0.9, passes=20)
+    assert paces.longest_s(WORK, now_s=1.0) >= longest_s(UNSEEN_PACE)
+    for _ in range(10):
+        run(paces, pace=0.9)
+    assert paces.longest_s(WORK, now_s=2.0) < longest_s(1.0)
+
+
+def test_a_long_stream_counts_for_more_than_a_short_one():
+    paces = StreamPaces()
+    for _ in range(30):
+        run(paces, pace=1.0)
+        run(paces, pace=3.0, passes=1)
+    run(paces, pace=1.0, passes=1500)
+    assert paces.longest_s(WORK, now_s=60.0) < longest_s(1.2)
+    run(paces, pace=2.0, passes=100, began_s=60.0)
+    assert paces.longest_s(WORK, now_s=70.0) >= longest_s(2.0)
+
+
+def test_a_stream_that_is_cut_shows_its_pace():
+    # It counted as short, since it had taken less than its declared size would.
+    paces = StreamPaces()
+    for _ in range(5):
+        run(paces, pace=1.8)
+    assert paces.longest_s(WORK, now_s=5.0) >= longest_s(1.8)
+
+
+def test_streams_that_still_run_and_silent_ones_count():
+    paces = StreamPaces()
+    for _ in range(10):
+        run(paces, pace=1.0)
+    run(paces, pace=1.5, began_s=20.0, ends=False)
+    assert paces.longest_s(WORK, now_s=23.2) >= longest_s(1.5)
+    assert paces.longest_s(WORK, now_s=30.0) >= longest_s(3.0)
+    paces.ignore("r")
+    assert paces.longest_s(WORK, now_s=31.0) < longest_s(1.2)
+
+
+def test_late_first_events_count_also_before_they_come():
+    paces = StreamPaces()
+    for _ in range(20):
+        run(paces, pace=1.0)
+    paces.began("late", WORK, now_s=10.0)
+    assert paces.longest_s(WORK, now_s=12.0) >= longest_s(1.0, late_s=1.8)
+    paces.relayed("late", 1, now_s=13.0)
+    assert paces.longest_s(WORK, now_s=13.1) >= longest_s(1.0, late_s=2.8)
+
+
+def test_events_that_come_at_once_make_no_engine_faster_than_its_costs():
+    # Streams of four events that came without a pause let a long one be taken.
+    paces = StreamPaces()
+    for _ in range(200):
+        run(paces, pace=0.0, passes=3)
+    assert paces.longest_s(WORK, now_s=1.0) >= longest_s(1.0)
+
+
+def test_a_slow_time_is_forgotten():
+    paces = StreamPaces()
+    for _ in range(10):
+        run(paces, pace=3.0)
+    later_s = 10 * DECAY_S
+    for _ in range(10):
+        run(paces, pace=1.0, began_s=later_s)
+    assert paces.longest_s(WORK, later_s + 5.0) < longest_s(1.2)
--- a/tests/decisions/test_work_times.py
+++ b/tests/decisions/test_work_times.py
@@ -2,8 +2,10 @@
 
 import pytest
 
-from sorrelhoist.decisions.routes import EngineCosts, Repeat, Route
-from sorrelhoist.decisions.work_times import DECAY_S, Work, WorkTimes, nominal_work
+from sorrelhoist.decisions.decaying_quantile import DECAY_S
+from sorrelhoist.decisions.routes import EngineCosts
+from sorrelhoist.decisions.work import StreamWork, Work, stream_work
+from sorrelhoist.decisions.work_times import WorkTimes
 
 CALL = Work("call", 0.3)
 
@@ -14,6 +16,12 @@
         times.ended("r", is_answered, now_s + took_s)
 
 
+def stream(passes, pass_s):
+    return StreamWork(
+        route="chat", service="llm", first_event_s=0.1, passes=passes, pass_s=pass_s
+    )
+
+
 def test_one_slow_request_in_fifty_is_expected_and_one_in_a_thousand_is_not():
     times = WorkTimes()
     observe(times, 0.1, 98)
@@ -65,37 +73,47 @@
         prefill_tokens_per_s=154_000.0,
         pair_ms_per_million=0.16,
     )
-    route = Route(
-        name="chat",
-        host="h",
-        path_prefix="/",
-        targets=(),
-        repeat=Repeat.RESUMABLE,
-        is_stream=True,
-    )
     short, long = (
-        nominal_work(route, costs, *size) for size in ((1000, 100), (300_000, 2000))
+        stream_work("chat", "llm", costs, *size)
+        for size in ((1000, 100), (300_000, 2000))
     )
     times = WorkTimes()
     observe(times, 2 * short.nominal_s, 20, work=short)
     assert times.expected_s(long, 1.0) == pytest.approx(2 * long.nominal_s, rel=0.15)
-    assert nominal_work(route, costs, 1000, 100, 3.0).nominal_s > 3.0
-    assert nominal_work(route, None, 0, 0) == Work("chat", route.timeout_s)
 
 
 def test_a_request_may_need_all_that_it_declares_though_others_needed_less():
     # A stopping gateway took long streams because those before them had been short.
-    declared = Work("chat", 4.0, declared_s=4.0)
+    declared = stream(passes=100, pass_s=0.04)
     times = WorkTimes()
     observe(times, 0.2, 500, work=declared)
-    assert times.expected_s(declared, now_s=1.0) == 4.0
-    assert times.expected_s(Work("chat", 0.5, declared_s=0.5), now_s=1.0) == 0.5
+    assert times.longest_s(declared, now_s=1.0) >= 4.0
+    short = stream(passes=10, pass_s=0.04)
+    assert 0.5 <= times.longest_s(short, now_s=1.0) <= 0.6 + 1e-9
     observe(times, 6.0, 50, now_s=1.0, work=declared)
-    assert times.expected_s(declared, now_s=7.0) >= 6.0
+    assert times.longest_s(declared, now_s=7.0) >= 6.0
+
+
+def test_short_streams_show_how_slow_long_ones_will_be():
+    # Streams that need a tenth of what they declare hid that passes took 1.4 times as
+    # long as expected.
+    declared = stream(passes=100, pass_s=0.04)
+    times = WorkTimes()
+    for number in range(100):
+        times.began(f"r{number}", declared, now_s=0.0)
+        for event in range(10):
+            times.relayed(f"r{number}", 1, now_s=0.1 + event * 0.056)
+        times.ended(f"r{number}", True, now_s=0.7)
+    assert times.expected_s(declared, now_s=0.7) < 1.0
+    assert times.longest_s(declared, now_s=0.7) == pytest.approx(5.7, rel=0.1)
 
 
 def test_routes_that_are_gone_leave_nothing_behind():
     times = WorkTimes()
     observe(times, 5.0, 10)
-    times.retain(["other"])
-    assert times.dump(5.0) == {}
+    gone = stream(passes=10, pass_s=0.04)
+    times.began("s", gone, now_s=0.0)
+    times.relayed("s", 1, now_s=0.1)
+    times.ended("s", True, now_s=0.2)
+    times.retain(["other"], ["other"])
+    assert times.dump(5.0) == times.dump_paces(5.0) == {}
