Answers that have begun run until connections close, 0.5 s before the kill

Callers saw streams end in the middle 1.0 s before the process would be killed, and answers that they were still reading (LOST).

Cause: all that ran was given up 7.0 s after the signal, so that callers without an answer still get one. An answer that has begun gets none: it was broken off for nothing, also when its endpoint had sent all. The endpoint was told the same deadline, and gave up as well.

A stream is taken if it ends by 7.3 s.

Evidence: test_a_stream_that_ends_as_connections_close_is_whole (the stream ends 7.2 s after the signal) and test_an_answer_that_is_still_being_read_as_connections_close_is_whole (30 MB that the caller has read by 7.2 s) fail before and pass with it.

--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -19,6 +19,10 @@
 """Time before the exit at which all that still runs is answered, for the answers to
 reach their callers."""
 
+CLOSE_MARGIN_S = 0.5
+"""Part of the grace period from which connections are closed. A stream that is broken
+off gets no answer, so that it may run until then."""
+
 SLACK_S = 0.2
 """Time by which work may outlast its expected time, as on a busy host. A request that
 is refused is served elsewhere 0.05 s later. One that is cut has waited for nothing, and
@@ -49,10 +53,13 @@
         Time within which it most likely ends.
     longest_s : float
         Time that it may take if it needs all that it declares.
+    is_stream : bool
+        Whether its answer begins long before it ends.
     """
 
     likely_s: float = 0.0
     longest_s: float = 0.0
+    is_stream: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -96,12 +103,25 @@
 
     @property
     def cut_at_s(self) -> float:
-        """Time at which all requests that still run are given up."""
+        """Time at which all requests whose answer hasn't begun are given up."""
         return max(self.began_s, self.exit_at_s - ANSWER_MARGIN_S)
 
-    def deadline_s(self, deadline_s: float) -> float:
-        """Return a request's deadline, moved into the grace period."""
-        return min(deadline_s, self.cut_at_s)
+    @property
+    def close_at_s(self) -> float:
+        """Time at which all answers that have begun are broken off."""
+        return self.began_s + max(0.0, self.grace_s - CLOSE_MARGIN_S)
+
+    def deadline_s(self, deadline_s: float, has_begun: bool) -> float:
+        """Return a request's deadline, moved into the grace period.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Its own deadline.
+        has_begun : bool
+            Whether its answer has begun: it then needs no time for another one.
+        """
+        return min(deadline_s, self.close_at_s if has_begun else self.cut_at_s)
 
     def latest_start_s(self, work: WorkEstimate, deadline_s: float) -> float | None:
         """Return until when a request may be sent to an endpoint.
@@ -125,9 +145,10 @@
             return self.began_s
         if deadline_s < self.cut_at_s:
             return None
+        end_s = self.exit_at_s if work.is_stream else self.cut_at_s
         detected_at_s = self.began_s + READINESS_DETECTION_S
-        likely_fits_s = min(self.cut_at_s - work.likely_s, detected_at_s)
-        return max(likely_fits_s, self.cut_at_s - work.longest_s)
+        likely_fits_s = min(end_s - work.likely_s, detected_at_s)
+        return max(likely_fits_s, end_s - work.longest_s)
 
     def fits(self, work: WorkEstimate, deadline_s: float, now_s: float) -> bool:
         """Return whether a request that is sent now can be expected to end in time."""
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -19,7 +19,7 @@
     PrefillWatch,
     Wait,
 )
-from ..decisions.planned_stop import WorkEstimate, slack_s
+from ..decisions.planned_stop import PlannedStop, WorkEstimate, slack_s
 from ..decisions.routes import Route, Workspace
 from ..decisions.work import EngineLoad, StreamWork, Work, nominal_work, stream_work
 from .caller import CallerConnection
@@ -73,8 +73,10 @@
     fingerprint : int
         Equal for all repetitions of a request by the same caller.
     received_s : float
+    due_s : float
+        Deadline of the caller and the route.
     deadline_s : float
-        A planned stop moves it into the grace period of the process.
+        The same, or earlier if a planned stop moves it into the grace period.
     progress : Progress
     retry : RetryCharge
     splitter : EventSplitter
@@ -99,6 +101,7 @@
     workspace: Workspace | None
     fingerprint: int
     received_s: float
+    due_s: float
     deadline_s: float
     progress: Progress
     retry: RetryCharge
@@ -172,8 +175,19 @@
         return WorkEstimate(
             likely_s=state.work_times.expected_s(work, now_s) + more_s,
             longest_s=state.work_times.longest_s(work, now_s) + more_s,
+            is_stream=self.route.is_stream,
         )
 
+    def move_deadline(self, stop: PlannedStop, has_begun: bool) -> None:
+        """Move the deadline into the grace period of a planned stop."""
+        self.deadline_s = stop.deadline_s(self.due_s, has_begun)
+
+    def left_s(self, stop: PlannedStop | None, now_s: float) -> float:
+        """Return the time in which an endpoint must end the answer."""
+        if stop is None:
+            return self.deadline_s - now_s
+        return stop.deadline_s(self.due_s, self.route.is_stream) - now_s
+
     def fits_stop(
         self, state: GatewayState, now_s: float, assignment: Assignment | None = None
     ) -> bool:
@@ -242,7 +256,7 @@
     async def _send(self, helpers: tuple[Helper, ...]) -> Failure | None:
         loop = asyncio.get_running_loop()
         request, endpoint = self.admitted.request, self.assignment.first
-        left_s = self.admitted.deadline_s - loop.time()
+        left_s = self.admitted.left_s(self.parts.state.stop, loop.time())
         send = SendOptions(
             endpoint=endpoint,
             helpers=helpers,
--- a/src/sorrelhoist/gateway/caller.py
+++ b/src/sorrelhoist/gateway/caller.py
@@ -38,6 +38,8 @@
     on_cut : callable
         Ends the work on a request that is given up before its answer has begun, and
         answers it.
+    on_begun : callable
+        Called when an answer of an endpoint begins.
     """
 
     def __init__(self, connection: HttpConnection) -> None:
@@ -48,6 +50,7 @@
         self.account: MemoryAccount | None = None
         self.cut_reason: str | None = None
         self.on_cut: Callable[[], None] = self.abort
+        self.on_begun: Callable[[], None] = _ignore
         self._being_written = 0
         # Pieces as they came: one growing buffer for each caller would fragment the
         # heap, so that the process takes twice what it holds.
@@ -74,6 +77,7 @@
             if length is not None and head.status != NO_CONTENT:
                 headers["Content-Length"] = length
         self._send_head(head.status, head.reason, headers)
+        self.on_begun()
 
     def _send_head(self, status: int, reason: str, headers: HTTPHeaders) -> None:
         if self.should_close:
@@ -190,3 +194,7 @@
         self._send_head(status, REASON_PHRASES.get(status, "Unknown"), headers)
         self._connection.send_data(body)
         self.finish()
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -90,10 +90,10 @@
     """Wait until no request comes any more on the connections that were accepted."""
     loop = asyncio.get_running_loop()
     quiet_from_s = loop.time()
-    end_s = max(stop.exit_at_s, quiet_from_s + QUIET_S)
+    end_s = max(stop.close_at_s, quiet_from_s + QUIET_S)
     while loop.time() < end_s:
         is_quiet = loop.time() - max(quiet_from_s, front.received_s) >= QUIET_S
-        if is_quiet and (front.is_idle or loop.time() >= stop.exit_at_s):
+        if is_quiet and (front.is_idle or loop.time() >= stop.close_at_s):
             return
         await _pause(servers, stop)
 
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -133,6 +133,7 @@
         """Serve the request; its caller gets an answer or a closed connection."""
         outcome = "cancelled"
         self.caller.on_cut = self._on_cut
+        self.caller.on_begun = self._move_deadline
         try:
             with self._watching_stop():
                 outcome = await self._serve()
@@ -222,14 +223,24 @@
     def _on_stop(self, stop: PlannedStop) -> None:
         """Move the times of a running request into the grace period."""
         self.caller.should_close = True
-        if self._admitted is not None:
-            self._admitted.deadline_s = stop.deadline_s(self._admitted.deadline_s)
-        if self._deadline_limit is not None and not self._deadline_limit.expired():
-            when_s = self._deadline_limit.when() or stop.cut_at_s
-            self._deadline_limit.reschedule(stop.deadline_s(when_s))
+        self._move_deadline()
         if self._wait_limit is not None and not self._wait_limit.expired():
             self._wait_limit.reschedule(self._latest_start_s())
 
+    def _move_deadline(self) -> None:
+        """Move the deadline into the grace period, as far as the answer needs it."""
+        stop, admitted, limit = (
+            self.parts.state.stop,
+            self._admitted,
+            self._deadline_limit,
+        )
+        if stop is None or admitted is None:
+            return
+        admitted.move_deadline(stop, self.caller.has_begun)
+        is_given_up = self.caller.cut_reason is not None
+        if limit is not None and not (limit.expired() or is_given_up):
+            limit.reschedule(admitted.deadline_s)
+
     def _latest_start_s(self) -> float | None:
         """Return until when the request may wait; None if the gateway doesn't stop."""
         stop, admitted = self.parts.state.stop, self._admitted
@@ -258,7 +269,7 @@
     def _is_cut_by_stop(self, admitted: AdmittedRequest) -> bool:
         """Return whether the deadline of a request is the end of a planned stop."""
         stop = self.parts.state.stop
-        return stop is not None and admitted.deadline_s >= stop.cut_at_s
+        return stop is not None and admitted.deadline_s < admitted.due_s
 
     def _record_stop(self, outcome: str, is_sent: bool) -> None:
         """Count and log a request that a planned stop refused or cut."""
@@ -376,6 +387,7 @@
     ) -> AdmittedRequest:
         route, state = found.route, self.parts.state
         service = route.choose_service(state.rng.random())
+        due_s = self.deadline_s(route)
         return AdmittedRequest(
             request=self.request,
             route=route,
@@ -384,7 +396,8 @@
             workspace=found.workspace,
             fingerprint=fingerprint,
             received_s=self.received_s,
-            deadline_s=self.deadline_s(route),
+            due_s=due_s,
+            deadline_s=due_s,
             progress=Progress(
                 repeat=route.repeat,
                 max_endpoints=1 if is_only_once else max(1, route.max_endpoints),
@@ -400,7 +413,7 @@
             self._record_stop("refused", is_sent=False)
             return self._local_refusal(STOPPING)
         if state.stop is not None:
-            admitted.deadline_s = state.stop.deadline_s(admitted.deadline_s)
+            admitted.move_deadline(state.stop, has_begun=False)
         return admitted
 
     def _part_refusal(self, blame: Blame) -> Refusal:
