Requests count as late from when callers can know of a stop, not the load balancer

Rolling stops 0.8 to 1.0 s apart leave a refused caller no other gateway. From 2.5 s on, when the load balancer has noticed, streams were taken only with all that they declare; the platform's rules give callers 3 s. It is 2.8 s now, 0.2 s for a signal handled late.

--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -11,9 +11,9 @@
 EXIT_MARGIN_S = 0.7
 """Part of the grace period that is reserved for the exit of the process itself."""
 
-READINESS_DETECTION_S = 2.5
-"""Time until the load balancer notices that the process is not ready: two readiness
-probes, 1 s apart, plus slack."""
+NOTICE_S = 2.8
+"""Time from the signal in which callers can't know of the stop: 3 s by the platform's
+rules, less what the signal may be handled late."""
 
 ANSWER_MARGIN_S = 0.3
 """Time before the exit at which all that still runs is answered, for the answers to
@@ -126,9 +126,9 @@
     def latest_start_s(self, work: WorkEstimate, deadline_s: float) -> float | None:
         """Return until when a request may be sent to an endpoint.
 
-        Callers that the load balancer still sends here may find no other gateway: their
-        requests are taken if they most likely end in time. Later ones come on open
-        connections, and are taken only if they fit with all that they declare.
+        Callers that can't know of the stop yet may find no other gateway: their
+        requests are taken if they most likely end in time. Later ones are taken only if
+        they fit with all that they declare.
 
         Parameters
         ----------
@@ -146,8 +146,7 @@
         if deadline_s < self.cut_at_s:
             return None
         end_s = self.exit_at_s if work.is_stream else self.cut_at_s
-        detected_at_s = self.began_s + READINESS_DETECTION_S
-        likely_fits_s = min(end_s - work.likely_s, detected_at_s)
+        likely_fits_s = min(end_s - work.likely_s, self.began_s + NOTICE_S)
         return max(likely_fits_s, end_s - work.longest_s)
 
     def fits(self, work: WorkEstimate, deadline_s: float, now_s: float) -> bool:
--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -5,9 +5,13 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from ..decisions.planned_stop import READINESS_DETECTION_S, PlannedStop
+from ..decisions.planned_stop import PlannedStop
 from .server import CallerDelegate
 
+READINESS_DETECTION_S = 2.5
+"""Time until the load balancer notices that the process is not ready: two readiness
+probes, 1 s apart, plus slack."""
+
 DRAIN_POLL_S = 0.05
 
 HANDSHAKE_S = 0.1
