A late stream without a declared size is bounded by its timeout

Late in a stop such a stream is refused unless its timeout fits. test_a_request_without_a_size_has_the_time_of_its_route fails before: longest_s was 0.55 s of 30 s.

--- a/src/sorrelhoist/decisions/work.py
+++ b/src/sorrelhoist/decisions/work.py
@@ -20,10 +20,13 @@
     route : str
     nominal_s : float
         Time that it takes by the configuration, unmeasured.
+    longest_s : float
+        Time that it may take whatever others took; 0 if that isn't known.
     """
 
     route: str
     nominal_s: float
+    longest_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -79,7 +82,7 @@
     """Return the work of a request without a declared size, by the configuration.
 
     The objective of a call is the time that it should take. That of a stream ends with
-    its first event: only its timeout bounds the rest.
+    its first event: only its timeout bounds the rest, whatever others needed.
 
     Examples
     --------
@@ -87,10 +90,12 @@
     >>> call = Route(name="look", host="h", path_prefix="/", targets=(),
     ...              repeat=Repeat.REPEATABLE, objective_s=0.3)
     >>> nominal_work(call)
-    Work(route='look', nominal_s=0.3)
+    Work(route='look', nominal_s=0.3, longest_s=0.0)
     """
-    nominal_s = route.timeout_s if route.is_stream else route.objective_s
-    return Work(route.name, max(nominal_s, MIN_NOMINAL_S))
+    if route.is_stream:
+        timeout_s = max(route.timeout_s, MIN_NOMINAL_S)
+        return Work(route.name, timeout_s, longest_s=timeout_s)
+    return Work(route.name, max(route.objective_s, MIN_NOMINAL_S))
 
 
 def stream_work(
--- a/src/sorrelhoist/decisions/work_times.py
+++ b/src/sorrelhoist/decisions/work_times.py
@@ -84,8 +84,8 @@
         match work:
             case StreamWork():
                 return max(expected_s, self._paces.longest_s(work, now_s))
-            case Work():
-                return expected_s
+            case Work(longest_s=longest_s):
+                return max(expected_s, longest_s)
 
     def _ratio(self, route: str, now_s: float) -> float:
         seen = self._seen.get(route) or DecayingQuantile()
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -134,7 +134,7 @@
     ) -> Work | StreamWork:
         """Return the work that is left, before or after the placement."""
         size, costs = self.request.size, state.engine_costs(self.service)
-        if size is None or costs is None or not size.prompt_tokens:
+        if size is None or costs is None or not size.output_tokens:
             return nominal_work(self.route)
         relayed_tokens = self.relayed_events * costs.tokens_per_event
         load = None
--- a/tests/decisions/test_work.py
+++ b/tests/decisions/test_work.py
@@ -6,6 +6,7 @@
 from sorrelhoist.decisions.placement.load_tracker import EndpointUse
 from sorrelhoist.decisions.routes import EngineCosts, Repeat, Route
 from sorrelhoist.decisions.work import EngineLoad, Work, nominal_work, stream_work
+from sorrelhoist.decisions.work_times import WorkTimes
 
 COSTS = EngineCosts(
     max_running=8,
@@ -35,7 +36,14 @@
         repeat=Repeat.RESUMABLE,
         is_stream=True,
     )
-    assert nominal_work(route) == Work("chat", route.timeout_s)
+    assert nominal_work(route) == Work("chat", route.timeout_s, route.timeout_s)
+    times = WorkTimes()
+    for _ in range(100):
+        times.began("r", nominal_work(route), now_s=0.0)
+        times.ended("r", True, now_s=0.5)
+    # A stream that declares no size was taken late if those before it had been short.
+    assert times.expected_s(nominal_work(route), now_s=1.0) < 1.0
+    assert times.longest_s(nominal_work(route), now_s=1.0) == route.timeout_s
 
 
 @pytest.mark.parametrize(
