Tests of stops: an engine that keeps its schedule, and a caller that reads the end late

test_an_answer_that_is_still_being_read_as_connections_close_is_whole failed once beside other tests (its process waited 2.2 s for a processor): the caller read at a rate and fell behind. It now reads half, and the rest from 7.1 s after the signal, as fast as it can. The engine's passes follow a schedule, so that late ones don't add up.

--- a/tests/platform/paced_engine.py
+++ b/tests/platform/paced_engine.py
@@ -45,11 +45,10 @@
 
     async def run(self):
         loop = asyncio.get_running_loop()
+        ends_s = loop.time()
         while True:
-            started_s = loop.time()
-            await asyncio.sleep(self.pass_s())
-            while loop.time() < started_s + self.pass_s():
-                await asyncio.sleep(0.001)
+            ends_s += self.pass_s()
+            await asyncio.sleep(ends_s - loop.time())
             self.passed.set()
             self.passed = asyncio.Event()
 
--- a/tests/platform/test_real_stop_pace.py
+++ b/tests/platform/test_real_stop_pace.py
@@ -23,9 +23,11 @@
 """3.3 s by the costs of an engine that runs nothing else."""
 SHORT_EVENTS, SHORT_ROUNDS = 4, 25
 HELD_EVENTS = 160
-END_S = 7.2
-"""Time after the signal, before connections are closed, at which an answer ends."""
+READ_S = 7.1
+"""Time after the signal at which an answer is read, before connections are closed."""
+READ_BYTES = 65_536
 END_EVENTS = 164
+"""They end 7.2 s after the signal."""
 WAIT_MS = 12_000
 SMALL_BUFFER_BYTES = 65_536
 LONG_CONTEXT_TOKENS = 40_000
@@ -149,8 +151,8 @@
     run_with_engine(tmp_path, 1.0, main)
 
 
-async def read_slowly(gateway, request, bytes_per_s):
-    """Send a request and read its answer at a constant rate."""
+async def read_late(gateway, request, first_bytes, rest_from_s):
+    """Send a request; read the end of its answer not before a time."""
     loop = asyncio.get_running_loop()
     data = b""
     with socket.socket() as caller:
@@ -158,29 +160,27 @@
         caller.setblocking(False)
         await loop.sock_connect(caller, (gateway.ip, gateway.front))
         await loop.sock_sendall(caller, request)
-        started_s = loop.time()
-        while True:
-            allowed = int((loop.time() - started_s) * bytes_per_s) - len(data)
-            if allowed > 0:
-                read = await loop.sock_recv(caller, allowed)
-                if not read:
-                    return data
-                data += read
-            await asyncio.sleep(0.01)
+        while read := await loop.sock_recv(caller, READ_BYTES):
+            data += read
+            if len(data) >= first_bytes:
+                await asyncio.sleep(rest_from_s - loop.time())
+    return data
 
 
 def test_an_answer_that_is_still_being_read_as_connections_close_is_whole(tmp_path):
     # It was dropped when its endpoint had sent all, though its caller was reading it.
-    events, event_bytes = 100, 300_000
+    events, event_bytes = 100, 40_000
     request = stream(events, 10_000, path="slow")
     request = request.replace(b"/slow/100 ", b"/slow/100/%d " % event_bytes)
 
     async def main(gateway):
-        rate = events * event_bytes / (END_S + 0.2)
-        reading = asyncio.ensure_future(read_slowly(gateway, request, rate))
+        rest_from_s = asyncio.get_running_loop().time() + 0.2 + READ_S
+        first_bytes = events * event_bytes // 2
+        reading = read_late(gateway, request, first_bytes, rest_from_s)
+        running = asyncio.ensure_future(reading)
         await asyncio.sleep(0.2)
         gateway.signal(STOP)
-        assert (await reading).endswith(b"0\r\n\r\n")
+        assert (await running).endswith(b"0\r\n\r\n")
         assert not gateway.events("cut_by_stop")
 
     run_with_engine(tmp_path, 1.0, main)
