--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -265,7 +265,8 @@
             resume_after=self.admitted.splitter.last_id,
             engine_priority=self._engine_priority(),
         )
-        self._log_send(left_s)
+        work = self.admitted.work(self.parts.state, loop.time(), self.assignment)
+        self._log_send(left_s, work)
         self.admitted.sent_s, self.admitted.pauses = loop.time(), None
         self.parts.state.request_sent(request.request_id)
         headers = self.parts.dialect.endpoint_headers(request, send)
@@ -275,7 +276,7 @@
                 if not self.admitted.retry.try_send(loop.time()):
                     return Withheld("what was to pay for the retry has lapsed")
                 self.admitted.progress.is_in_flight = True
-                with self._timed():
+                with self._timed(work):
                     await upstream.send(
                         request.method, request.path, headers, request.body
                     )
@@ -295,22 +296,20 @@
         return failure
 
     @contextmanager
-    def _timed(self) -> Iterator[None]:
+    def _timed(self, work: Work | StreamWork) -> Iterator[None]:
         """Measure how long the endpoint has the request."""
         loop, state = asyncio.get_running_loop(), self.parts.state
         request_id = self.admitted.request.request_id
-        work = self.admitted.work(state, loop.time(), self.assignment)
         state.work_times.began(request_id, work, loop.time())
         try:
             yield
         finally:
             state.work_times.ended(request_id, self._is_answered, loop.time())
 
-    def _log_send(self, left_s: float) -> None:
+    def _log_send(self, left_s: float, work: Work | StreamWork) -> None:
         now_s = asyncio.get_running_loop().time()
         state, size = self.parts.state, self.admitted.request.size
         table, loads = state.table, state.loads
-        work = self.admitted.work(state, now_s, self.assignment)
         use = loads.endpoint_use(self.assignment.first.address, now_s)
         self.log.write(
             "sent",
