Requests that end with the process are logged as cut, and counted

Operators saw "caller gone" for a request whose connection the stopping gateway itself had closed, or no line at all, and "stopped" didn't count it in `cut` but still as running.

Cause: a closed connection cancels the work on its request in the same way whoever closed it. "stopped" was written one pass of the loop after the connections were closed, before the work had ended.

Change: a connection remembers that the server has cut it; such a request is "cut by stop" with outcome "closed", and `is_sent` says whether an endpoint may have run it. The drain waits up to 0.05 s until the requests whose connections it has closed have ended.

Evidence: test_a_request_that_ends_with_its_connection_is_logged_as_cut fails before ("caller gone"; running 1, cut 0 in "stopped") and passes with it, for requests that an endpoint has and that wait for a place. test_a_caller_that_leaves_during_a_stop_is_logged_as_gone passes before and with it.

--- a/src/sorrelhoist/decisions/forwarding.py
+++ b/src/sorrelhoist/decisions/forwarding.py
@@ -138,6 +138,11 @@
     has_begun: bool = False
     is_in_flight: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have executed the request, or does so now."""
+        return self.runs > 0 or self.has_begun or self.is_in_flight
+
     @property
     def may_fail_over(self) -> bool:
         """Whether the request may fail over from the endpoint that has it now."""
@@ -231,6 +236,6 @@
 
 def give_up(progress: Progress, reason: str) -> NextStep:
     """Choose the answer to a request that has no usable endpoint or no time left."""
-    if progress.runs or progress.has_begun or progress.is_in_flight:
+    if progress.may_have_run:
         return FailUnknown(reason)
     return RefuseNotRun(reason)
--- a/src/sorrelhoist/gateway/caller.py
+++ b/src/sorrelhoist/gateway/caller.py
@@ -141,6 +141,11 @@
         """Whether the connection has taken all that was written."""
         return not self._being_written and not self._pending
 
+    @property
+    def is_closed_here(self) -> bool:
+        """Whether the gateway has closed the connection because it ends."""
+        return self._connection.is_cut
+
     def hold_open(self) -> None:
         """Let the connection outlast the end of its client's side."""
         self._connection.hold_open()
--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -26,6 +26,11 @@
 CLOSE_TIMEOUT_S = 0.1
 """Longest wait for the connections to be closed, within `EXIT_MARGIN_S`."""
 
+END_TIMEOUT_S = 0.05
+"""Longest wait for requests that can be served no longer to end, and be logged."""
+
+END_POLL_S = 0.005
+
 
 class Server(Protocol):
     """An HTTP server that is drained."""
@@ -77,6 +82,7 @@
     for server in servers:
         server.refuse_unread()
     await _close_connections(servers)
+    await _requests_ended(front)
 
 
 async def _pause(servers: Sequence[Server], stop: PlannedStop) -> None:
@@ -107,3 +113,10 @@
         async with asyncio.timeout(CLOSE_TIMEOUT_S):
             for server in servers:
                 await server.close_all_connections()
+
+
+async def _requests_ended(front: CallerDelegate) -> None:
+    """Wait until requests whose work was ended have said so."""
+    end_s = asyncio.get_running_loop().time() + END_TIMEOUT_S
+    while front.running and asyncio.get_running_loop().time() < end_s:
+        await asyncio.sleep(END_POLL_S)
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -138,9 +138,9 @@
             with self._watching_stop():
                 outcome = await self._serve()
         except StreamClosedError:
-            self._log.write("caller gone", outcome=outcome)
+            outcome = self._record_close(outcome)
         except asyncio.CancelledError:
-            self._log.write("caller gone", outcome=outcome)
+            outcome = self._record_close(outcome)
             raise
         except Exception as error:
             outcome = await self._report_error(error)
@@ -149,6 +149,16 @@
                 outcome = "cut"
             self.parts.metrics.requests.add(1, {"outcome": outcome})
 
+    def _record_close(self, outcome: str) -> str:
+        """Log who closed the connection of a request without a whole answer."""
+        if self.caller.is_closed_here and self.parts.state.stop is not None:
+            progress = self._admitted.progress if self._admitted is not None else None
+            is_sent = progress is not None and progress.may_have_run
+            self._record_stop("closed", is_sent, is_cut=True)
+            return "cut"
+        self._log.write("caller gone", outcome=outcome)
+        return outcome
+
     async def _serve(self) -> str:
         if self.refusal is not None:
             return await self._refuse(self.refusal)
@@ -271,12 +281,25 @@
         stop = self.parts.state.stop
         return stop is not None and admitted.deadline_s < admitted.due_s
 
-    def _record_stop(self, outcome: str, is_sent: bool) -> None:
-        """Count and log a request that a planned stop refused or cut."""
+    def _record_stop(
+        self, outcome: str, is_sent: bool, is_cut: bool | None = None
+    ) -> None:
+        """Count and log a request that a planned stop refused or cut.
+
+        Parameters
+        ----------
+        outcome : str
+        is_sent : bool
+            Whether an endpoint may have run it.
+        is_cut : bool or None
+            Whether it ends without the answer of an endpoint or a refusal; the same as
+            ``is_sent`` if None.
+        """
         stop = self.parts.state.stop
         if stop is None:
             return
-        if is_sent:
+        is_cut = is_sent if is_cut is None else is_cut
+        if is_cut:
             stop.cut += 1
         else:
             stop.refused += 1
@@ -284,7 +307,7 @@
         now_s, admitted = asyncio.get_running_loop().time(), self._admitted
         estimate = self._estimate()
         self._log.write(
-            "cut by stop" if is_sent else "refused by stop",
+            "cut by stop" if is_cut else "refused by stop",
             outcome=outcome,
             expected_s=round(estimate.likely_s, 3),
             longest_s=round(estimate.longest_s, 3),
--- a/src/sorrelhoist/gateway/http_connection.py
+++ b/src/sorrelhoist/gateway/http_connection.py
@@ -176,6 +176,11 @@
         Returns the limits that apply now.
     on_close : callable
         Called with the connection when it is closed.
+
+    Attributes
+    ----------
+    is_cut : bool
+        Whether it was closed because the server ends.
     """
 
     def __init__(
@@ -211,6 +216,7 @@
         self._is_whole = False
         self._is_ended = False
         self._request_s = 0.0
+        self.is_cut = False
 
     def start(self) -> None:
         """Read requests until the connection is closed."""
@@ -591,6 +597,7 @@
 
     def cut(self) -> None:
         """Close the connection at once, so that no cut answer looks whole."""
+        self.is_cut = not self.stream.closed()
         is_unframed = self._protocol.their_http_version == b"1.0"
         self.abort(is_reset=isinstance(self._phase, Answering) and is_unframed)
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sorrelhoist.gateway import drain
+from sorrelhoist.gateway import app, drain
 from tests.platform.fleet import (
     configuration,
     read_answer,
@@ -203,3 +203,57 @@
         assert (answer.status == 200) == (len(fleet.endpoints[0].requests) == 9)
 
     run_stopping(main)
+
+
+def events_of(caplog, name):
+    return [one for one in caplog.records if getattr(one, "event", "") == name]
+
+
+@pytest.mark.parametrize("is_sent", (True, False))
+def test_a_request_that_ends_with_its_connection_is_logged_as_cut(
+    monkeypatch, caplog, is_sent
+):
+    # It was logged as one whose caller had gone, and wasn't counted.
+    async def close_at_once(front, servers, stop):
+        await drain._close_connections(servers)
+        await drain._requests_ended(front)
+
+    monkeypatch.setattr(app, "drain", close_at_once)
+    caplog.set_level("INFO")
+
+    async def main(fleet):
+        await fleet.add(hangs(), service="app", capacity=1)
+        kept = [await fleet.send("/look/1", wait_ms=20_000)]
+        await until(lambda: fleet.endpoints[0].requests)
+        if not is_sent:
+            kept.append(await fleet.send("/look/2", wait_ms=20_000))
+            await until(lambda: fleet.state.own_work.waiting("app"))
+        await stop(fleet)
+        await fleet.main
+        cut = events_of(caplog, "cut_by_stop")
+        assert [one.outcome for one in cut] == ["closed"] * (1 if is_sent else 2)
+        assert {one.is_sent for one in cut} == ({True} if is_sent else {True, False})
+        assert not events_of(caplog, "caller_gone")
+        (stopped,) = events_of(caplog, "stopped")
+        assert (stopped.running, stopped.cut) == (0, len(cut))
+        for _, writer in kept:
+            writer.close()
+
+    run_stopping(main)
+
+
+def test_a_caller_that_leaves_during_a_stop_is_logged_as_gone(caplog):
+    caplog.set_level("INFO")
+
+    async def main(fleet):
+        await fleet.add(hangs(), service="app")
+        _, writer = await fleet.send("/look/1", wait_ms=20_000)
+        await until(lambda: fleet.endpoints[0].requests)
+        await stop(fleet)
+        await asyncio.sleep(0.2)
+        writer.close()
+        await until(lambda: events_of(caplog, "caller_gone"))
+        assert not events_of(caplog, "cut_by_stop")
+        assert not fleet.state.stop.cut
+
+    run_stopping(main)
