A request that is read as connections close is refused before its own is closed

Callers that sent a request on a kept connection in the last moment of a stop saw the connection end without an answer, while the log had "refused by stop" and "refused" with status 503 for it.

Cause: the connections were closed in the pass of the loop in which the request was read; its work began only after that, and its refusal was written to a closed connection.

Nothing new is sent to endpoints meanwhile.

Evidence: test_a_request_that_is_read_as_connections_close_gets_its_refusal fails before (no answer on three connections) and passes with it.

--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -81,6 +81,8 @@
     stop.is_closing = True
     for server in servers:
         server.refuse_unread()
+    # What was read in this pass of the loop is refused before its connection closes.
+    await _requests_ended(front)
     await _close_connections(servers)
     await _requests_ended(front)
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -257,3 +257,38 @@
         assert not fleet.state.stop.cut
 
     run_stopping(main)
+
+
+def test_a_request_that_is_read_as_connections_close_gets_its_refusal(monkeypatch):
+    # It was logged as refused, while its connection was closed without the answer.
+    monkeypatch.setattr(drain, "READINESS_DETECTION_S", 0.1)
+    request = (
+        b"GET /look/1 HTTP/1.1\r\nHost: example.test\r\nX-Attempt-Id: x\r\n"
+        b"Authorization: Token key-1\r\n\r\n"
+    )
+    writers = []
+
+    async def read_last(front, servers, stop):
+        for writer in writers:
+            writer.write(request)
+        for connection in list(servers[0]._connections):
+            connection.stream._on_readable()
+        assert len(front.running) == len(writers)
+
+    monkeypatch.setattr(drain, "_quiet", read_last)
+
+    async def main(fleet):
+        endpoint = await fleet.add(whole(), service="app")
+        kept = [await fleet.send("/look/1") for _ in range(3)]
+        for reader, writer in kept:
+            await read_answer(reader, writer, keep_open=True)
+            writers.append(writer)
+        await stop(fleet)
+        await fleet.main
+        for reader, writer in kept:
+            answer = await read_answer(reader, writer)
+            assert (answer.status, answer.is_complete) == (503, True)
+        assert len(endpoint.requests) == len(kept)
+        assert fleet.state.stop.refused == len(kept)
+
+    run_stopping(main)
