A stop whose event loop is late ends before the process is killed

Operators saw processes killed 8 s after SIGTERM in the middle of their stop, without "stopped", when they got no processor as connections were to be closed, or when the signal was handled late.

Cause: the end of a drain waited 0.1 s for handshakes and then 0.2 s for requests from whatever time it began, also when that was after the time at which connections are to be closed.

Change: both waits end at that time, 7.5 s of 8. A process that is late closes as soon as it has accepted, read and refused what is there.

--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -72,7 +72,9 @@
         await _pause(servers, stop)
     for server in servers:
         server.refuse_connections()
-    await asyncio.sleep(HANDSHAKE_S)
+    # A process that is late has less time until it is killed.
+    left_s = max(0.0, stop.close_at_s - loop.time())
+    await asyncio.sleep(min(HANDSHAKE_S, left_s / 2))
     for server in servers:
         server.stop()
     await _quiet(front, servers, stop)
@@ -102,10 +104,9 @@
     """Wait until no request comes any more on the connections that were accepted."""
     loop = asyncio.get_running_loop()
     quiet_from_s = loop.time()
-    end_s = max(stop.close_at_s, quiet_from_s + QUIET_S)
-    while loop.time() < end_s:
+    while loop.time() < stop.close_at_s:
         is_quiet = loop.time() - max(quiet_from_s, front.received_s) >= QUIET_S
-        if is_quiet and (front.is_idle or loop.time() >= stop.close_at_s):
+        if is_quiet and front.is_idle:
             return
         await _pause(servers, stop)
 
