--- a/tests/platform/real_gateway.py
+++ b/tests/platform/real_gateway.py
@@ -92,6 +92,7 @@
     ready: int = attrs.field(factory=free_port)
     peer: int = attrs.field(factory=free_port)
     process: subprocess.Popen | None = None
+    checkout: Path = CHECKOUT
 
     @property
     def settings_path(self):
@@ -123,7 +124,7 @@
             self.write_settings()
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, str(CHECKOUT / "deploy" / "gateway.py")],
+                [sys.executable, str(self.checkout / "deploy" / "gateway.py")],
                 stdout=log,
                 stderr=log,
                 env=os.environ | {"SORRELHOIST_SETTINGS": str(self.settings_path)},
