A signal may be handled 0.3 s late before a request counts as early that isn't

test_real_stop_late.py has signals that are handled 0.3 s late: the time in which callers can't know of the stop, 3 s by the platform's rules, is counted from the handling.

--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -11,7 +11,7 @@
 EXIT_MARGIN_S = 0.7
 """Part of the grace period that is reserved for the exit of the process itself."""
 
-NOTICE_S = 2.8
+NOTICE_S = 2.7
 """Time from the signal in which callers can't know of the stop: 3 s by the platform's
 rules, less what the signal may be handled late."""
 
--- a/tests/decisions/test_planned_stop.py
+++ b/tests/decisions/test_planned_stop.py
@@ -24,7 +24,7 @@
     assert PlannedStop(**STOP).fits(work, deadline_s, now_s) is fits
 
 
-@pytest.mark.parametrize(("now_s", "fits"), [(102.7, True), (102.9, False)])
+@pytest.mark.parametrize(("now_s", "fits"), [(102.6, True), (102.8, False)])
 def test_once_the_stop_is_known_all_that_a_request_declares_must_fit(now_s, fits):
     work = WorkEstimate(likely_s=2.0, longest_s=5.0)
     assert PlannedStop(**STOP).fits(work, 130.0, now_s) is fits
