Late requests: few observations aren't a rule, and each kind is measured by itself

Cause: a quantile of fewer observations than it needs is their maximum. Work that is unlike was measured together: sized and unsized requests of a route, answers without events as late first events, streams whose engines wait for a caller.

A request counts as early by when it was received, not when it is placed, and a quantile whose weights have all decayed is none.

--- a/src/sorrelhoist/decisions/decaying_quantile.py
+++ b/src/sorrelhoist/decisions/decaying_quantile.py
@@ -76,10 +76,11 @@
             for bucket, weight in self._weights.items()
         ]
         weighted += more
-        if not weighted:
+        total = sum(weight for _, weight in weighted)
+        if total <= 0.0:
             return None
         weighted.sort()
-        left = share * sum(weight for _, weight in weighted)
+        left = share * total
         for value, weight in weighted:
             left -= weight
             if left < 0.0:
--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -12,16 +12,16 @@
 """Part of the grace period that is reserved for the exit of the process itself."""
 
 NOTICE_S = 2.7
-"""Time from the signal in which callers can't know of the stop: 3 s by the platform's
-rules, less what the signal may be handled late."""
+"""Time from the signal in which callers can't know of the stop, also if the signal is
+handled late."""
 
 ANSWER_MARGIN_S = 0.3
 """Time before the exit at which all that still runs is answered, for the answers to
 reach their callers."""
 
 CLOSE_MARGIN_S = 0.5
-"""Part of the grace period from which connections are closed. A stream that is broken
-off gets no answer, so that it may run until then."""
+"""Part of the grace period from which connections are closed. An answer that has begun
+may go on until then: if it is broken off, its caller gets no other."""
 
 SLACK_S = 0.2
 """Time by which work may outlast its expected time, as on a busy host. A request that
@@ -82,11 +82,11 @@
     >>> stop.cut_at_s
     107.0
     >>> work = WorkEstimate(likely_s=2.5, longest_s=4.0)
-    >>> stop.fits(work, deadline_s=130.0, now_s=102.0)
+    >>> stop.fits(work, received_s=102.0, deadline_s=130.0, now_s=102.0)
     True
-    >>> stop.fits(work, deadline_s=130.0, now_s=103.5)
+    >>> stop.fits(work, received_s=103.5, deadline_s=130.0, now_s=103.5)
     False
-    >>> stop.fits(work, deadline_s=105.0, now_s=103.5)
+    >>> stop.fits(work, received_s=103.5, deadline_s=105.0, now_s=103.5)
     True
     """
 
@@ -123,18 +123,20 @@
         """
         return min(deadline_s, self.close_at_s if has_begun else self.cut_at_s)
 
-    def latest_start_s(self, work: WorkEstimate, deadline_s: float) -> float | None:
+    def latest_start_s(
+        self, work: WorkEstimate, received_s: float, deadline_s: float
+    ) -> float | None:
         """Return until when a request may be sent to an endpoint.
 
-        Callers that can't know of the stop yet may find no other gateway: their
-        requests are taken if they most likely end in time. Later ones are taken only if
-        they fit with all that they declare.
+        A caller that couldn't know of the stop may find no other gateway: its request
+        is taken if it most likely ends in time. A later one is taken only if all that
+        it declares fits.
 
         Parameters
         ----------
         work : WorkEstimate
             Its work, with its slack.
-        deadline_s : float
+        received_s, deadline_s : float
 
         Returns
         -------
@@ -146,14 +148,16 @@
         if deadline_s < self.cut_at_s:
             return None
         end_s = self.exit_at_s if work.is_stream else self.cut_at_s
-        likely_fits_s = min(end_s - work.likely_s, self.began_s + NOTICE_S)
-        return max(likely_fits_s, end_s - work.longest_s)
+        is_early = received_s <= self.began_s + NOTICE_S
+        return end_s - (work.likely_s if is_early else work.longest_s)
 
-    def fits(self, work: WorkEstimate, deadline_s: float, now_s: float) -> bool:
+    def fits(
+        self, work: WorkEstimate, received_s: float, deadline_s: float, now_s: float
+    ) -> bool:
         """Return whether a request that is sent now can be expected to end in time."""
         if self.is_closing or now_s >= self.cut_at_s:
             return False
-        latest_s = self.latest_start_s(work, deadline_s)
+        latest_s = self.latest_start_s(work, received_s, deadline_s)
         return latest_s is None or now_s <= latest_s
 
     def left_s(self, now_s: float) -> float:
--- a/src/sorrelhoist/decisions/stream_paces.py
+++ b/src/sorrelhoist/decisions/stream_paces.py
@@ -1,4 +1,4 @@
-"""How much longer streams take than by the costs and the known load of their engines.
+"""Ratios of measured to expected pass times of engines, from their streams.
 
 The load pattern is streams beside others that come and go: prefills and contexts of
 others lengthen the passes of an engine while a stream runs.
@@ -9,7 +9,7 @@
 import attrs
 
 from .decaying_quantile import DecayingQuantile
-from .work import StreamWork
+from .work import SizedWork
 
 WORK_QUANTILE = 0.99
 """Share of the requests that end within the expected time. A request that is cut may be
@@ -17,14 +17,17 @@
 would cut half of those whose expected end is near the limit."""
 
 UNSEEN_PACE = 1.25
-"""Ratio of the time of passes to the expected one that is assumed until enough were
-seen: the error of the cost model, and prefills that are placed later."""
+"""Pace that stands for passes that weren't seen yet."""
 
-PACE_BUCKET_GROWTH = 1.02
-"""Resolution of measured paces: a tenth of a long stream would be half a second."""
+MIN_PASSES = 1000.0
+"""Weight of passes below which the rest counts as unseen: a single long pause must not
+be taken for the pace of all."""
+
+MIN_FIRST_EVENTS = 200.0
+"""The same for first events, of which unseen ones count as in time."""
 
-MIN_PASSES = 200.0
-"""Weight of the passes from which they are enough."""
+PACE_BUCKET_GROWTH = 1.02
+"""Resolution of measured paces."""
 
 RATIO_AGE_S = 0.05
 """Time for which a computed ratio is used again: many requests may be refused at once
@@ -35,7 +38,7 @@
 class _Stream:
     """A stream that runs, and what it has shown of its engine."""
 
-    work: StreamWork
+    work: SizedWork
     began_s: float
     passes: int = 0
     first_event_s: float | None = None
@@ -55,7 +58,7 @@
 
     @property
     def pace(self) -> float:
-        """Ratio of the measured to the expected time of its passes so far."""
+        """Ratio of the measured to the expected time of its passes so far, or 0."""
         if self.first_event_s is None or not self.passes:
             return 0.0
         passes_s = self.last_event_s - self.first_event_s
@@ -80,7 +83,7 @@
 
 
 class StreamPaces:
-    """How much longer streams take than by the costs and the load of their engines.
+    """Ratios of measured to expected pass times, and lateness of first events.
 
     Streams are measured by the time of their passes, which doesn't depend on how much
     of its declared size a stream needs. Each pass has the same weight: long streams
@@ -89,7 +92,7 @@
     Examples
     --------
     >>> paces = StreamPaces()
-    >>> work = StreamWork(
+    >>> work = SizedWork(
     ...     route="r", service="s", first_event_s=0.2, passes=50, pass_s=0.04
     ... )
     >>> round(paces.longest_s(work, now_s=0.0), 2)  # 0.2 + 50 * 0.04 * 1.25
@@ -98,7 +101,7 @@
     >>> for number in range(301):
     ...     paces.relayed("r1", 1, now_s=0.2 + number * 0.08)
     >>> paces.ended("r1", now_s=25.0)
-    >>> 4.2 <= paces.longest_s(work, now_s=25.0) < 4.7
+    >>> 4.2 <= paces.longest_s(work, now_s=25.0) < 4.3
     True
     """
 
@@ -107,7 +110,7 @@
         self._running: dict[str, _Stream] = {}
         self._factors: dict[str, tuple[float, float, float]] = {}
 
-    def began(self, request_id: str, work: StreamWork, now_s: float) -> None:
+    def began(self, request_id: str, work: SizedWork, now_s: float) -> None:
         """Record that a stream was sent to an engine."""
         self._running[request_id] = _Stream(work, now_s)
 
@@ -132,8 +135,8 @@
         """Forget a stream."""
         self._running.pop(request_id, None)
 
-    def longest_s(self, work: StreamWork, now_s: float) -> float:
-        """Return the time in which a stream of its declared size most likely ends."""
+    def longest_s(self, work: SizedWork, now_s: float) -> float:
+        """Return the time that work may take if it needs all that it declares."""
         pace, lateness_s, computed_s = self._factors.get(
             work.service, (0.0, 0.0, float("-inf"))
         )
@@ -146,20 +149,21 @@
         """Return the pace and the lateness of first events that few streams exceed."""
         seen = self._services.get(service) or _ServicePaces()
         running = [one for one in self._running.values() if one.work.service == service]
-        pace = _exceeded_by_few(
+        pace = _high_quantile(
             seen.pace,
             [(one.pace_now(now_s), one.passes + 1.0) for one in running],
+            (UNSEEN_PACE, MIN_PASSES),
             now_s,
         )
-        lateness_s = _exceeded_by_few(
+        lateness_s = _high_quantile(
             seen.lateness_s,
             [(one.lateness_s(now_s), 1.0) for one in running],
+            (0.0, MIN_FIRST_EVENTS),
             now_s,
         )
         # Events may be quick at first, or come several at once: the costs are the
         # least that a long stream takes.
-        is_enough = seen.pace.weight(now_s) >= MIN_PASSES
-        return max(1.0 if is_enough else UNSEEN_PACE, pace), lateness_s
+        return max(1.0, pace), lateness_s
 
     def retain(self, services: Iterable[str]) -> None:
         """Drop the observations of services that are not in the configuration."""
@@ -182,10 +186,25 @@
         return dumped
 
 
-def _exceeded_by_few(
-    seen: DecayingQuantile, running: Iterable[tuple[float, float]], now_s: float
+def _high_quantile(
+    seen: DecayingQuantile,
+    running: Iterable[tuple[float, float]],
+    unseen: tuple[float, float],
+    now_s: float,
 ) -> float:
-    """Return the quantile of what was seen, and of what exceeds it already."""
-    value = seen.quantile(WORK_QUANTILE, now_s) or 0.0
-    worse = [one for one in running if one[0] > value]
-    return seen.quantile(WORK_QUANTILE, now_s, worse) or value if worse else value
+    """Return the quantile of what was seen, and of what exceeds it already.
+
+    Parameters
+    ----------
+    seen : DecayingQuantile
+    running : iterable of tuple of (float, float)
+        Values of what still runs, with their weights.
+    unseen : tuple of (float, float)
+        Value that stands for what is missing up to a weight.
+    now_s : float
+    """
+    value, weight = unseen
+    more = [(value, max(0.0, weight - seen.weight(now_s)))]
+    found = seen.quantile(WORK_QUANTILE, now_s, more) or 0.0
+    more += [one for one in running if one[0] > found]
+    return seen.quantile(WORK_QUANTILE, now_s, more) or 0.0
--- a/src/sorrelhoist/decisions/work.py
+++ b/src/sorrelhoist/decisions/work.py
@@ -30,8 +30,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class StreamWork:
-    """Work of one stream of a declared size at an engine whose costs are known.
+class SizedWork:
+    """Work of one request of a declared size at an engine whose costs are known.
 
     Parameters
     ----------
@@ -42,6 +42,8 @@
         Passes of the engine that its declared size takes. Most streams end earlier.
     pass_s : float
         Time of one pass by the costs and the load of the engine.
+    is_stream : bool
+        Whether its events show how long passes take.
     """
 
     route: str
@@ -49,6 +51,7 @@
     first_event_s: float
     passes: int
     pass_s: float
+    is_stream: bool = True
 
     @property
     def nominal_s(self) -> float:
@@ -82,7 +85,7 @@
     """Return the work of a request without a declared size, by the configuration.
 
     The objective of a call is the time that it should take. That of a stream ends with
-    its first event: only its timeout bounds the rest, whatever others needed.
+    its first event: only its timeout bounds the rest.
 
     Examples
     --------
@@ -98,19 +101,20 @@
     return Work(route.name, max(route.objective_s, MIN_NOMINAL_S))
 
 
-def stream_work(
-    route: str,
+def sized_work(
+    route: Route,
     service: str,
     costs: EngineCosts,
     prompt_tokens: int,
     output_tokens: int,
     load: EngineLoad | None = None,
-) -> StreamWork:
-    """Return the work of a stream by the costs of its engine.
+) -> SizedWork:
+    """Return the work of a request by the costs of its engine.
 
     Parameters
     ----------
-    route, service : str
+    route : Route
+    service : str
     costs : EngineCosts
     prompt_tokens, output_tokens : int
     load : EngineLoad or None
@@ -126,10 +130,11 @@
             pass_ms += costs.tokens_per_event * costs.hop_ms
         pass_ms *= load.slowness
         first_event_s = max(read_s, load.first_event_s)
-    return StreamWork(
-        route=route,
+    return SizedWork(
+        route=route.name,
         service=service,
         first_event_s=max(first_event_s, MIN_NOMINAL_S),
         passes=passes,
         pass_s=max(pass_ms / 1000, MIN_NOMINAL_S),
+        is_stream=route.is_stream,
     )
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -21,7 +21,7 @@
 )
 from ..decisions.planned_stop import PlannedStop, WorkEstimate, slack_s
 from ..decisions.routes import Route, Workspace
-from ..decisions.work import EngineLoad, StreamWork, Work, nominal_work, stream_work
+from ..decisions.work import EngineLoad, SizedWork, Work, nominal_work, sized_work
 from .caller import CallerConnection
 from .dispatch import PlacementRequest
 from .parts import GatewayParts
@@ -131,7 +131,7 @@
 
     def work(
         self, state: GatewayState, now_s: float, assignment: Assignment | None = None
-    ) -> Work | StreamWork:
+    ) -> Work | SizedWork:
         """Return the work that is left, before or after the placement."""
         size, costs = self.request.size, state.engine_costs(self.service)
         if size is None or costs is None or not size.output_tokens:
@@ -146,8 +146,8 @@
                 slowness=state.pass_corrections.slowness(first.endpoint_id, now_s),
                 is_split=bool(assignment.tickets),
             )
-        return stream_work(
-            self.route.name,
+        return sized_work(
+            self.route,
             self.service,
             costs,
             size.prompt_tokens,
@@ -193,7 +193,10 @@
     ) -> bool:
         """Return whether the request, if sent now, can end before the process does."""
         return state.stop is None or state.stop.fits(
-            self.estimate(state, now_s, assignment), self.deadline_s, now_s
+            self.estimate(state, now_s, assignment),
+            self.received_s,
+            self.deadline_s,
+            now_s,
         )
 
     def fits_elsewhere(
@@ -205,7 +208,10 @@
         there.
         """
         return state.stop is None or state.stop.fits(
-            self._estimate_left(state, now_s, assignment), self.deadline_s, now_s
+            self._estimate_left(state, now_s, assignment),
+            self.received_s,
+            self.deadline_s,
+            now_s,
         )
 
 
@@ -296,7 +302,7 @@
         return failure
 
     @contextmanager
-    def _timed(self, work: Work | StreamWork) -> Iterator[None]:
+    def _timed(self, work: Work | SizedWork) -> Iterator[None]:
         """Measure how long the endpoint has the request."""
         loop, state = asyncio.get_running_loop(), self.parts.state
         request_id = self.admitted.request.request_id
@@ -306,7 +312,7 @@
         finally:
             state.work_times.ended(request_id, self._is_answered, loop.time())
 
-    def _log_send(self, left_s: float, work: Work | StreamWork) -> None:
+    def _log_send(self, left_s: float, work: Work | SizedWork) -> None:
         now_s = asyncio.get_running_loop().time()
         state, size = self.parts.state, self.admitted.request.size
         table, loads = state.table, state.loads
@@ -630,9 +636,7 @@
             if not is_limited and not self.caller.has_drained:
                 # Without a limit the endpoint waits for the caller, which is no pause
                 # of the endpoint.
-                self.parts.state.work_times.ignore_pace(
-                    self.admitted.request.request_id
-                )
+                self.parts.state.work_times.ignore(self.admitted.request.request_id)
                 self._restart_timer(limit, None)
                 await self.caller.drained()
                 self._restart_timer(limit, timeout_s)
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -257,7 +257,7 @@
         if stop is None:
             return None
         deadline_s = admitted.deadline_s if admitted is not None else stop.cut_at_s
-        return stop.latest_start_s(self._estimate(), deadline_s)
+        return stop.latest_start_s(self._estimate(), self.received_s, deadline_s)
 
     def _estimate(self) -> WorkEstimate:
         """Return the time of the request's work; 0 if nothing is known."""
--- a/tests/platform/test_real_stop_pace.py
+++ b/tests/platform/test_real_stop_pace.py
@@ -23,6 +23,8 @@
 """3.3 s by the costs of an engine that runs nothing else."""
 SHORT_EVENTS, SHORT_ROUNDS = 4, 25
 HELD_EVENTS = 160
+FITTING_EVENTS = 24
+"""They take 1.1 s of the 3.9 s that are left when the stream is sent."""
 READ_S = 7.1
 """Time after the signal at which an answer is read, before connections are closed."""
 READ_BYTES = 65_536
@@ -126,17 +128,36 @@
 
 @pytest.mark.parametrize("is_warm", (False, True))
 def test_a_late_stream_beside_long_contexts_is_refused_or_whole(tmp_path, is_warm):
-    # Its declared size fitted at the pace of an engine without other streams.
+    # The declared size fits only at an engine without other streams.
     run_late_stream(tmp_path, slowness=1.0, beside=2, is_warm=is_warm)
 
 
 def test_a_late_stream_at_a_slow_engine_is_refused_or_whole(tmp_path):
-    # Short streams of a large declared size hid that the engine was slow.
+    # Short streams of a large declared size hide that the engine is slow.
     run_late_stream(tmp_path, slowness=1.4, beside=0, is_warm=True)
 
 
+def test_a_late_stream_that_fits_with_all_it_declares_is_served(tmp_path):
+    async def main(gateway):
+        await see_short_streams(gateway)
+        reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
+        writer.write(stream(1, close=False))
+        assert (await read_answer(reader, writer, keep_open=True)).status == 200
+        held = asyncio.ensure_future(
+            gateway.call(stream(END_EVENTS, 10_000), wait_s=9.0)
+        )
+        await asyncio.sleep(0.2)
+        gateway.signal(STOP)
+        await asyncio.sleep(LATE_S)
+        writer.write(stream(FITTING_EVENTS, FITTING_EVENTS * COSTS["step_count"]))
+        answer = await read_answer(reader, writer)
+        assert (answer.status, answer.is_complete) == (200, True)
+        await held
+
+    run_with_engine(tmp_path, 1.0, main)
+
+
 def test_a_stream_that_ends_as_connections_close_is_whole(tmp_path):
-    # It was broken off 0.3 s before the process would have begun to exit.
     async def main(gateway):
         call = gateway.call(stream(END_EVENTS, 10_000, path="slow"), wait_s=9.0)
         running = asyncio.ensure_future(call)
@@ -168,7 +189,7 @@
 
 
 def test_an_answer_that_is_still_being_read_as_connections_close_is_whole(tmp_path):
-    # It was dropped when its endpoint had sent all, though its caller was reading it.
+    # Its endpoint has sent all, and its caller is still reading.
     events, event_bytes = 100, 40_000
     request = stream(events, 10_000, path="slow")
     request = request.replace(b"/slow/100 ", b"/slow/100/%d " % event_bytes)
