The log of a stop says how late its signal and its event loop were

Operators couldn't tell a stop that was late from one whose work was slow: all its times count from the signal's handler, and a loop that gets no processor moves them unseen.

"stopping" now has `late_ms`, the time from the handler to the loop, and "stopped" the longest time by which a poll of the drain was late, that one included. A signal whose handler itself runs late can't be told from a later signal.

Evidence: test_the_log_says_how_late_a_signal_and_the_loop_were_handled, test_a_loop_that_is_late_during_a_drain_is_recorded, and the real processes in test_real_stop_late.py, whose `late_ms` is that of their pauses.

--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -75,6 +75,8 @@
     is_closing : bool
         Whether connections are being closed, so that nothing new may be sent.
     refused, cut : int
+    late_s : float
+        Longest time by which the event loop was late since the signal.
 
     Examples
     --------
@@ -95,6 +97,7 @@
     is_closing: bool = False
     refused: int = 0
     cut: int = 0
+    late_s: float = 0.0
 
     @property
     def exit_at_s(self) -> float:
@@ -160,6 +163,10 @@
         latest_s = self.latest_start_s(work, received_s, deadline_s)
         return latest_s is None or now_s <= latest_s
 
+    def due(self, due_s: float, now_s: float) -> None:
+        """Record that the event loop did at ``now_s`` what was due at ``due_s``."""
+        self.late_s = max(self.late_s, now_s - due_s)
+
     def left_s(self, now_s: float) -> float:
         """Return the time until all requests that still run are given up."""
         return max(0.0, self.cut_at_s - now_s)
--- a/src/sorrelhoist/gateway/app.py
+++ b/src/sorrelhoist/gateway/app.py
@@ -126,9 +126,16 @@
                     await asyncio.sleep(0)
                     await stop.wait()
                 stopped_s = self.signals.stop_s or loop.time()
-                count = len(front.running)
-                logger.info("stopping", extra={"event": "stop", "running": count})
                 planned = self.state.begin_stop(stopped_s, self.grace_s)
+                planned.due(stopped_s, loop.time())
+                logger.info(
+                    "stopping",
+                    extra={
+                        "event": "stop",
+                        "running": len(front.running),
+                        "late_ms": round(planned.late_s * 1000),
+                    },
+                )
                 if callers_served.is_set():
                     await drain(front, servers, planned)
         count = len(front.running)
@@ -139,6 +146,7 @@
                 "running": count,
                 "refused": planned.refused,
                 "cut": planned.cut,
+                "late_ms": round(planned.late_s * 1000),
             },
         )
 
--- a/src/sorrelhoist/gateway/drain.py
+++ b/src/sorrelhoist/gateway/drain.py
@@ -92,7 +92,9 @@
 async def _pause(servers: Sequence[Server], stop: PlannedStop) -> None:
     """Wait until the next poll; refuse what has come too slowly to be served."""
     loop = asyncio.get_running_loop()
+    due_s = loop.time() + DRAIN_POLL_S
     await asyncio.sleep(DRAIN_POLL_S)
+    stop.due(due_s, loop.time())
     if loop.time() >= stop.cut_at_s:
         for server in servers:
             server.refuse_unread()
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -1,13 +1,14 @@
 """Drain of a stopping gateway whose event loop is late."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import attrs
 import pytest
 
 from sorrelhoist.decisions.planned_stop import PlannedStop
-from sorrelhoist.gateway.drain import drain
+from sorrelhoist.gateway.drain import DRAIN_POLL_S, drain
 
 GRACE_S = 8.0
 LATE_EXIT_S = 0.15
@@ -59,3 +60,14 @@
         assert planned.is_closing
 
     asyncio.run(main())
+
+
+def test_a_loop_that_is_late_during_a_drain_is_recorded():
+    async def main():
+        loop = asyncio.get_running_loop()
+        planned = PlannedStop(began_s=loop.time() - 7.0, grace_s=GRACE_S)
+        loop.call_later(0.1, time.sleep, 0.2)
+        await drain(busy_front(), [RecordingServer()], planned)
+        assert planned.late_s >= 0.2 - DRAIN_POLL_S
+
+    asyncio.run(main())
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import signal
+import time
 
 import pytest
 
@@ -292,3 +293,18 @@
         assert fleet.state.stop.refused == len(kept)
 
     run_stopping(main)
+
+
+def test_the_log_says_how_late_a_signal_and_the_loop_were_handled(caplog):
+    caplog.set_level("INFO")
+
+    async def main(fleet):
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.3)  # The handler has run, the loop hasn't.
+        await until(lambda: fleet.state.is_stopping)
+        await fleet.main
+        for name in ("stop", "stopped"):
+            (event,) = events_of(caplog, name)
+            assert event.late_ms >= 290
+
+    run_stopping(main)
--- a/tests/platform/test_real_stop_late.py
+++ b/tests/platform/test_real_stop_late.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sorrelhoist.gateway.drain import DRAIN_POLL_S, HANDSHAKE_S
 from tests.platform.real_gateway import STOP, post, run_in_world
 from tests.platform.standins import streams
 from tests.platform.test_real_stop import ROUTES, use_one_connection, works
@@ -71,6 +72,9 @@
         (cut,) = gateway.events("cut_by_stop")
         (stopped,) = gateway.events("stopped")
         assert cut["outcome"] == "broken off"
+        assert gateway.events("stop")[0]["late_ms"] <= stopped["late_ms"]
+        longest_s = max((end_s - begin_s for begin_s, end_s in spans), default=0.0)
+        assert stopped["late_ms"] / 1000 >= longest_s - DRAIN_POLL_S - HANDSHAKE_S
         assert (stopped["running"], stopped["cut"]) == (0, 1)
 
     run_in_world(tmp_path, main, routes=ROUTES)
