Lines about requests that a stop cuts are never dropped

Operators may miss "cut by stop" for a caller that lost its answer: above 300 lines a second, which 50 requests write, lines below a warning are dropped and only counted.

Change: "cut by stop" is a warning, as "caller cut" is. There is one for each request that runs at the end of a stop, so that they are few.

Evidence: test_a_request_that_ends_with_its_connection_is_logged_as_cut fails before (INFO) and passes with it.

--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -306,7 +306,8 @@
         self.parts.metrics.planned_stops.add(1, {"outcome": outcome})
         now_s, admitted = asyncio.get_running_loop().time(), self._admitted
         estimate = self._estimate()
-        self._log.write(
+        write = self._log.warn if is_cut else self._log.write
+        write(
             "cut by stop" if is_cut else "refused by stop",
             outcome=outcome,
             expected_s=round(estimate.likely_s, 3),
--- a/src/sorrelhoist/gateway/request_log.py
+++ b/src/sorrelhoist/gateway/request_log.py
@@ -24,7 +24,17 @@
 
     def write(self, message: str, outcome: str, **inputs: object) -> None:
         """Log a decision with its outcome and its inputs."""
-        logger.info(
+        self._write(logging.INFO, message, outcome, inputs)
+
+    def warn(self, message: str, outcome: str, **inputs: object) -> None:
+        """Log an end that callers notice, whatever the rate of the log is."""
+        self._write(logging.WARNING, message, outcome, inputs)
+
+    def _write(
+        self, level: int, message: str, outcome: str, inputs: dict[str, object]
+    ) -> None:
+        logger.log(
+            level,
             message,
             extra={
                 "event": message.replace(" ", "_"),
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -233,6 +233,8 @@
         await fleet.main
         cut = events_of(caplog, "cut_by_stop")
         assert [one.outcome for one in cut] == ["closed"] * (1 if is_sent else 2)
+        # Other lines are dropped where there are too many.
+        assert {one.levelname for one in cut} == {"WARNING"}
         assert {one.is_sent for one in cut} == ({True} if is_sent else {True, False})
         assert not events_of(caplog, "caller_gone")
         (stopped,) = events_of(caplog, "stopped")
