A stream that is cut for memory is not logged as left by its caller

Operators saw "caller gone" after "caller cut" for the same request, as if its caller had disconnected.

Cause: breaking off the answer closes the connection, which cancels the work on the request.

Evidence: test_a_stream_that_is_cut_for_memory_is_not_logged_as_left fails before and passes with the change.

--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -156,7 +156,8 @@
             is_sent = progress is not None and progress.may_have_run
             self._record_stop("closed", is_sent, is_cut=True)
             return "cut"
-        self._log.write("caller gone", outcome=outcome)
+        if self.caller.cut_reason is None:  # Otherwise "caller cut" says so.
+            self._log.write("caller gone", outcome=outcome)
         return outcome
 
     async def _serve(self) -> str:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sorrelhoist.gateway import app, drain
+from sorrelhoist.gateway.memory import MemoryKeeper
 from tests.platform.fleet import (
     configuration,
     read_answer,
@@ -262,6 +263,33 @@
     run_stopping(main)
 
 
+def test_a_stream_that_is_cut_for_memory_is_not_logged_as_left(monkeypatch, caplog):
+    # "caller cut" was followed by "caller gone", though its caller was there.
+    keepers = []
+    monkeypatch.setattr(
+        app,
+        "MemoryKeeper",
+        lambda *args: keepers.append(MemoryKeeper(*args)) or keepers[0],
+    )
+    caplog.set_level("INFO")
+
+    async def main(fleet):
+        await fleet.add(streams(100, pause_s=0.1))
+        reading = asyncio.ensure_future(fleet.stream(wait_ms=20_000))
+        await until(lambda: events_of(caplog, "first_event"))
+        await stop(fleet)
+        (caller,) = keepers[0]._callers.values()
+        keepers[0].cut(caller, "over its share of the memory")
+        answer = await reading
+        assert (answer.status, answer.is_complete) == (200, False)
+        await fleet.main
+        assert len(events_of(caplog, "caller_cut")) == 1
+        assert not events_of(caplog, "caller_gone")
+        assert not events_of(caplog, "cut_by_stop")
+
+    run_stopping(main)
+
+
 def test_a_request_that_is_read_as_connections_close_gets_its_refusal(monkeypatch):
     # It was logged as refused, while its connection was closed without the answer.
     monkeypatch.setattr(drain, "READINESS_DETECTION_S", 0.1)
