The refusal of a request whose body is awaited names the work that did not fit

Operators saw "refused by stop" with `expected_s` and `longest_s` 0, which fits into any stop.

Cause: such a request is refused by its head, before it is admitted, and only admitted requests had an estimate in the log.

Evidence: test_the_refusal_of_an_awaited_body_names_the_work_that_did_not_fit fails before (0.0) and passes with the change.

--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -260,12 +260,13 @@
         deadline_s = admitted.deadline_s if admitted is not None else stop.cut_at_s
         return stop.latest_start_s(self._estimate(), self.received_s, deadline_s)
 
-    def _estimate(self) -> WorkEstimate:
+    def _estimate(self, admitted: AdmittedRequest | None = None) -> WorkEstimate:
         """Return the time of the request's work; 0 if nothing is known."""
-        if self._admitted is None:
+        admitted = admitted or self._admitted
+        if admitted is None:
             return WorkEstimate()
         now_s = asyncio.get_running_loop().time()
-        return self._admitted.estimate(self.parts.state, now_s)
+        return admitted.estimate(self.parts.state, now_s)
 
     @asynccontextmanager
     async def _while_it_fits(self) -> AsyncIterator[asyncio.Timeout]:
@@ -283,7 +284,11 @@
         return stop is not None and admitted.deadline_s < admitted.due_s
 
     def _record_stop(
-        self, outcome: str, is_sent: bool, is_cut: bool | None = None
+        self,
+        outcome: str,
+        is_sent: bool,
+        is_cut: bool | None = None,
+        admitted: AdmittedRequest | None = None,
     ) -> None:
         """Count and log a request that a planned stop refused or cut.
 
@@ -295,6 +300,8 @@
         is_cut : bool or None
             Whether it ends without the answer of an endpoint or a refusal; the same as
             ``is_sent`` if None.
+        admitted : AdmittedRequest or None
+            The request with its route, if it isn't admitted yet.
         """
         stop = self.parts.state.stop
         if stop is None:
@@ -305,8 +312,8 @@
         else:
             stop.refused += 1
         self.parts.metrics.planned_stops.add(1, {"outcome": outcome})
-        now_s, admitted = asyncio.get_running_loop().time(), self._admitted
-        estimate = self._estimate()
+        now_s, admitted = asyncio.get_running_loop().time(), admitted or self._admitted
+        estimate = self._estimate(admitted)
         write = self._log.warn if is_cut else self._log.write
         write(
             "cut by stop" if is_cut else "refused by stop",
@@ -435,7 +442,7 @@
         """Refuse a request that doesn't fit into a planned stop."""
         state = self.parts.state
         if not admitted.fits_stop(state, asyncio.get_running_loop().time()):
-            self._record_stop("refused", is_sent=False)
+            self._record_stop("refused", is_sent=False, admitted=admitted)
             return self._local_refusal(STOPPING)
         if state.stop is not None:
             admitted.move_deadline(state.stop, has_begun=False)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -338,3 +338,27 @@
             assert event.late_ms >= 290
 
     run_stopping(main)
+
+
+def test_the_refusal_of_an_awaited_body_names_the_work_that_did_not_fit(caplog):
+    # It was logged with 0 s of work, which fits into any stop.
+    caplog.set_level("INFO")
+
+    async def main(fleet):
+        work_s = 1.5
+        await fleet.add(takes(work_s), service="app")
+        assert (await fleet.fetch("/look/1", "POST", wait_ms=20_000)).status == 200
+        await stop(fleet)
+        await asyncio.sleep(1.0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", fleet.front_port)
+        writer.write(
+            b"POST /look/2 HTTP/1.1\r\nHost: example.test\r\nX-Attempt-Id: a-1\r\n"
+            b"X-Deadline-Ms: 9000\r\nAuthorization: Token key-1\r\n"
+            b"Content-Length: 4\r\n\r\nab"
+        )
+        assert (await read_answer(reader, writer)).status == 503
+        (refused,) = events_of(caplog, "refused_by_stop")
+        assert refused.request_id == "a-1"
+        assert refused.expected_s >= work_s > refused.left_s
+
+    run_stopping(main)
