The last lines of a process reach a reader that is slow

Operators may miss the last lines of a process, the end of a stop among them, if whoever reads its log is slow; and the number of lines that were dropped last was never written.

Cause: what the pipe didn't take at once was kept for the next line, and there is none at the end.

Change: closing the log writes the number and waits up to 0.1 s for the reader.

--- a/src/sorrelhoist/node/logs.py
+++ b/src/sorrelhoist/node/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import select
 import sys
 import time
 
@@ -19,6 +20,11 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 """Limit of the buffer for a slow reader; several hundred lines."""
 
+CLOSE_TIMEOUT_S = 0.1
+"""Longest wait at the end of a process for a slow reader to take the last lines."""
+
+MS_PER_S = 1000
+
 
 class RateLimitedHandler(logging.Handler):
     """Write log lines to a file descriptor, rate-limited and without blocking.
@@ -58,7 +64,7 @@
             return
         try:
             if self._dropped_lines:
-                self._write_dropped_count(record)
+                self._write_dropped_count()
             self._write(record)
         except Exception:  # a logging error must not fail the caller
             self.handleError(record)
@@ -75,6 +81,19 @@
                 return
             del self._buffer[:written]
 
+    def close(self) -> None:
+        """Write what is left, if the reader takes it soon: no later call will."""
+        if self._dropped_lines:
+            self._write_dropped_count()
+        reader = select.poll()
+        reader.register(self._descriptor, select.POLLOUT)
+        end_s = time.monotonic() + CLOSE_TIMEOUT_S
+        self.flush()
+        while self._buffer and (left_s := end_s - time.monotonic()) > 0:
+            reader.poll(left_s * MS_PER_S)
+            self.flush()
+        super().close()
+
     def _is_allowed(self, level: int, now_s: float) -> bool:
         elapsed_s = now_s - self._updated_s
         self._updated_s = now_s
@@ -86,7 +105,7 @@
         self._available_lines = max(0.0, self._available_lines - 1.0)
         return True
 
-    def _write_dropped_count(self, record: logging.LogRecord) -> None:
+    def _write_dropped_count(self) -> None:
         report = logging.LogRecord(
             __name__, logging.WARNING, __file__, 0, "lines dropped", (), None
         )
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -1,13 +1,19 @@
 """Logging is rate-limited and never blocks on a slow reader."""
 
+import contextlib
 import json
 import logging
 import os
+import threading
 import time
 
 import pytest
 
-from sorrelhoist.node.logs import MAX_BUFFERED_BYTES, RateLimitedHandler
+from sorrelhoist.node.logs import (
+    CLOSE_TIMEOUT_S,
+    MAX_BUFFERED_BYTES,
+    RateLimitedHandler,
+)
 
 
 @pytest.fixture
@@ -62,3 +68,47 @@
     text += os.read(pipe[0], 1 << 20)
     found = [json.loads(line)["message"] for line in text.decode().splitlines()]
     assert found == ["x" * 100 + str(number) for number in range(2_000)]
+
+
+def test_the_last_lines_of_a_process_are_written_to_a_slow_reader(pipe):
+    # What the pipe didn't take at once was lost, the end of a stop among it.
+    handler = RateLimitedHandler(pipe[1], lines_per_s=1e9, burst_lines=1e9)
+    logger = logger_to(handler)
+    for number in range(2_000):
+        logger.info("x" * 100 + str(number))
+    assert handler._buffer
+    os.set_blocking(pipe[0], False)
+    found = []
+
+    def read():
+        for _ in range(40):
+            time.sleep(0.005)
+            with contextlib.suppress(BlockingIOError):
+                found.append(os.read(pipe[0], 1 << 16))
+
+    reader = threading.Thread(target=read)
+    reader.start()
+    handler.flush()
+    handler.close()
+    reader.join()
+    assert len(b"".join(found).splitlines()) == 2_000
+
+
+def test_the_number_of_lines_that_were_dropped_last_is_written(pipe):
+    handler = RateLimitedHandler(pipe[1], lines_per_s=1e-9, burst_lines=1.0)
+    logger = logger_to(handler)
+    for _ in range(5):
+        logger.info("line")
+    handler.close()
+    found = [json.loads(line)["message"] for line in lines(pipe[0])]
+    assert found == ["line", "lines dropped"]
+
+
+def test_a_reader_that_takes_nothing_delays_the_end_for_a_short_time(pipe):
+    handler = RateLimitedHandler(pipe[1], lines_per_s=1e9, burst_lines=1e9)
+    logger = logger_to(handler)
+    for _ in range(2_000):
+        logger.info("x" * 100)
+    started_s = time.monotonic()
+    handler.close()
+    assert CLOSE_TIMEOUT_S <= time.monotonic() - started_s < 1.0
