A gateway exits as soon as it has written its log

Operators saw processes killed after "process ends" if their stop was late.

Evidence: test_the_end_of_the_interpreter_delays_no_exit fails before (no exit 2.5 s after the signal, with a grace period of 1 s) and passes with the change. Errors still end the process in the usual way, with their traceback and exit code.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -3,6 +3,7 @@
 Neither needs what `site` adds to the path, so the interpreter may start with ``-S``.
 """
 
+import os
 import signal
 import time
 
@@ -21,6 +22,7 @@
 # A process inherits the signals that its parent has blocked.
 signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
+import logging  # noqa: E402
 import sys  # noqa: E402
 from pathlib import Path  # noqa: E402
 
@@ -43,3 +45,7 @@
     # The end of the interpreter restores the default action of handlers alone.
     for number in SIGNALS:
         signal.signal(number, signal.SIG_IGN)
+# The end of the interpreter takes 0.1 s in which the process may be killed: it frees
+# objects one by one.
+logging.shutdown()
+os._exit(0)
--- a/tests/platform/test_real_stop_late.py
+++ b/tests/platform/test_real_stop_late.py
@@ -1,13 +1,16 @@
 """Planned stops of real processes that are late: they end before they are killed."""
 
 import asyncio
+import os
 import signal
+import subprocess
+import sys
 import time
 
 import pytest
 
 from sorrelhoist.gateway.drain import DRAIN_POLL_S, HANDSHAKE_S
-from tests.platform.real_gateway import STOP, post, run_in_world
+from tests.platform.real_gateway import CHECKOUT, STOP, post, run_in_world
 from tests.platform.standins import streams
 from tests.platform.test_real_stop import ROUTES, use_one_connection, works
 
@@ -78,3 +81,31 @@
         assert (stopped["running"], stopped["cut"]) == (0, 1)
 
     run_in_world(tmp_path, main, routes=ROUTES)
+
+
+SLOW_END = """
+import atexit, runpy, sys, time
+atexit.register(time.sleep, 3.0)
+sys.argv = [sys.argv[1]]
+runpy.run_path(sys.argv[0], run_name="__main__")
+"""
+
+
+def test_the_end_of_the_interpreter_delays_no_exit(tmp_path):
+    # It took up to 0.12 s of the 0.5 s between the close of connections and the kill.
+    async def main(world):
+        gateway = world.gateway(grace_s=1)
+        gateway.write_settings()
+        with gateway.log_path.open("ab") as log:
+            gateway.process = subprocess.Popen(
+                [sys.executable, "-c", SLOW_END, str(CHECKOUT / "deploy/gateway.py")],
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"SORRELHOIST_SETTINGS": str(gateway.settings_path)},
+            )
+        await gateway.wait_ready()
+        gateway.signal(STOP)
+        assert await gateway.exit_code(2.5) == 0
+        assert gateway.events("exit")
+
+    run_in_world(tmp_path, main)
