Revert "The load of one endpoint is summed without that of all others"

The sum over all endpoints also brings their remaining prefills up to date, on which memory grants rely.

--- a/src/sorrelhoist/decisions/placement/load_tracker.py
+++ b/src/sorrelhoist/decisions/placement/load_tracker.py
@@ -419,18 +419,8 @@
             use.reading_s = now_s - (use.read_ms - remaining.left_ms) / 1000
 
     def endpoint_use(self, address: str, now_s: float) -> EndpointUse:
-        """Return the load of one endpoint, without a sum over all others."""
-        total = self._own_use(address)
-        for placement in self._placements.values():
-            for use in placement.uses:
-                if use.address == address:
-                    total.add(use, placement.placed_s, placement.is_prefilling)
-        for report in self._peers.values():
-            reported = report.uses.get(address)
-            if reported is not None and now_s - report.heard_s < PEER_REPORT_TTL_S:
-                total.join(reported)
-        self._set_prefill_start(total, now_s)
-        return total
+        """Return the load of one endpoint."""
+        return self.totals(now_s).get(address) or EndpointUse(address=address)
 
     def dump(self, now_s: float) -> dict:
         """Return the state as plain data."""
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -10,6 +10,7 @@
 from ..decisions.event_stream import EventSplitter, is_comment
 from ..decisions.forwarding import Broken, Failed, Failure, Progress, Withheld
 from ..decisions.placement.demand import Assignment
+from ..decisions.placement.load_tracker import EndpointUse
 from ..decisions.placement.pause_monitor import StreamPauses, estimate_pass
 from ..decisions.placement.pauses import is_tight
 from ..decisions.placement.prefill_watch import (
@@ -130,9 +131,22 @@
         return fields
 
     def work(
-        self, state: GatewayState, now_s: float, assignment: Assignment | None = None
+        self,
+        state: GatewayState,
+        now_s: float,
+        assignment: Assignment | None = None,
+        use: EndpointUse | None = None,
     ) -> Work | SizedWork:
-        """Return the work that is left, before or after the placement."""
+        """Return the work that is left, before or after the placement.
+
+        Parameters
+        ----------
+        state : GatewayState
+        now_s : float
+        assignment : Assignment or None
+        use : EndpointUse or None
+            Load of the first endpoint; summed if it isn't given.
+        """
         size, costs = self.request.size, state.engine_costs(self.service)
         if size is None or costs is None or not size.output_tokens:
             return nominal_work(self.route)
@@ -142,7 +156,7 @@
             first = assignment.first
             load = EngineLoad(
                 first_event_s=assignment.first_event_ms / 1000,
-                use=state.loads.endpoint_use(first.address, now_s),
+                use=use or state.loads.endpoint_use(first.address, now_s),
                 slowness=state.pass_corrections.slowness(first.endpoint_id, now_s),
                 is_split=bool(assignment.tickets),
             )
@@ -271,8 +285,10 @@
             resume_after=self.admitted.splitter.last_id,
             engine_priority=self._engine_priority(),
         )
-        work = self.admitted.work(self.parts.state, loop.time(), self.assignment)
-        self._log_send(left_s, work)
+        state = self.parts.state
+        use = state.loads.endpoint_use(endpoint.address, loop.time())
+        work = self.admitted.work(state, loop.time(), self.assignment, use)
+        self._log_send(left_s, work, use)
         self.admitted.sent_s, self.admitted.pauses = loop.time(), None
         self.parts.state.request_sent(request.request_id)
         headers = self.parts.dialect.endpoint_headers(request, send)
@@ -312,11 +328,12 @@
         finally:
             state.work_times.ended(request_id, self._is_answered, loop.time())
 
-    def _log_send(self, left_s: float, work: Work | SizedWork) -> None:
+    def _log_send(
+        self, left_s: float, work: Work | SizedWork, use: EndpointUse
+    ) -> None:
         now_s = asyncio.get_running_loop().time()
         state, size = self.parts.state, self.admitted.request.size
         table, loads = state.table, state.loads
-        use = loads.endpoint_use(self.assignment.first.address, now_s)
         self.log.write(
             "sent",
             outcome="sent",
