--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -3,7 +3,6 @@
 Neither needs what `site` adds to the path, so the interpreter may start with ``-S``.
 """
 
-import os
 import signal
 import time
 
@@ -23,6 +22,7 @@
 signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
 import logging  # noqa: E402
+import os  # noqa: E402
 import sys  # noqa: E402
 from pathlib import Path  # noqa: E402
 
