The line of a request that a stop cuts says what was expected when it was sent

Cause: "cut by stop" of a stream that had begun had expected_s and longest_s 0, and not when its body was whole, when its first event came, nor what ran beside it.

Change: what is expected of a request when it is sent is kept (SentWork) and logged with its end: head and last byte after the signal, expected and measured first event, longest pause, and the load of the endpoint then and now. "broken off" is a warning, and has the same. No change of logic.

Measured: test_the_line_of_a_stream_that_a_stop_cuts_says_what_was_expected fails before (no such fields); 102 tests of stops, drains, exchanges and attempts pass.

--- a/src/sorrelhoist/decisions/placement/pause_monitor.py
+++ b/src/sorrelhoist/decisions/placement/pause_monitor.py
@@ -86,8 +86,8 @@
         Target of its route.
     events : int
     first_event_s, last_event_s : float or None
-    shortest_s : float
-        Shortest pause so far.
+    shortest_s, longest_s : float
+        Shortest and longest pause so far.
 
     Examples
     --------
@@ -105,6 +105,7 @@
     first_event_s: float | None = None
     last_event_s: float | None = None
     shortest_s: float = math.inf
+    longest_s: float = 0.0
 
     @property
     def stream_s(self) -> float:
@@ -116,8 +117,9 @@
     def relayed(self, events: int, now_s: float) -> float | None:
         """Record events that arrived together; return the pause before them, in s."""
         pause_s = None if self.last_event_s is None else now_s - self.last_event_s
-        if pause_s is not None and pause_s < self.shortest_s:
-            self.shortest_s = pause_s
+        if pause_s is not None:
+            self.shortest_s = min(self.shortest_s, pause_s)
+            self.longest_s = max(self.longest_s, pause_s)
         if self.first_event_s is None:
             self.first_event_s = now_s
         self.events += events
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -30,6 +30,7 @@
 from .request_log import RequestLog
 from .reservations import ReservationError
 from .retry_charges import RetryCharge
+from .sent_work import SentWork
 from .state import GatewayState, boot_time_s
 from .upstream import (
     AnswerHead,
@@ -74,6 +75,9 @@
     fingerprint : int
         Equal for all repetitions of a request by the same caller.
     received_s : float
+        Time at which its headers were received.
+    complete_s : float
+        Time at which its body was received, or the present time if it isn't whole.
     due_s : float
         Deadline of the caller and the route.
     deadline_s : float
@@ -90,8 +94,8 @@
         Whether it was moved once because its first event was overdue.
     relayed_events : int
         Events that its caller has received.
-    sent_s : float or None
-        Time at which it was last sent to an endpoint.
+    sent : SentWork or None
+        What was expected when it was last sent to an endpoint.
     pauses : StreamPauses or None
         Events of its stream at that endpoint.
     """
@@ -102,6 +106,7 @@
     workspace: Workspace | None
     fingerprint: int
     received_s: float
+    complete_s: float
     due_s: float
     deadline_s: float
     progress: Progress
@@ -111,23 +116,19 @@
     is_trial: bool = False
     is_moved: bool = False
     relayed_events: int = 0
-    sent_s: float | None = None
+    sent: SentWork | None = None
     pauses: StreamPauses | None = None
 
-    def progress_fields(self, now_s: float) -> dict[str, int | None]:
+    def progress_fields(self, now_s: float) -> dict[str, object]:
         """Return how far its work has come, for the log."""
-        size, pauses = self.request.size, self.pauses
-        fields: dict[str, int | None] = {
-            "sent_ms": None if self.sent_s is None else _ms(now_s - self.sent_s),
+        size = self.request.size
+        fields: dict[str, object] = {
+            "prompt_tokens": size.prompt_tokens if size is not None else None,
             "declared_tokens": size.output_tokens if size is not None else None,
             "runs": self.progress.runs,
         }
-        if pauses is not None and pauses.last_event_s is not None:
-            fields |= {
-                "events": pauses.events,
-                "stream_ms": _ms(pauses.stream_s),
-                "last_event_ms": _ms(now_s - pauses.last_event_s),
-            }
+        if self.sent is not None:
+            fields |= self.sent.log_fields(self.pauses, now_s)
         return fields
 
     def work(
@@ -288,8 +289,17 @@
         state = self.parts.state
         use = state.loads.endpoint_use(endpoint.address, loop.time())
         work = self.admitted.work(state, loop.time(), self.assignment, use)
-        self._log_send(left_s, work, use)
-        self.admitted.sent_s, self.admitted.pauses = loop.time(), None
+        sent = SentWork(
+            sent_s=loop.time(),
+            assignment=self.assignment,
+            use=use,
+            work=work,
+            likely_s=state.work_times.expected_s(work, loop.time()),
+            longest_s=state.work_times.longest_s(work, loop.time()),
+            placed_ms=state.loads.placed_ms(endpoint.address),
+        )
+        self._log_send(left_s, sent)
+        self.admitted.sent, self.admitted.pauses = sent, None
         self.parts.state.request_sent(request.request_id)
         headers = self.parts.dialect.endpoint_headers(request, send)
         try:
@@ -328,10 +338,8 @@
         finally:
             state.work_times.ended(request_id, self._is_answered, loop.time())
 
-    def _log_send(
-        self, left_s: float, work: Work | SizedWork, use: EndpointUse
-    ) -> None:
-        now_s = asyncio.get_running_loop().time()
+    def _log_send(self, left_s: float, sent: SentWork) -> None:
+        now_s, use = sent.sent_s, sent.use
         state, size = self.parts.state, self.admitted.request.size
         table, loads = state.table, state.loads
         self.log.write(
@@ -355,9 +363,10 @@
             load_age_ms=round(loads.oldest_report_s(now_s) * 1000),
             tickets=len(self.assignment.tickets),
             expected_ms=round(self.assignment.first_event_ms),
-            nominal_ms=round(work.nominal_s * 1000),
-            likely_ms=_ms(state.work_times.expected_s(work, now_s)),
-            longest_ms=_ms(state.work_times.longest_s(work, now_s)),
+            nominal_ms=_ms(sent.work.nominal_s),
+            likely_ms=_ms(sent.likely_s),
+            longest_ms=_ms(sent.longest_s),
+            body_ms=_ms(self.admitted.complete_s - self.admitted.received_s),
             waited_ms=round((now_s - self.admitted.received_s) * 1000),
             left_ms=round(left_s * 1000),
             version=table.version if table else None,
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -108,6 +108,8 @@
     parts : GatewayParts
     received_s : float
         Monotonic time at which its headers were received.
+    complete_s : float or None
+        Monotonic time at which its body was received; None until then.
     is_memory_short : bool
         Whether its body was dropped, since it would have exceeded the memory budget.
     refusal : Refusal or None
@@ -118,6 +120,7 @@
     caller: CallerConnection
     parts: GatewayParts
     received_s: float
+    complete_s: float | None = None
     is_memory_short: bool = False
     refusal: Refusal | None = None
     _log: RequestLog = attrs.field(init=False)
@@ -157,7 +160,9 @@
             self._record_stop("closed", is_sent, is_cut=True)
             return "cut"
         if self.caller.cut_reason is None:  # Otherwise "caller cut" says so.
-            self._log.write("caller gone", outcome=outcome)
+            self._log.write(
+                "caller gone", outcome=outcome, **self._progress_fields(self._admitted)
+            )
         return outcome
 
     async def _serve(self) -> str:
@@ -322,11 +327,23 @@
             longest_s=round(estimate.longest_s, 3),
             stopping_s=round(now_s - stop.began_s, 3),
             left_s=round(stop.left_s(now_s), 3),
+            head_s=round(self.received_s - stop.began_s, 3),
+            complete_s=round(self._complete_s() - stop.began_s, 3),
             is_sent=is_sent,
             unread_bytes=self.caller.unread_bytes,
-            **(admitted.progress_fields(now_s) if admitted is not None else {}),
+            **self._progress_fields(admitted),
         )
 
+    def _progress_fields(self, admitted: AdmittedRequest | None) -> dict[str, object]:
+        """Return how far a request that ends early has come, for the log."""
+        if admitted is None:
+            return {}
+        now_s = asyncio.get_running_loop().time()
+        fields = admitted.progress_fields(now_s)
+        if admitted.sent is not None:
+            fields |= admitted.sent.load_fields(self.parts.state.loads, now_s)
+        return fields
+
     # Admission
 
     def find_refusal(self) -> Refusal | None:
@@ -362,6 +379,12 @@
         known_s = (wait_s for wait_s in waits_s if wait_s is not None)
         return self.received_s + min(known_s, default=math.inf)
 
+    def _complete_s(self) -> float:
+        """Return when the request was received whole, or the present time."""
+        if self.complete_s is None:
+            return asyncio.get_running_loop().time()
+        return self.complete_s
+
     def _check_head(self) -> _Permitted | Refusal:
         """Check the route and the API key."""
         state, request = self.parts.state, self.request
@@ -428,6 +451,7 @@
             workspace=found.workspace,
             fingerprint=fingerprint,
             received_s=self.received_s,
+            complete_s=self._complete_s(),
             due_s=due_s,
             deadline_s=due_s,
             progress=Progress(
@@ -733,9 +757,11 @@
 
     async def _report_failure(self, admitted: AdmittedRequest, step: NextStep) -> str:
         if self.caller.has_begun:
+            fields = self._progress_fields(admitted)
             if self._is_stopped:
                 self._record_stop("broken off", is_sent=True)
-            self._log.write("broken off", outcome="closed", reason=str(step))
+                fields = {}
+            self._log.warn("broken off", outcome="closed", reason=str(step), **fields)
             self.caller.abort()
             return "broken off"
         if self._is_stopped:
--- a/src/sorrelhoist/gateway/server.py
+++ b/src/sorrelhoist/gateway/server.py
@@ -74,6 +74,7 @@
     connection: HttpConnection
     head: RequestHead | None = None
     received_s: float = 0.0
+    complete_s: float | None = None
     body: list[bytearray] = attrs.field(factory=list)
     body_bytes: int = 0
     is_refused: bool = False
@@ -145,9 +146,14 @@
     def _answer_now(self) -> None:
         """Refuse the request without its body, which isn't held."""
         self.connection.discard_body()
-        self.body_received()
+        self._start()
 
     def body_received(self) -> None:
+        self.complete_s = asyncio.get_running_loop().time()
+        self._start()
+
+    def _start(self) -> None:
+        """Serve the request, or refuse it without its body."""
         self._stop_reading()
         if self.caller.account is not None:
             self.caller.account.is_receiving = False
@@ -212,6 +218,7 @@
         except InvalidRequestError as error:
             self.rejected(error, self.head.headers)
             return
+        exchange.complete_s = self.complete_s
         exchange.is_memory_short = self.is_refused
         await exchange.run()
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -246,6 +246,32 @@
     run_stopping(main)
 
 
+def test_the_line_of_a_stream_that_a_stop_cuts_says_what_was_expected(caplog):
+    # It had neither, once the stream had begun.
+    caplog.set_level("INFO")
+
+    async def main(fleet):
+        await fleet.add(streams(100, pause_s=0.1))
+        reading = asyncio.ensure_future(fleet.stream(wait_ms=20_000))
+        await until(lambda: events_of(caplog, "first_event"))
+        await stop(fleet)
+        assert not (await reading).is_complete
+        await fleet.main
+        (cut,) = events_of(caplog, "cut_by_stop")
+        (sent,) = events_of(caplog, "sent")
+        assert cut.request_id == sent.request_id
+        for name in ("expected_ms", "likely_ms", "longest_ms", "running", "kv_tokens"):
+            assert getattr(cut, name) == getattr(sent, name)
+        assert (cut.prompt_tokens, cut.declared_tokens) == (5000, 200)
+        assert cut.head_s <= cut.complete_s <= 0.0
+        assert cut.sent_ms > cut.stream_ms > cut.longest_pause_ms >= 100
+        assert cut.first_event_ms < cut.sent_ms - cut.stream_ms + 1
+        assert (cut.others_now, cut.others_kv_tokens_now) == (0, 0)
+        assert cut.placed_since_ms == 0
+
+    run_stopping(main)
+
+
 def test_a_caller_that_leaves_during_a_stop_is_logged_as_gone(caplog):
     caplog.set_level("INFO")
 
