--- a/tests/platform/paced_engine.py
+++ b/tests/platform/paced_engine.py
@@ -84,13 +84,12 @@
             del self.contexts[writer]
 
 
-async def main(slowness):
+async def main(engine):
     """Serve connections until the process is ended."""
-    engine = Engine(slowness)
     server = await asyncio.start_server(engine.connected, HOST, 0)
     print(server.sockets[0].getsockname()[1], flush=True)
     await engine.run()
 
 
 if __name__ == "__main__":
-    asyncio.run(main(float(sys.argv[1])))
+    asyncio.run(main(Engine(float(sys.argv[1]))))
--- a/tests/platform/test_real_stop_pace.py
+++ b/tests/platform/test_real_stop_pace.py
@@ -41,13 +41,13 @@
 
 
 @contextlib.asynccontextmanager
-async def paced_engine(world, slowness):
+async def engine_process(world, slowness, module):
     """Run an engine in place of the model endpoints of a world."""
     for name in [n for n, service in world.services.items() if service == "llm"]:
         await world.endpoints.pop(name).stop()
         world.store.put("keyed.servers", name, None)
     process = subprocess.Popen(
-        [sys.executable, "-m", "tests.platform.paced_engine", str(slowness)],
+        [sys.executable, "-m", f"tests.platform.{module}", str(slowness)],
         stdout=subprocess.PIPE,
         cwd=CHECKOUT,
     )
@@ -84,11 +84,11 @@
         assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
 
 
-def run_with_engine(folder, slowness, main):
+def run_with_engine(folder, slowness, main, module="paced_engine"):
     """Run a test with a real gateway and one engine in a process of its own."""
 
     async def run(world):
-        async with paced_engine(world, slowness):
+        async with engine_process(world, slowness, module):
             await main(await world.start(grace_s=GRACE_S))
 
     config = configuration(routes=ROUTES)
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -19,7 +19,8 @@
 import click
 
 from tests.platform.fleet import Answer, read_answer, route
-from tests.platform.paced_engine import COSTS, Engine
+from tests.platform.paced_engine import COSTS
+from tests.platform.reading_engine import ReadingEngine
 from tests.platform.real_gateway import CHECKOUT, RELOAD, STOP, head, running_world
 from tests.platform.standins import HOST, Endpoint, answer_bytes, echo_headers
 
@@ -31,7 +32,9 @@
 TIMEOUT_MS = 30_000
 EVENT_READ_S = 0.05  # about as long as an engine without other streams takes for it
 APPS = 2
+PART = "part"  # kind of what one engine sends to another
 STREAMS = ("talk", "slow")
+LONG_SHARE = 0.4  # of the streams with a long pause target
 SPAWN = multiprocessing.get_context("spawn")
 ROUTES = [
     route("talk", "streaming", "llm", timeout_ms=TIMEOUT_MS, gap_target_ms=250),
@@ -43,17 +46,16 @@
 BACKENDS = [{"name": "llm", "runtime": COSTS} | HEALTH, {"name": "app"} | HEALTH]
 
 
-class VaryingEngine(Engine):
-    """An engine of changing slowness, which reads prompts in its passes."""
+class VaryingEngine(ReadingEngine):
+    """An engine of changing slowness, whose helpers read parts of its prompts."""
 
     def __init__(self, rng, runs):
         super().__init__(slowness=1.0)
         self.rng, self.runs = rng, runs
-        # Time that prompts take in a pass, by the event of its end.
-        self.read_ms = collections.Counter()
 
-    def pass_s(self):
-        return super().pass_s() + self.slowness * self.read_ms[self.passed] / 1000
+    async def read_parts(self, part_ms, helpers):
+        parts = (read_elsewhere(helper, part_ms) for helper in helpers)
+        await asyncio.gather(self.read(part_ms), *parts)
 
     async def vary(self):
         while True:
@@ -63,14 +65,13 @@
     async def stream(self, received, writer):
         """Answer a request of any kind, and note from when to when it ran."""
         kind, argument = received.path.split("/")[1:3]
+        if kind == PART:
+            await self.read(float(argument))
+            writer.write(answer_bytes(200, echo_headers(received), b"read"))
+            return
         run = {"id": received.headers["x-attempt-id"], "is_whole": False}
         try:
             if kind in STREAMS:
-                tokens = int(received.headers["x-token-count"].split(",")[0])
-                pairs_ms = tokens * tokens / 2e6 * COSTS["pairs_per_m"]
-                read_ms = tokens / COSTS["read_per_s"] * 1000 + pairs_ms
-                self.read_ms[self.passed] += read_ms
-                await self.passed.wait()
                 await super().stream(received, writer)
             else:
                 await asyncio.sleep(int(argument) / 1000)
@@ -81,6 +82,18 @@
             self.runs.write(json.dumps(run | {"ended_s": time.monotonic()}) + "\n")
 
 
+async def read_elsewhere(helper, part_ms):
+    """Let another engine read a part of a prompt; one that is gone delays nothing."""
+    with contextlib.suppress(OSError):
+        address, _, port = helper.partition("/")[0].rpartition(":")
+        reader, writer = await asyncio.open_connection(address, int(port))
+        try:
+            writer.write(head(f"/{PART}/{part_ms:.3f}"))
+            await reader.read()
+        finally:
+            writer.close()
+
+
 async def run_engine(listener, path):
     """Serve as an engine until the process is ended."""
     with path.open("a", buffering=1) as runs:
@@ -115,7 +128,10 @@
     share = rng.uniform(0.2, 0.5) if is_short else share
     work_ms = round(rng.uniform(20, rng.choice((200, 400, 1000))))
     prompt = round(200 * rng.choice((5, 5, 5, 40, 150)) ** rng.random())
-    body_s = rng.uniform(0.0, 0.7) if rng.random() < 0.1 else 0.0
+    if kind == "slow" and rng.random() < LONG_SHARE:
+        least, most = (50e3, 200e3) if rng.random() < 1 / 50 else (15e3, 110e3)
+        prompt = round(rng.uniform(least, most))
+    body_s = rng.uniform(0.0, 0.8) if rng.random() < 0.15 else 0.0
     wait_s = rng.uniform(2.0, 6.0) if rng.random() < 0.1 else rng.uniform(12.0, 20.0)
     return Call(
         request_id=rng.randbytes(8).hex(),
@@ -338,13 +354,14 @@
 @click.option("--first", default=1, help="The first seed.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for logs.")
 @click.option("--checkout", default=CHECKOUT, type=Path)
-def main(seeds, first, keep, checkout):
+@click.option("--max-age", "max_age_s", default=20.0, help="Oldest gateway, in s.")
+def main(seeds, first, keep, checkout, max_age_s):
     """Run seeds one after the other; end with 1 if a rule was broken."""
     is_broken = False
     for seed in range(first, first + seeds):
         folder = (keep or Path(tempfile.mkdtemp(prefix="stops-"))) / str(seed)
         folder.mkdir(parents=True)
-        counts, wrong = asyncio.run(soak_stops(seed, folder, checkout))
+        counts, wrong = asyncio.run(soak_stops(seed, folder, checkout, max_age_s))
         is_broken |= bool(wrong)
         verdict = "BROKEN" if wrong else "passed"
         click.echo("\n  ".join([f"seed {seed}: {verdict}, {dict(counts)}", *wrong]))
