A request whose body ends late in a stop counts as late

A stream whose head came before callers could know of the stop, and whose last byte was sent after that, was accepted and broken off.

Cause: a request counted as early by when its head was received, and early ones are judged by what others have needed (likely_s), not by all that they declare. Class: a time of one thing stands for another; the same time decided while a request waits for a place, is held at the start, is sent again, and goes elsewhere when its endpoint is silent.

Change: what decides is when the last byte was received, and the present time until then.

--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -84,11 +84,11 @@
     >>> stop.cut_at_s
     107.0
     >>> work = WorkEstimate(likely_s=2.5, longest_s=4.0)
-    >>> stop.fits(work, received_s=102.0, deadline_s=130.0, now_s=102.0)
+    >>> stop.fits(work, complete_s=102.0, deadline_s=130.0, now_s=102.0)
     True
-    >>> stop.fits(work, received_s=103.5, deadline_s=130.0, now_s=103.5)
+    >>> stop.fits(work, complete_s=103.5, deadline_s=130.0, now_s=103.5)
     False
-    >>> stop.fits(work, received_s=103.5, deadline_s=105.0, now_s=103.5)
+    >>> stop.fits(work, complete_s=103.5, deadline_s=105.0, now_s=103.5)
     True
     """
 
@@ -127,7 +127,7 @@
         return min(deadline_s, self.close_at_s if has_begun else self.cut_at_s)
 
     def latest_start_s(
-        self, work: WorkEstimate, received_s: float, deadline_s: float
+        self, work: WorkEstimate, complete_s: float, deadline_s: float
     ) -> float | None:
         """Return until when a request may be sent to an endpoint.
 
@@ -139,7 +139,10 @@
         ----------
         work : WorkEstimate
             Its work, with its slack.
-        received_s, deadline_s : float
+        complete_s : float
+            Time at which its last byte was received, the present time until then. A
+            caller that still sends its body when it can know of the stop is late.
+        deadline_s : float
 
         Returns
         -------
@@ -151,16 +154,16 @@
         if deadline_s < self.cut_at_s:
             return None
         end_s = self.exit_at_s if work.is_stream else self.cut_at_s
-        is_early = received_s <= self.began_s + NOTICE_S
+        is_early = complete_s <= self.began_s + NOTICE_S
         return end_s - (work.likely_s if is_early else work.longest_s)
 
     def fits(
-        self, work: WorkEstimate, received_s: float, deadline_s: float, now_s: float
+        self, work: WorkEstimate, complete_s: float, deadline_s: float, now_s: float
     ) -> bool:
         """Return whether a request that is sent now can be expected to end in time."""
         if self.is_closing or now_s >= self.cut_at_s:
             return False
-        latest_s = self.latest_start_s(work, received_s, deadline_s)
+        latest_s = self.latest_start_s(work, complete_s, deadline_s)
         return latest_s is None or now_s <= latest_s
 
     def due(self, due_s: float, now_s: float) -> None:
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -209,7 +209,7 @@
         """Return whether the request, if sent now, can end before the process does."""
         return state.stop is None or state.stop.fits(
             self.estimate(state, now_s, assignment),
-            self.received_s,
+            self.complete_s,
             self.deadline_s,
             now_s,
         )
@@ -224,7 +224,7 @@
         """
         return state.stop is None or state.stop.fits(
             self._estimate_left(state, now_s, assignment),
-            self.received_s,
+            self.complete_s,
             self.deadline_s,
             now_s,
         )
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -263,7 +263,7 @@
         if stop is None:
             return None
         deadline_s = admitted.deadline_s if admitted is not None else stop.cut_at_s
-        return stop.latest_start_s(self._estimate(), self.received_s, deadline_s)
+        return stop.latest_start_s(self._estimate(), self._complete_s(), deadline_s)
 
     def _estimate(self, admitted: AdmittedRequest | None = None) -> WorkEstimate:
         """Return the time of the request's work; 0 if nothing is known."""
@@ -328,7 +328,9 @@
             stopping_s=round(now_s - stop.began_s, 3),
             left_s=round(stop.left_s(now_s), 3),
             head_s=round(self.received_s - stop.began_s, 3),
-            complete_s=round(self._complete_s() - stop.began_s, 3),
+            complete_s=None
+            if self.complete_s is None
+            else round(self.complete_s - stop.began_s, 3),
             is_sent=is_sent,
             unread_bytes=self.caller.unread_bytes,
             **self._progress_fields(admitted),
--- a/tests/decisions/test_planned_stop.py
+++ b/tests/decisions/test_planned_stop.py
@@ -24,14 +24,14 @@
     assert PlannedStop(**STOP).fits(work, now_s, deadline_s, now_s) is fits
 
 
-@pytest.mark.parametrize(("received_s", "fits"), [(102.6, True), (102.8, False)])
-def test_once_the_stop_is_known_all_that_a_request_declares_must_fit(received_s, fits):
+@pytest.mark.parametrize(("complete_s", "fits"), [(102.6, True), (102.8, False)])
+def test_once_the_stop_is_known_all_that_a_request_declares_must_fit(complete_s, fits):
     stop = PlannedStop(**STOP)
     work = WorkEstimate(likely_s=2.0, longest_s=5.0)
-    assert stop.fits(work, received_s, 130.0, now_s=received_s) is fits
-    assert stop.fits(work, received_s, 130.0, now_s=104.9) is fits
+    assert stop.fits(work, complete_s, 130.0, now_s=complete_s) is fits
+    assert stop.fits(work, complete_s, 130.0, now_s=104.9) is fits
     short = WorkEstimate(likely_s=2.0, longest_s=2.0)
-    assert stop.fits(short, received_s, 130.0, now_s=received_s)
+    assert stop.fits(short, complete_s, 130.0, now_s=complete_s)
 
 
 def test_a_stream_needs_no_time_for_another_answer_at_its_end():
