First events are expected to be as late as those of prompts of similar size

Cause: one quantile of lateness in seconds for all prompts of a service, nine in ten of which are short. Long prompts are four to ten times as late, since more is placed on their engines while they are read. What a young gateway hadn't seen counted as in time. Class: a bound taken from requests that are unlike the one at hand.

Change: StreamPaces measures lateness by the reading time of the prompt, in classes of a factor of 4. A prompt may be as late as those of its size or smaller ones; until 200 of its size were seen, at least as long again as its prompt takes by itself, which is what a second prompt beside it makes of it. Streams whose first event has come are no longer counted twice.

--- a/src/sorrelhoist/decisions/stream_paces.py
+++ b/src/sorrelhoist/decisions/stream_paces.py
@@ -1,10 +1,13 @@
 """Ratios of measured to expected pass times of engines, from their streams.
 
 The load pattern is streams beside others that come and go: prefills and contexts of
-others lengthen the passes of an engine while a stream runs.
+others lengthen the passes of an engine while a stream runs. What is placed on an engine
+while it reads a prompt delays the first event, a long prompt by more than a short one.
 """
 
+import math
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 
@@ -24,7 +27,17 @@
 be taken for the pace of all."""
 
 MIN_FIRST_EVENTS = 200.0
-"""The same for first events, of which unseen ones count as in time."""
+"""The same for first events of prompts of similar or smaller size."""
+
+UNSEEN_LATENESS = 1.0
+"""Lateness that stands for first events that weren't seen yet, as a multiple of the
+time for which their prompt is read: an engine that reads another one beside it takes
+twice as long."""
+
+SIZE_GROWTH = 4.0
+"""Ratio of the reading times within which prompts are of similar size."""
+
+MIN_READ_S = 0.001
 
 PACE_BUCKET_GROWTH = 1.02
 """Resolution of measured paces."""
@@ -56,6 +69,10 @@
         first_s = now_s if self.first_event_s is None else self.first_event_s
         return max(0.0, first_s - self.began_s - self.work.first_event_s)
 
+    @property
+    def size(self) -> int:
+        return _size(self.work)
+
     @property
     def pace(self) -> float:
         """Ratio of the measured to the expected time of its passes so far, or 0."""
@@ -74,12 +91,27 @@
 
 @attrs.define(eq=False, repr=False)
 class _ServicePaces:
-    """What the streams of a service have shown, ended or not."""
+    """What the streams of a service have shown, ended or not.
+
+    Parameters
+    ----------
+    pace : DecayingQuantile
+    lateness_s : dict of int to DecayingQuantile
+        Lateness of first events by the size of their prompts.
+    """
 
     pace: DecayingQuantile = attrs.field(
         factory=lambda: DecayingQuantile(PACE_BUCKET_GROWTH)
     )
-    lateness_s: DecayingQuantile = attrs.field(factory=DecayingQuantile)
+    lateness_s: dict[int, DecayingQuantile] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class _Lateness:
+    """Lateness that few first events exceed, and whether enough were seen to tell."""
+
+    high_s: float
+    is_known: bool
 
 
 class StreamPaces:
@@ -87,28 +119,31 @@
 
     Streams are measured by the time of their passes, which doesn't depend on how much
     of its declared size a stream needs. Each pass has the same weight: long streams
-    show more.
+    show more. The first event of a prompt may be as late as those of similar or smaller
+    prompts; larger ones, which are later, say nothing of it.
 
     Examples
     --------
     >>> paces = StreamPaces()
     >>> work = SizedWork(
-    ...     route="r", service="s", first_event_s=0.2, passes=50, pass_s=0.04
+    ...     route="r", service="s", first_event_s=0.2, passes=50, pass_s=0.04,
+    ...     read_s=0.1,
     ... )
-    >>> round(paces.longest_s(work, now_s=0.0), 2)  # 0.2 + 50 * 0.04 * 1.25
-    2.7
+    >>> round(paces.longest_s(work, now_s=0.0), 2)  # 0.2 + 0.1 + 50 * 0.04 * 1.25
+    2.8
     >>> paces.began("r1", work, now_s=0.0)
     >>> for number in range(301):
     ...     paces.relayed("r1", 1, now_s=0.2 + number * 0.08)
     >>> paces.ended("r1", now_s=25.0)
-    >>> 4.2 <= paces.longest_s(work, now_s=25.0) < 4.3
+    >>> 4.3 <= paces.longest_s(work, now_s=25.0) < 4.4
     True
     """
 
     def __init__(self) -> None:
         self._services: dict[str, _ServicePaces] = {}
         self._running: dict[str, _Stream] = {}
-        self._factors: dict[str, tuple[float, float, float]] = {}
+        self._paces: dict[str, tuple[float, float]] = {}
+        self._latenesses: dict[tuple[str, int], tuple[_Lateness, float]] = {}
 
     def began(self, request_id: str, work: SizedWork, now_s: float) -> None:
         """Record that a stream was sent to an engine."""
@@ -121,7 +156,8 @@
             return
         if stream.first_event_s is None:
             seen = self._services.setdefault(stream.work.service, _ServicePaces())
-            seen.lateness_s.add(stream.lateness_s(now_s), now_s)
+            lateness_s = seen.lateness_s.setdefault(stream.size, DecayingQuantile())
+            lateness_s.add(stream.lateness_s(now_s), now_s)
         stream.relayed(events, now_s)
 
     def ended(self, request_id: str, now_s: float) -> None:
@@ -137,33 +173,69 @@
 
     def longest_s(self, work: SizedWork, now_s: float) -> float:
         """Return the time that work may take if it needs all that it declares."""
-        pace, lateness_s, computed_s = self._factors.get(
-            work.service, (0.0, 0.0, float("-inf"))
+        first_event_s = self.longest_first_event_s(work, now_s)
+        return first_event_s + work.passes * work.pass_s * self._pace(work, now_s)
+
+    def longest_first_event_s(self, work: SizedWork, now_s: float) -> float:
+        """Return the time that the first event of the work may take."""
+        lateness = self._lateness(work, now_s)
+        least_s = 0.0 if lateness.is_known else UNSEEN_LATENESS * work.read_s
+        return work.first_event_s + max(lateness.high_s, least_s)
+
+    def _pace(self, work: SizedWork, now_s: float) -> float:
+        pace, computed_s = self._paces.get(work.service, (0.0, float("-inf")))
+        if now_s - computed_s >= RATIO_AGE_S:
+            pace = self._measure_pace(work.service, now_s)
+            self._paces[work.service] = pace, now_s
+        return pace
+
+    def _lateness(self, work: SizedWork, now_s: float) -> _Lateness:
+        key = work.service, _size(work)
+        lateness, computed_s = self._latenesses.get(
+            key, (_Lateness(0.0, False), float("-inf"))
         )
         if now_s - computed_s >= RATIO_AGE_S:
-            pace, lateness_s = self._measure(work.service, now_s)
-            self._factors[work.service] = pace, lateness_s, now_s
-        return work.first_event_s + lateness_s + work.passes * work.pass_s * pace
+            lateness = self._measure_lateness(*key, now_s)
+            self._latenesses[key] = lateness, now_s
+        return lateness
 
-    def _measure(self, service: str, now_s: float) -> tuple[float, float]:
-        """Return the pace and the lateness of first events that few streams exceed."""
+    def _measure_pace(self, service: str, now_s: float) -> float:
+        """Return the pace that few passes exceed."""
         seen = self._services.get(service) or _ServicePaces()
-        running = [one for one in self._running.values() if one.work.service == service]
         pace = _high_quantile(
             seen.pace,
-            [(one.pace_now(now_s), one.passes + 1.0) for one in running],
+            [(one.pace_now(now_s), one.passes + 1.0) for one in self._of(service)],
             (UNSEEN_PACE, MIN_PASSES),
             now_s,
         )
-        lateness_s = _high_quantile(
-            seen.lateness_s,
-            [(one.lateness_s(now_s), 1.0) for one in running],
-            (0.0, MIN_FIRST_EVENTS),
-            now_s,
-        )
         # Events may be quick at first, or come several at once: the costs are the
         # least that a long stream takes.
-        return max(1.0, pace), lateness_s
+        return max(1.0, pace)
+
+    def _measure_lateness(self, service: str, size: int, now_s: float) -> _Lateness:
+        """Return the lateness of first events of prompts up to a size."""
+        seen = self._services.get(service) or _ServicePaces()
+        running: dict[int, list[tuple[float, float]]] = {}
+        for one in self._of(service):
+            if one.first_event_s is None:
+                running.setdefault(one.size, []).append((one.lateness_s(now_s), 1.0))
+        high_s = [
+            _high_quantile(
+                seen.lateness_s.get(other) or DecayingQuantile(),
+                running.get(other, ()),
+                (0.0, MIN_FIRST_EVENTS),
+                now_s,
+            )
+            for other in {*seen.lateness_s, *running}
+            if other <= size
+        ]
+        own = seen.lateness_s.get(size)
+        is_known = own is not None and own.weight(now_s) >= MIN_FIRST_EVENTS
+        return _Lateness(max(high_s, default=0.0), is_known)
+
+    def _of(self, service: str) -> list[_Stream]:
+        """Return the streams of a service that still run."""
+        return [one for one in self._running.values() if one.work.service == service]
 
     def retain(self, services: Iterable[str]) -> None:
         """Drop the observations of services that are not in the configuration."""
@@ -171,19 +243,33 @@
         self._services = {
             name: seen for name, seen in self._services.items() if name in kept
         }
-        self._factors.clear()
+        self._paces.clear()
+        self._latenesses.clear()
 
-    def dump(self, now_s: float) -> dict[str, dict[str, float]]:
+    def dump(self, now_s: float) -> dict[str, dict[str, Any]]:
         """Return the measured paces by service, as plain data."""
-        dumped = {}
-        for service, seen in self._services.items():
-            pace, lateness_s = self._measure(service, now_s)
-            dumped[service] = {
+        return {
+            service: {
                 "passes": round(seen.pace.weight(now_s), 1),
-                "pace": round(pace, 3),
-                "lateness_s": round(lateness_s, 3),
+                "pace": round(self._measure_pace(service, now_s), 3),
+                "first_events": [
+                    {
+                        "read_s": round(SIZE_GROWTH**size, 4),
+                        "weight": round(seen.lateness_s[size].weight(now_s), 1),
+                        "lateness_s": round(
+                            self._measure_lateness(service, size, now_s).high_s, 3
+                        ),
+                    }
+                    for size in sorted(seen.lateness_s)
+                ],
             }
-        return dumped
+            for service, seen in self._services.items()
+        }
+
+
+def _size(work: SizedWork) -> int:
+    """Return the class of the size of a prompt."""
+    return math.floor(math.log(max(work.read_s, MIN_READ_S), SIZE_GROWTH))
 
 
 def _high_quantile(
--- a/src/sorrelhoist/decisions/work.py
+++ b/src/sorrelhoist/decisions/work.py
@@ -42,6 +42,8 @@
         Passes of the engine that its declared size takes. Most streams end earlier.
     pass_s : float
         Time of one pass by the costs and the load of the engine.
+    read_s : float
+        Time in which an idle engine reads its prompt by itself.
     is_stream : bool
         Whether its events show how long passes take.
     """
@@ -51,6 +53,7 @@
     first_event_s: float
     passes: int
     pass_s: float
+    read_s: float = 0.0
     is_stream: bool = True
 
     @property
@@ -136,5 +139,6 @@
         first_event_s=max(first_event_s, MIN_NOMINAL_S),
         passes=passes,
         pass_s=max(pass_ms / 1000, MIN_NOMINAL_S),
+        read_s=read_s,
         is_stream=route.is_stream,
     )
--- a/src/sorrelhoist/decisions/work_times.py
+++ b/src/sorrelhoist/decisions/work_times.py
@@ -1,6 +1,7 @@
 """How long endpoints take for the requests of a route, as this gateway has seen."""
 
 from collections.abc import Iterable
+from typing import Any
 
 from .decaying_quantile import DecayingQuantile
 from .stream_paces import RATIO_AGE_S, WORK_QUANTILE, StreamPaces
@@ -129,7 +130,7 @@
             for (route, is_sized), seen in self._seen.items()
         }
 
-    def dump_paces(self, now_s: float) -> dict[str, dict[str, float]]:
+    def dump_paces(self, now_s: float) -> dict[str, dict[str, Any]]:
         """Return the measured paces of streams by service, as plain data."""
         return self._paces.dump(now_s)
 
--- a/tests/decisions/test_stream_paces.py
+++ b/tests/decisions/test_stream_paces.py
@@ -1,9 +1,15 @@
 """Paces of streams: what ended and running ones show of their engines."""
 
+import attrs
 import pytest
 
 from sorrelhoist.decisions.decaying_quantile import DECAY_S
-from sorrelhoist.decisions.stream_paces import UNSEEN_PACE, StreamPaces
+from sorrelhoist.decisions.stream_paces import (
+    MIN_FIRST_EVENTS,
+    UNSEEN_LATENESS,
+    UNSEEN_PACE,
+    StreamPaces,
+)
 from sorrelhoist.decisions.work import SizedWork
 
 PASS_S = 0.04
@@ -12,6 +18,10 @@
 )
 
 
+SHORT, LONG = attrs.evolve(WORK, read_s=0.02), attrs.evolve(WORK, read_s=1.0)
+UNSEEN_LATE_S = UNSEEN_LATENESS * LONG.read_s
+
+
 def run(paces, pace, passes=50, began_s=0.0, late_s=0.0, ends=True):
     paces.began("r", WORK, began_s)
     first_s = began_s + WORK.first_event_s + late_s
@@ -87,6 +97,43 @@
     assert paces.longest_s(WORK, now_s=13.1) >= longest_s(1.0, late_s=2.8)
 
 
+def begin(paces, work, count, late_s):
+    """Let the first events of streams come by some time later than expected."""
+    for number in range(count):
+        paces.began(f"{work.read_s} {number}", work, now_s=0.0)
+        paces.relayed(f"{work.read_s} {number}", 1, work.first_event_s + late_s)
+        paces.ended(f"{work.read_s} {number}", now_s=3.0)
+
+
+def late_s(paces, work, now_s=3.0):
+    return paces.longest_first_event_s(work, now_s) - work.first_event_s
+
+
+def test_first_events_of_short_prompts_say_nothing_of_a_long_one():
+    # One quantile for all prompts of a service was that of short ones.
+    paces = StreamPaces()
+    begin(paces, SHORT, 2000, late_s=0.05)
+    assert late_s(paces, SHORT) < 0.1
+    assert late_s(paces, LONG) == pytest.approx(UNSEEN_LATE_S)
+    begin(paces, LONG, 20, late_s=2.0)
+    assert late_s(paces, LONG, now_s=4.0) >= 2.0
+    assert late_s(paces, SHORT, now_s=4.0) < 0.1
+
+
+def test_long_prompts_that_are_seen_in_time_are_expected_in_time():
+    paces = StreamPaces()
+    begin(paces, LONG, round(MIN_FIRST_EVENTS) // 2, late_s=0.1)
+    assert late_s(paces, LONG) == pytest.approx(UNSEEN_LATE_S)
+    begin(paces, LONG, 2 * round(MIN_FIRST_EVENTS), late_s=0.1)
+    assert late_s(paces, LONG, now_s=4.0) < 0.2
+
+
+def test_a_long_prompt_may_be_as_late_as_short_ones():
+    paces = StreamPaces()
+    begin(paces, SHORT, 300, late_s=1.5)
+    assert late_s(paces, LONG) >= 1.5
+
+
 def test_events_that_come_at_once_make_no_engine_faster_than_its_costs():
     paces = StreamPaces()
     for _ in range(200):
