Paces of tight streams aren't those of streams that prompts are read beside

Cause: one pace for all streams of a service. The same class as the lateness of first events: a bound taken from requests that are unlike the one at hand.

Change: paces are measured for tight streams and for others. What wasn't seen yet of the others counts as at twice the costs.

--- a/src/sorrelhoist/decisions/stream_paces.py
+++ b/src/sorrelhoist/decisions/stream_paces.py
@@ -19,8 +19,10 @@
 lost to its caller, while one that is refused is served elsewhere 0.05 s later: a mean
 would cut half of those whose expected end is near the limit."""
 
-UNSEEN_PACE = 1.25
-"""Pace that stands for passes that weren't seen yet."""
+UNSEEN_PACE, UNSEEN_LOOSE_PACE = 1.25, 2.0
+"""Paces that stand for passes that weren't seen yet, of tight streams and of others.
+Long prompts are read beside the others: an engine that reads half of the time takes
+twice as long for its passes."""
 
 MIN_PASSES = 1000.0
 """Weight of passes below which the rest counts as unseen: a single long pause must not
@@ -95,14 +97,13 @@
 
     Parameters
     ----------
-    pace : DecayingQuantile
+    pace : dict of bool to DecayingQuantile
+        Paces by whether the streams are tight.
     lateness_s : dict of int to DecayingQuantile
         Lateness of first events by the size of their prompts.
     """
 
-    pace: DecayingQuantile = attrs.field(
-        factory=lambda: DecayingQuantile(PACE_BUCKET_GROWTH)
-    )
+    pace: dict[bool, DecayingQuantile] = attrs.field(factory=dict)
     lateness_s: dict[int, DecayingQuantile] = attrs.field(factory=dict)
 
 
@@ -119,8 +120,9 @@
 
     Streams are measured by the time of their passes, which doesn't depend on how much
     of its declared size a stream needs. Each pass has the same weight: long streams
-    show more. The first event of a prompt may be as late as those of similar or smaller
-    prompts; larger ones, which are later, say nothing of it.
+    show more. Tight streams and others are measured by themselves. The first event of
+    a prompt may be as late as those of similar or smaller prompts; larger ones, which
+    are later, say nothing of it.
 
     Examples
     --------
@@ -142,7 +144,7 @@
     def __init__(self) -> None:
         self._services: dict[str, _ServicePaces] = {}
         self._running: dict[str, _Stream] = {}
-        self._paces: dict[str, tuple[float, float]] = {}
+        self._paces: dict[tuple[str, bool], tuple[float, float]] = {}
         self._latenesses: dict[tuple[str, int], tuple[_Lateness, float]] = {}
 
     def began(self, request_id: str, work: SizedWork, now_s: float) -> None:
@@ -165,7 +167,8 @@
         stream = self._running.pop(request_id, None)
         if stream is not None and stream.passes:
             seen = self._services.setdefault(stream.work.service, _ServicePaces())
-            seen.pace.add(stream.pace, now_s, weight=stream.passes)
+            pace = seen.pace.setdefault(stream.work.is_tight, _pace_quantile())
+            pace.add(stream.pace, now_s, weight=stream.passes)
 
     def ignore(self, request_id: str) -> None:
         """Forget a stream."""
@@ -183,10 +186,11 @@
         return work.first_event_s + max(lateness.high_s, least_s)
 
     def _pace(self, work: SizedWork, now_s: float) -> float:
-        pace, computed_s = self._paces.get(work.service, (0.0, float("-inf")))
+        key = work.service, work.is_tight
+        pace, computed_s = self._paces.get(key, (0.0, float("-inf")))
         if now_s - computed_s >= RATIO_AGE_S:
-            pace = self._measure_pace(work.service, now_s)
-            self._paces[work.service] = pace, now_s
+            pace = self._measure_pace(*key, now_s)
+            self._paces[key] = pace, now_s
         return pace
 
     def _lateness(self, work: SizedWork, now_s: float) -> _Lateness:
@@ -199,13 +203,17 @@
             self._latenesses[key] = lateness, now_s
         return lateness
 
-    def _measure_pace(self, service: str, now_s: float) -> float:
+    def _measure_pace(self, service: str, is_tight: bool, now_s: float) -> float:
         """Return the pace that few passes exceed."""
         seen = self._services.get(service) or _ServicePaces()
         pace = _high_quantile(
-            seen.pace,
-            [(one.pace_now(now_s), one.passes + 1.0) for one in self._of(service)],
-            (UNSEEN_PACE, MIN_PASSES),
+            seen.pace.get(is_tight) or _pace_quantile(),
+            [
+                (one.pace_now(now_s), one.passes + 1.0)
+                for one in self._of(service)
+                if one.work.is_tight == is_tight
+            ],
+            (UNSEEN_PACE if is_tight else UNSEEN_LOOSE_PACE, MIN_PASSES),
             now_s,
         )
         # Events may be quick at first, or come several at once: the costs are the
@@ -250,8 +258,14 @@
         """Return the measured paces by service, as plain data."""
         return {
             service: {
-                "passes": round(seen.pace.weight(now_s), 1),
-                "pace": round(self._measure_pace(service, now_s), 3),
+                "passes": [
+                    {
+                        "is_tight": is_tight,
+                        "weight": round(pace.weight(now_s), 1),
+                        "pace": round(self._measure_pace(service, is_tight, now_s), 3),
+                    }
+                    for is_tight, pace in seen.pace.items()
+                ],
                 "first_events": [
                     {
                         "read_s": round(SIZE_GROWTH**size, 4),
@@ -267,6 +281,10 @@
         }
 
 
+def _pace_quantile() -> DecayingQuantile:
+    return DecayingQuantile(PACE_BUCKET_GROWTH)
+
+
 def _size(work: SizedWork) -> int:
     """Return the class of the size of a prompt."""
     return math.floor(math.log(max(work.read_s, MIN_READ_S), SIZE_GROWTH))
--- a/src/sorrelhoist/decisions/work.py
+++ b/src/sorrelhoist/decisions/work.py
@@ -5,7 +5,7 @@
 import attrs
 
 from .placement.load_tracker import EndpointUse
-from .placement.pauses import decode_pass_ms
+from .placement.pauses import decode_pass_ms, is_tight
 from .routes import EngineCosts, Route
 
 MIN_NOMINAL_S = 0.001
@@ -44,6 +44,9 @@
         Time of one pass by the costs and the load of the engine.
     read_s : float
         Time in which an idle engine reads its prompt by itself.
+    is_tight : bool
+        Whether its pause target keeps long prompts away from its engine, as far as
+        placements can.
     is_stream : bool
         Whether its events show how long passes take.
     """
@@ -54,6 +57,7 @@
     passes: int
     pass_s: float
     read_s: float = 0.0
+    is_tight: bool = True
     is_stream: bool = True
 
     @property
@@ -140,5 +144,6 @@
         passes=passes,
         pass_s=max(pass_ms / 1000, MIN_NOMINAL_S),
         read_s=read_s,
+        is_tight=is_tight(route.pause_s, costs),
         is_stream=route.is_stream,
     )
--- a/tests/decisions/test_stream_paces.py
+++ b/tests/decisions/test_stream_paces.py
@@ -7,6 +7,7 @@
 from sorrelhoist.decisions.stream_paces import (
     MIN_FIRST_EVENTS,
     UNSEEN_LATENESS,
+    UNSEEN_LOOSE_PACE,
     UNSEEN_PACE,
     StreamPaces,
 )
@@ -47,6 +48,23 @@
     assert paces.longest_s(WORK, now_s=3.0) == pytest.approx(longest_s(1.0), rel=0.01)
 
 
+def test_paces_of_tight_streams_say_nothing_of_others():
+    # Long prompts are read beside streams with a long pause target.
+    paces = StreamPaces()
+    loose = attrs.evolve(WORK, is_tight=False)
+    for _ in range(40):
+        run(paces, pace=1.0)
+    unseen_s = paces.longest_s(loose, now_s=2.0)
+    assert unseen_s == pytest.approx(longest_s(UNSEEN_LOOSE_PACE), rel=0.001)
+    paces.began("loose", loose, now_s=2.0)
+    first_s = 2.0 + loose.first_event_s
+    for number in range(50):
+        paces.relayed("loose", 1, first_s + number * PASS_S * 2.5)
+    paces.ended("loose", now_s=10.0)
+    assert paces.longest_s(loose, now_s=10.0) >= longest_s(2.5)
+    assert paces.longest_s(WORK, now_s=10.0) < longest_s(1.03)
+
+
 def test_one_long_pause_is_not_the_pace_of_all():
     # A young gateway refused all late streams after a single prefill.
     paces = StreamPaces()
--- a/tests/platform/test_real_stop_pace.py
+++ b/tests/platform/test_real_stop_pace.py
@@ -61,7 +61,7 @@
         endpoint = Endpoint(endpoint_id="i-p", port=int(process.stdout.readline()))
         entry = endpoint.entry(backend="llm", capacity=COSTS["capacity"])
         beat = asyncio.ensure_future(register(entry))
-        yield process
+        yield endpoint
         beat.cancel()
     finally:
         process.kill()
@@ -88,8 +88,8 @@
     """Run a test with a real gateway and one engine in a process of its own."""
 
     async def run(world):
-        async with engine_process(world, slowness, module):
-            await main(await world.start(grace_s=GRACE_S))
+        async with engine_process(world, slowness, module) as engine:
+            await main(await world.start(grace_s=GRACE_S), engine)
 
     config = configuration(routes=ROUTES)
     backends = [
@@ -103,7 +103,7 @@
     """Send a stream that needs all that it declares on a kept connection, late."""
     held_tokens = HELD_EVENTS * COSTS["step_count"]
 
-    async def main(gateway):
+    async def main(gateway, engine):
         if is_warm:
             await see_short_streams(gateway)
         reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
@@ -138,7 +138,7 @@
 
 
 def test_a_late_stream_that_fits_with_all_it_declares_is_served(tmp_path):
-    async def main(gateway):
+    async def main(gateway, engine):
         await see_short_streams(gateway)
         reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
         writer.write(stream(1, close=False))
@@ -158,7 +158,7 @@
 
 
 def test_a_stream_that_ends_as_connections_close_is_whole(tmp_path):
-    async def main(gateway):
+    async def main(gateway, engine):
         call = gateway.call(stream(END_EVENTS, 10_000, path="slow"), wait_s=9.0)
         running = asyncio.ensure_future(call)
         await asyncio.sleep(0.2)
@@ -194,7 +194,7 @@
     request = stream(events, 10_000, path="slow")
     request = request.replace(b"/slow/100 ", b"/slow/100/%d " % event_bytes)
 
-    async def main(gateway):
+    async def main(gateway, engine):
         rest_from_s = asyncio.get_running_loop().time() + 0.2 + READ_S
         first_bytes = events * event_bytes // 2
         reading = read_late(gateway, request, first_bytes, rest_from_s)
--- a/tests/platform/test_real_stop_prompts.py
+++ b/tests/platform/test_real_stop_prompts.py
@@ -6,9 +6,11 @@
 
 from tests.platform.fleet import read_answer
 from tests.platform.paced_engine import COSTS
-from tests.platform.real_gateway import STOP
+from tests.platform.real_gateway import STOP, exchange, post
+from tests.platform.standins import HOST
 from tests.platform.test_real_stop_pace import (
     HELD_EVENTS,
+    LATE_S,
     LONG_CONTEXT_TOKENS,
     run_with_engine,
     see_short_streams,
@@ -30,6 +32,10 @@
 """Time after the signal at which all would fit if nothing ran beside the prompt while
 it is read, for 1.3 s by itself."""
 BESIDE_EVENTS = 82
+READ_TOKENS, READ_FOR_S = 20_000, 9.0
+READERS = 2
+BETWEEN_EVENTS = 60
+"""2.7 s without prompts between them, of 4.2 s that are left."""
 
 
 async def hold(gateway, events, context_tokens=1000, count=1):
@@ -43,7 +49,7 @@
 
 def test_a_stream_whose_body_ends_late_is_refused_or_whole(tmp_path):
     # It counted as early by its head, and was judged by what shorter ones had needed.
-    async def main(gateway):
+    async def main(gateway, engine):
         await see_short_streams(gateway)
         held = await hold(gateway, HELD_EVENTS)
         reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
@@ -63,16 +69,16 @@
     run_with_engine(tmp_path, 1.0, main)
 
 
-async def see_long_streams(gateway):
+async def see_long_streams(gateway, path="slow"):
     """Let the gateway see that passes take as long as by the costs of the engine."""
-    one = stream(SEEN_EVENTS, SEEN_EVENTS * STEPS, path="slow")
+    one = stream(SEEN_EVENTS, SEEN_EVENTS * STEPS, path=path)
     calls = [gateway.call(one, wait_s=12.0) for _ in range(COSTS["capacity"])]
     assert {reply.status for reply in await asyncio.gather(*calls)} == {200}
 
 
 def test_a_late_stream_of_a_long_prompt_is_refused_or_whole(tmp_path):
     # Only first events of short prompts had been seen, which are never late.
-    async def main(gateway):
+    async def main(gateway, engine):
         await see_long_streams(gateway)
         await see_short_streams(gateway)
         reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
@@ -90,3 +96,35 @@
         assert {reply.status for reply in await held} == {200}
 
     run_with_engine(tmp_path, 1.0, main, module="reading_engine")
+
+
+async def read_prompts(engine):
+    """Let an engine read prompts one after the other, as those of another gateway."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + READ_FOR_S
+    while loop.time() < end_s:
+        prompt = stream(1, STEPS, READ_TOKENS, path="slow")
+        await exchange(HOST, engine.port, prompt, wait_s=READ_FOR_S)
+
+
+def test_a_late_stream_that_prompts_are_read_beside_is_refused_or_whole(tmp_path):
+    # Only streams had been seen that long prompts are kept away from.
+    async def main(gateway, engine):
+        await see_long_streams(gateway, path="stream")
+        reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
+        writer.write(stream(1, close=False))
+        assert (await read_answer(reader, writer, keep_open=True)).status == 200
+        gateway.signal(STOP)
+        reading = asyncio.gather(*(read_prompts(engine) for _ in range(READERS)))
+        await asyncio.sleep(LATE_S / 2)
+        # An incomplete request holds the process, and shows no pace.
+        _, holding = await asyncio.open_connection(gateway.ip, gateway.front)
+        holding.write(post("/look/1")[:-1])
+        await asyncio.sleep(LATE_S / 2)
+        writer.write(stream(BETWEEN_EVENTS, BETWEEN_EVENTS * STEPS, path="slow"))
+        answer = await read_answer(reader, writer)
+        assert (answer.status, answer.is_complete) in ((200, True), (503, True))
+        await reading
+        holding.close()
+
+    run_with_engine(tmp_path, 1.0, main, module="reading_engine")
