A late stream is taken only if it begins before the cut

What callers would see: 504 instead of the first event of a long prompt with a short answer, after they have waited for nearly all of it.

Cause: a stream was taken if it ended by the exit, 0.7 s before the kill, while one that hasn't begun is given up 1 s before it. Of a long prompt the first event is most of the work.

Change: the time to the first event, as late as it may be, must fit until the cut.

Evidence: a stream whose first event may take 2.1 of its 2.2 s counted as fitting 2.0 s before the cut (test_a_late_stream_begins_before_all_without_an_answer_is_given_up).

--- a/src/sorrelhoist/decisions/planned_stop.py
+++ b/src/sorrelhoist/decisions/planned_stop.py
@@ -53,12 +53,15 @@
         Time within which it most likely ends.
     longest_s : float
         Time that it may take if it needs all that it declares.
+    first_event_s : float
+        Time that the first event of a stream may take; 0 if that isn't known.
     is_stream : bool
         Whether its answer begins long before it ends.
     """
 
     likely_s: float = 0.0
     longest_s: float = 0.0
+    first_event_s: float = 0.0
     is_stream: bool = False
 
 
@@ -154,8 +157,9 @@
         if deadline_s < self.cut_at_s:
             return None
         end_s = self.exit_at_s if work.is_stream else self.cut_at_s
-        is_early = complete_s <= self.began_s + NOTICE_S
-        return end_s - (work.likely_s if is_early else work.longest_s)
+        if complete_s <= self.began_s + NOTICE_S:
+            return end_s - work.likely_s
+        return min(end_s - work.longest_s, self.cut_at_s - work.first_event_s)
 
     def fits(
         self, work: WorkEstimate, complete_s: float, deadline_s: float, now_s: float
--- a/src/sorrelhoist/decisions/work_times.py
+++ b/src/sorrelhoist/decisions/work_times.py
@@ -97,6 +97,14 @@
                 is_known = seen.weight(now_s) >= MIN_FOR_QUANTILE
                 return max(expected_s, longest_s, 0.0 if is_known else nominal_s)
 
+    def longest_first_event_s(self, work: Work | SizedWork, now_s: float) -> float:
+        """Return the time that the first event may take; 0 if that isn't known."""
+        match work:
+            case SizedWork(is_stream=True):
+                return self._paces.longest_first_event_s(work, now_s)
+            case _:
+                return 0.0
+
     def _ratio(self, key: tuple[str, bool], now_s: float) -> float:
         seen = self._seen.get(key) or DecayingQuantile()
         ratio = seen.quantile(WORK_QUANTILE, now_s) or 0.0
--- a/src/sorrelhoist/gateway/attempt.py
+++ b/src/sorrelhoist/gateway/attempt.py
@@ -187,9 +187,11 @@
     ) -> WorkEstimate:
         work = self.work(state, now_s, assignment)
         more_s = slack_s(self.route.repeat)
+        times = state.work_times
         return WorkEstimate(
-            likely_s=state.work_times.expected_s(work, now_s) + more_s,
-            longest_s=state.work_times.longest_s(work, now_s) + more_s,
+            likely_s=times.expected_s(work, now_s) + more_s,
+            longest_s=times.longest_s(work, now_s) + more_s,
+            first_event_s=times.longest_first_event_s(work, now_s) + more_s,
             is_stream=self.route.is_stream,
         )
 
--- a/tests/decisions/test_planned_stop.py
+++ b/tests/decisions/test_planned_stop.py
@@ -41,6 +41,15 @@
     assert stop.fits(stream, 104.0, 130.0, now_s=104.0)
 
 
+@pytest.mark.parametrize(("first_event_s", "fits"), [(1.9, True), (2.1, False)])
+def test_a_late_stream_begins_before_all_without_an_answer_is_given_up(
+    first_event_s, fits
+):
+    # It would have got 504 with its first event under way.
+    work = WorkEstimate(2.2, 2.2, first_event_s, is_stream=True)
+    assert PlannedStop(**STOP).fits(work, 105.0, 130.0, now_s=105.0) is fits
+
+
 def test_nothing_is_taken_or_waits_once_connections_close():
     stop = PlannedStop(**STOP, is_closing=True)
     assert not stop.fits(WorkEstimate(), 100.5, 101.0, now_s=100.5)
