Entries and agents record signals before their command line is imported

What callers saw: a stop signal in the first tenths of a second of an entry or agent ended it with -15 instead of a drain, on a busy host.

Cause: click and the settings were imported before the handlers were installed; until then a signal has its default action.

Other commands keep the default actions.

--- a/src/sorrelhoist/commands/roles.py
+++ b/src/sorrelhoist/commands/roles.py
@@ -52,9 +52,9 @@
 
 
 @contextmanager
-def _recording_signals() -> Iterator[SignalInbox]:
+def _recording(early: SignalInbox | None) -> Iterator[SignalInbox]:
     """Record signals; when the context exits, the process ends and ignores them."""
-    signals = SignalInbox()
+    signals = early or SignalInbox()
     with signals.recording():
         yield signals
         for number in SIGNALS:
@@ -63,9 +63,10 @@
 
 @click.command()
 @settings_option
-def entry(path: Path) -> None:
+@click.pass_obj
+def entry(early: SignalInbox | None, path: Path) -> None:
     """Serve callers and operators."""
-    with _recording_signals() as signals:
+    with _recording(early) as signals:
         settings = _load(path, "entry")
         # Imported here, so that a process loads the modules of its own role only and
         # uses less memory.
@@ -76,9 +77,10 @@
 
 @click.command()
 @settings_option
-def agent(path: Path) -> None:
+@click.pass_obj
+def agent(early: SignalInbox | None, path: Path) -> None:
     """Guard one endpoint."""
-    with _recording_signals() as signals:
+    with _recording(early) as signals:
         settings = _load(path, "agent")
         from ..agent.app import run_agent
 
