--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import contextlib
+import datetime
 import json
 import math
 import multiprocessing
@@ -32,6 +33,7 @@
 TIMEOUT_MS = 30_000
 EVENT_READ_S = 0.05  # about as long as an engine without other streams takes for it
 APPS = 2
+LOG_TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
 PART = "part"  # kind of what one engine sends to another
 STREAMS = ("talk", "slow")
 LONG_SHARE = 0.4  # of the streams with a long pause target
@@ -266,18 +268,27 @@
     return counts, wrong
 
 
+def handler_late_ms(gateway, sent_s):
+    """Return how late a process handled SIGTERM, from its log and the wall clock."""
+    (stopping,) = gateway.events("stop")
+    logged = datetime.datetime.strptime(stopping["time"], LOG_TIME_FORMAT)
+    handled_s = logged.timestamp() - stopping["late_ms"] / 1000
+    return round((handled_s - sent_s) * 1000)
+
+
 async def stop(gateway, signals):
-    """Stop a gateway, with signals beside; return the times of SIGTERM and end."""
+    """Stop a gateway; return the times of SIGTERM and end, and how late it was."""
     stop_s = time.monotonic() - min([0.0, *(after_s for after_s, _ in signals)])
+    sent_s = 0.0
     for after_s, number in sorted([(0.0, STOP), *signals]):
         await asyncio.sleep(stop_s + after_s - time.monotonic())
         if after_s == 0.0:
-            stop_s = time.monotonic()
+            stop_s, sent_s = time.monotonic(), time.time()
         gateway.signal(number)
     await gateway.exit_code(stop_s + GRACE_S - time.monotonic())
     ended_s = time.monotonic()
     gateway.kill()
-    return stop_s, ended_s
+    return stop_s, ended_s, handler_late_ms(gateway, sent_s)
 
 
 def run_main(main, *arguments):
@@ -342,9 +353,10 @@
     logs = {one.name: one.log_text.splitlines() for one in gateways}
     counts, wrong = judge_all(folder, stops, logs)
     for gateway in gateways:
-        stop_s, ended_s = stops[gateway.name]
+        stop_s, ended_s, late_ms = stops[gateway.name]
         code = gateway.process.returncode
         counts[f"exit code {code} in {ended_s - stop_s:.2f} s"] += 1
+        counts[f"signal handled {late_ms} ms late"] += 1
         wrong += [f"{gateway.name}: exit code {code}"] if code else []
     return counts, wrong
 
