Tests: what is imported stops no event loop of a test

Cause: five gateways and their store run in the event loop of the test. A full pass of the collector over the 239,000 objects of the imported tests takes 0.16 s here.

The check and its bound stay. test_a_failure_that_is_seen_once_can_be_traced holds objects for its pass to be seen at all, and asks for the same.

Measured: test_what_is_imported_does_not_stop_the_loop_of_a_test fails before.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -46,6 +46,15 @@
         )
 
 
+def pytest_collection_finish(session):
+    """Leave what was imported out of the garbage collector's passes.
+
+    A pass over it stops the event loop of a test for some tenths of a second.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 @attrs.define
 class Pauses:
     """What stopped the process, and with it all event loops, during a test."""
--- a/tests/test_conftest.py
+++ b/tests/test_conftest.py
@@ -10,6 +10,7 @@
 
 def test_fails():
     logging.getLogger("store").warning("lost", extra={"reason": "timed out"})
+    held = [[] for _ in range(300_000)]
     gc.collect()
     assert False
 """
@@ -31,6 +32,15 @@
     assert left[0]() is None
 """
 
+IMPORTING = """
+import gc
+
+imported = [[] for _ in range(200_000)]
+
+def test_does_not_pay_for_imports():
+    assert not any(one is imported for one in gc.get_objects())
+"""
+
 
 def run(folder, text):
     (folder / "conftest.py").write_text(CONFTEST.read_text())
@@ -43,6 +53,10 @@
     assert run(tmp_path, LEAVING).returncode == 0
 
 
+def test_what_is_imported_does_not_stop_the_loop_of_a_test(tmp_path):
+    assert run(tmp_path, IMPORTING).returncode == 0
+
+
 def test_a_failure_that_is_seen_once_can_be_traced(tmp_path):
     shown = run(tmp_path, FAILING).stdout
     assert '"reason": "timed out"' in shown
