--- a/src/sorrelhoist/decisions/stream_paces.py
+++ b/src/sorrelhoist/decisions/stream_paces.py
@@ -40,6 +40,7 @@
 """Ratio of the reading times within which prompts are of similar size."""
 
 MIN_READ_S = 0.001
+"""Reading time below which prompts are of one size."""
 
 PACE_BUCKET_GROWTH = 1.02
 """Resolution of measured paces."""
@@ -72,8 +73,8 @@
         return max(0.0, first_s - self.began_s - self.work.first_event_s)
 
     @property
-    def size(self) -> int:
-        return _size(self.work)
+    def size_class(self) -> int:
+        return _size_class(self.work)
 
     @property
     def pace(self) -> float:
@@ -100,7 +101,7 @@
     pace : dict of bool to DecayingQuantile
         Paces by whether the streams are tight.
     lateness_s : dict of int to DecayingQuantile
-        Lateness of first events by the size of their prompts.
+        Lateness of first events by the class of size of their prompts.
     """
 
     pace: dict[bool, DecayingQuantile] = attrs.field(factory=dict)
@@ -158,7 +159,9 @@
             return
         if stream.first_event_s is None:
             seen = self._services.setdefault(stream.work.service, _ServicePaces())
-            lateness_s = seen.lateness_s.setdefault(stream.size, DecayingQuantile())
+            lateness_s = seen.lateness_s.setdefault(
+                stream.size_class, DecayingQuantile()
+            )
             lateness_s.add(stream.lateness_s(now_s), now_s)
         stream.relayed(events, now_s)
 
@@ -194,7 +197,7 @@
         return pace
 
     def _lateness(self, work: SizedWork, now_s: float) -> _Lateness:
-        key = work.service, _size(work)
+        key = work.service, _size_class(work)
         lateness, computed_s = self._latenesses.get(
             key, (_Lateness(0.0, False), float("-inf"))
         )
@@ -210,7 +213,7 @@
             seen.pace.get(is_tight) or _pace_quantile(),
             [
                 (one.pace_now(now_s), one.passes + 1.0)
-                for one in self._of(service)
+                for one in self._running_of(service)
                 if one.work.is_tight == is_tight
             ],
             (UNSEEN_PACE if is_tight else UNSEEN_LOOSE_PACE, MIN_PASSES),
@@ -220,13 +223,17 @@
         # least that a long stream takes.
         return max(1.0, pace)
 
-    def _measure_lateness(self, service: str, size: int, now_s: float) -> _Lateness:
-        """Return the lateness of first events of prompts up to a size."""
+    def _measure_lateness(
+        self, service: str, size_class: int, now_s: float
+    ) -> _Lateness:
+        """Return the lateness of first events of prompts up to a class of size."""
         seen = self._services.get(service) or _ServicePaces()
         running: dict[int, list[tuple[float, float]]] = {}
-        for one in self._of(service):
+        for one in self._running_of(service):
             if one.first_event_s is None:
-                running.setdefault(one.size, []).append((one.lateness_s(now_s), 1.0))
+                running.setdefault(one.size_class, []).append(
+                    (one.lateness_s(now_s), 1.0)
+                )
         high_s = [
             _high_quantile(
                 seen.lateness_s.get(other) or DecayingQuantile(),
@@ -235,13 +242,13 @@
                 now_s,
             )
             for other in {*seen.lateness_s, *running}
-            if other <= size
+            if other <= size_class
         ]
-        own = seen.lateness_s.get(size)
+        own = seen.lateness_s.get(size_class)
         is_known = own is not None and own.weight(now_s) >= MIN_FIRST_EVENTS
         return _Lateness(max(high_s, default=0.0), is_known)
 
-    def _of(self, service: str) -> list[_Stream]:
+    def _running_of(self, service: str) -> list[_Stream]:
         """Return the streams of a service that still run."""
         return [one for one in self._running.values() if one.work.service == service]
 
@@ -268,13 +275,13 @@
                 ],
                 "first_events": [
                     {
-                        "read_s": round(SIZE_GROWTH**size, 4),
-                        "weight": round(seen.lateness_s[size].weight(now_s), 1),
+                        "read_s": round(SIZE_GROWTH**size_class, 4),
+                        "weight": round(seen.lateness_s[size_class].weight(now_s), 1),
                         "lateness_s": round(
-                            self._measure_lateness(service, size, now_s).high_s, 3
+                            self._measure_lateness(service, size_class, now_s).high_s, 3
                         ),
                     }
-                    for size in sorted(seen.lateness_s)
+                    for size_class in sorted(seen.lateness_s)
                 ],
             }
             for service, seen in self._services.items()
@@ -285,8 +292,8 @@
     return DecayingQuantile(PACE_BUCKET_GROWTH)
 
 
-def _size(work: SizedWork) -> int:
-    """Return the class of the size of a prompt."""
+def _size_class(work: SizedWork) -> int:
+    """Return the class of size of a prompt: larger ones have larger numbers."""
     return math.floor(math.log(max(work.read_s, MIN_READ_S), SIZE_GROWTH))
 
 
--- a/src/sorrelhoist/gateway/exchange.py
+++ b/src/sorrelhoist/gateway/exchange.py
@@ -263,7 +263,9 @@
         if stop is None:
             return None
         deadline_s = admitted.deadline_s if admitted is not None else stop.cut_at_s
-        return stop.latest_start_s(self._estimate(), self._complete_s(), deadline_s)
+        return stop.latest_start_s(
+            self._estimate(), self._complete_or_now_s(), deadline_s
+        )
 
     def _estimate(self, admitted: AdmittedRequest | None = None) -> WorkEstimate:
         """Return the time of the request's work; 0 if nothing is known."""
@@ -381,7 +383,7 @@
         known_s = (wait_s for wait_s in waits_s if wait_s is not None)
         return self.received_s + min(known_s, default=math.inf)
 
-    def _complete_s(self) -> float:
+    def _complete_or_now_s(self) -> float:
         """Return when the request was received whole, or the present time."""
         if self.complete_s is None:
             return asyncio.get_running_loop().time()
@@ -453,7 +455,7 @@
             workspace=found.workspace,
             fingerprint=fingerprint,
             received_s=self.received_s,
-            complete_s=self._complete_s(),
+            complete_s=self._complete_or_now_s(),
             due_s=due_s,
             deadline_s=due_s,
             progress=Progress(
--- a/tests/decisions/test_stream_paces.py
+++ b/tests/decisions/test_stream_paces.py
@@ -169,3 +169,18 @@
     assert paces.longest_s(WORK, later_s + 5.0) < longest_s(1.2)
     much_later_s = 1000 * DECAY_S
     assert paces.longest_s(WORK, much_later_s) == pytest.approx(longest_s(UNSEEN_PACE))
+
+
+def test_the_dump_shows_what_was_seen_of_each_kind():
+    paces = StreamPaces()
+    begin(paces, SHORT, 1, late_s=0.05)
+    begin(paces, attrs.evolve(LONG, is_tight=False), 1, late_s=0.5)
+    run(paces, pace=1.0)
+    paces.began("loose", attrs.evolve(WORK, is_tight=False), now_s=0.0)
+    paces.relayed("loose", 1, now_s=0.2)
+    paces.relayed("loose", 1, now_s=0.3)
+    paces.ended("loose", now_s=0.3)
+    seen = paces.dump(now_s=3.0)["llm"]
+    assert [one["is_tight"] for one in seen["passes"]] == [True, False]
+    reads_s = [one["read_s"] for one in seen["first_events"]]
+    assert reads_s == sorted(reads_s) and len(reads_s) == 3
