--- a/review/kit2/world.py
+++ b/review/kit2/world.py
@@ -413,7 +413,7 @@
             reader, writer = await asyncio.open_connection(host, port)
             try:
                 writer.write(("\r\n".join(rows) + "\r\n\r\n").encode() + body)
-                await _read_answer(reader, reply)
+                await read_answer(reader, reply)
             finally:
                 writer.close()
     except TimeoutError:
@@ -424,7 +424,7 @@
     return reply
 
 
-async def _read_answer(reader, reply):
+async def read_answer(reader, reply):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     line, *rows = head.split("\r\n")
     reply.status = int(line.split(" ")[1])
