--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec python3 case.py
--- a/review/kit2/world.py
+++ b/review/kit2/world.py
@@ -261,6 +261,7 @@
         self.zone, self.capacity, self.state = zone, capacity, "ready"
         self.port = free_port()
         self.born = int(time.time() * 1000)
+        self.beats = True
         self.process = None
 
     async def start(self):
@@ -275,8 +276,8 @@
         self.beat()
         return self
 
-    def beat(self):
-        entry = {
+    def entry(self):
+        return {
             "backend": self.backend,
             "addr": f"{HOST}:{self.port}",
             "zone": self.zone,
@@ -287,7 +288,9 @@
             "sequence": 0,
             "born": self.born,
         }
-        self.world.store.put("keyed.servers", self.name, entry)
+
+    def beat(self):
+        self.world.store.put("keyed.servers", self.name, self.entry())
 
     def drain(self):
         self.state = "draining"
@@ -476,7 +479,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for worker in self.workers:
-                if worker.is_running:
+                if worker.is_running and worker.beats:
                     worker.beat()
 
     def runs(self):
