--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,9 +5,9 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "kit2"))
+sys.path.insert(0, str(HERE.parent))
 
-from world import CantRun, call, configuration, run  # noqa: E402
+from world2 import CantRun, call, configuration, run  # noqa: E402
 
 DRAIN_S = 2.0
 LATE_S = 4.0
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
-python3 -m py_compile kit2/world.py kit2/worker.py
+python3 -m py_compile world2.py worker2.py
 for case in 6 7 8 9 10; do
     if [ -f "$case/case.py" ]; then
         python3 -m py_compile "$case/case.py"
--- a/review/kit2/worker.py
+++ b/review/worker2.py
@@ -1,4 +1,4 @@
-"""Stand-in for a worker, as a process of its own: python3 worker.py PORT ID LOG.
+"""Stand-in for a worker, as a process of its own: python3 worker2.py PORT ID LOG.
 
 The caller's path says what a request does:
   /stream/a?n=40&gap=100&frame=none   n events, one each gap ms; frame=none sends neither
--- a/review/kit2/world.py
+++ b/review/world2.py
@@ -20,7 +20,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 HERE = Path(__file__).resolve().parent
-CHECKOUT = HERE.parents[1]
+CHECKOUT = HERE.parent
 HOST = "127.0.0.1"
 KEY = "key-1"
 HEARTBEAT_S = 1.2
@@ -267,7 +267,7 @@
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(HERE / "worker.py"),
+            str(HERE / "worker2.py"),
             str(self.port),
             self.name,
             str(self.world.folder / "runs.jsonl"),
